Let an owner say that a lease request is queued

Cause: an entry that repeats a lease request cannot tell a silent owner from a long queue. Change: lease_queued answers a repeated request. Measured: nothing yet; the headers compile. Conclusion: silence past the repeat interval is evidence against the owner.

--- a/src/lovagegate/protocol/messages.hpp
+++ b/src/lovagegate/protocol/messages.hpp
@@ -55,6 +55,14 @@
     duration retry_after{};
 };
 
+/// The owner holds the request in its queue: the answer to a repeated
+/// lease_request, so that the entry knows that the owner lives.
+struct lease_queued
+{
+    local_id id = 0;
+    pool_id pool;
+};
+
 /// How the use of a lease ended.
 enum class lease_end : std::uint8_t
 {
@@ -272,12 +280,12 @@
 };
 
 using message =
-    std::variant<lease_request, lease_grant, lease_refusal, lease_release,
-                 lease_renewal, lease_cancel, pool_handover, permit_request,
-                 permit_grant, permit_return, ticket_push, ticket_digest,
-                 ticket_pull, claim_request, claim_answer, claim_result,
-                 claim_transfer, claim_transfer_answer, suspicion_push,
-                 heartbeat>;
+    std::variant<lease_request, lease_grant, lease_refusal, lease_queued,
+                 lease_release, lease_renewal, lease_cancel, pool_handover,
+                 permit_request, permit_grant, permit_return, ticket_push,
+                 ticket_digest, ticket_pull, claim_request, claim_answer,
+                 claim_result, claim_transfer, claim_transfer_answer,
+                 suspicion_push, heartbeat>;
 
 /// What a message says about its sender.
 struct sender
