Name the run of the target in a grant, and two more retry reasons

Cause: a crash must be told apart from another crash of the same target. Change: lease_grant carries the target's incarnation; target_error and mismatched_answer are retry reasons. Conclusion: an entry can report a crash exactly.

--- a/src/lovagegate/core/outcome.cpp
+++ b/src/lovagegate/core/outcome.cpp
@@ -76,6 +76,10 @@
         return "owner_timeout";
     case retry_reason::target_crashed:
         return "target_crashed";
+    case retry_reason::target_error:
+        return "target_error";
+    case retry_reason::mismatched_answer:
+        return "mismatched_answer";
     case retry_reason::target_timeout:
         return "target_timeout";
     case retry_reason::stream_interrupted:
--- a/src/lovagegate/core/outcome.hpp
+++ b/src/lovagegate/core/outcome.hpp
@@ -48,6 +48,8 @@
     owner_changed,      ///< the pool has another owner
     owner_timeout,      ///< the owner did not answer
     target_crashed,     ///< the connection broke; idempotent calls only
+    target_error,       ///< a server error of the target; idempotent calls only
+    mismatched_answer,  ///< the answer names another adapter or request
     target_timeout,     ///< no answer in time; idempotent calls only
     stream_interrupted, ///< broke after the first token; resumable calls only
 };
--- a/src/lovagegate/protocol/messages.hpp
+++ b/src/lovagegate/protocol/messages.hpp
@@ -42,6 +42,7 @@
     pool_id pool;
     target_id target;
     fencing_token token = 0;
+    incarnation target_start = 0; ///< which run of the target is meant
     duration send_window{};
     duration ttl{};          ///< renewed until the request has ended
     std::uint32_t width = 1; ///< pools over which the adapter is spread
