Add the entry side of leases, the retry table and request resolution

Cause: a request needs a path from its caller to a target. A grant echoes which repeat of the question it answers, so that the send window is never counted from after the grant. Measured: nothing yet; the sources compile. Conclusion: the request's state machine can be built on it.

--- a/src/lovagegate/protocol/messages.hpp
+++ b/src/lovagegate/protocol/messages.hpp
@@ -23,7 +23,8 @@
 /// Asks the owner for an engine that holds the adapter.
 struct lease_request
 {
-    local_id id = 0; ///< unique in the sender's incarnation
+    local_id id = 0;          ///< unique in the sender's incarnation
+    std::uint32_t repeat = 0; ///< 0 for the first, then counted up
     pool_id pool;
     adapter_version adapter;
     priority importance = priority::normal;
@@ -35,10 +36,12 @@
 };
 
 /// The request may be sent to the target until the send window has passed,
-/// counted by the entry from the moment at which it sent its request.
+/// counted by the entry from the moment at which it sent the repeat of its
+/// question that the owner had received last: never later than the grant.
 struct lease_grant
 {
     local_id id = 0;
+    std::uint32_t repeat = 0; ///< highest repeat of the question received
     pool_id pool;
     target_id target;
     fencing_token token = 0;
--- /dev/null
+++ b/src/lovagegate/routing/plain_balancer.cpp
@@ -0,0 +1,61 @@
+#include "lovagegate/routing/plain_balancer.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace lovagegate::routing {
+
+plain_balancer::plain_balancer(const routing_settings& settings,
+                               std::uint64_t seed)
+    : settings_(settings), random_(seed)
+{
+}
+
+std::optional<target_id>
+plain_balancer::choose(const ticket::declared_state& state,
+                       const target_group& group,
+                       std::span<const target_id> excluded, time_point now)
+{
+    std::vector<const target_id*> healthy;
+    std::vector<const target_id*> ejected;
+    for (const auto& [id, target] : state.targets) {
+        if (target.group != group || target.leaving ||
+            target.kind != ticket::target_kind::plain)
+            continue;
+        if (std::find(excluded.begin(), excluded.end(), id) != excluded.end())
+            continue;
+        const load& l = loads_[id];
+        if (l.open >= target.max_running)
+            continue;
+        (l.ejected_until > now ? ejected : healthy).push_back(&id);
+    }
+    // A group whose every target is ejected is still better tried than not.
+    const std::vector<const target_id*>& from =
+        healthy.empty() ? ejected : healthy;
+    if (from.empty())
+        return std::nullopt;
+    const target_id* a = from[random_() % from.size()];
+    const target_id* b = from[random_() % from.size()];
+    return loads_[*a].open <= loads_[*b].open ? *a : *b;
+}
+
+void plain_balancer::on_started(const target_id& target)
+{
+    ++loads_[target].open;
+}
+
+void plain_balancer::on_ended(const target_id& target, bool healthy,
+                              time_point now)
+{
+    load& l = loads_[target];
+    if (l.open > 0)
+        --l.open;
+    if (healthy) {
+        l.errors = 0;
+        return;
+    }
+    if (++l.errors >= settings_.ejection_errors)
+        l.ejected_until = now + settings_.ejection;
+}
+
+} // namespace lovagegate::routing
--- /dev/null
+++ b/src/lovagegate/routing/retry_policy.cpp
@@ -0,0 +1,79 @@
+#include "lovagegate/routing/retry_policy.hpp"
+
+#include <algorithm>
+
+namespace lovagegate::routing {
+namespace {
+
+/// The table's row for ends after which the target may have run the request.
+attempt_verdict after_sending(retry_reason reason, bool idempotent,
+                              bool answering) noexcept
+{
+    const bool again = idempotent && !answering;
+    return {again ? reason : retry_reason::none, true};
+}
+
+constexpr std::uint32_t max_backoff_doublings = 16;
+
+} // namespace
+
+attempt_verdict judge(node::attempt_end end, bool idempotent,
+                      bool answering) noexcept
+{
+    using node::attempt_end;
+    switch (end) {
+    case attempt_end::completed:
+    case attempt_end::cancelled:
+        return {retry_reason::none, true};
+    case attempt_end::connect_failed:
+        return {retry_reason::connect_failed, false};
+    case attempt_end::not_run:
+        return {retry_reason::target_refused, false};
+    case attempt_end::adapter_missing:
+        return {retry_reason::adapter_missing, false};
+    case attempt_end::broken:
+        return after_sending(retry_reason::target_crashed, idempotent,
+                             answering);
+    case attempt_end::timed_out:
+        return after_sending(retry_reason::target_timeout, idempotent,
+                             answering);
+    case attempt_end::mismatched:
+        return after_sending(retry_reason::mismatched_answer, idempotent,
+                             answering);
+    case attempt_end::error_answer:
+        return after_sending(retry_reason::target_error, idempotent, answering);
+    }
+    return {retry_reason::none, true};
+}
+
+retry_budget::retry_budget(const routing_settings& settings) noexcept
+    : share_(settings.retry_share), burst_(settings.retry_burst),
+      saved_(settings.retry_burst)
+{
+}
+
+void retry_budget::on_first_try() noexcept
+{
+    saved_ = std::min(burst_, saved_ + share_);
+}
+
+bool retry_budget::take() noexcept
+{
+    if (saved_ < 1.0)
+        return false;
+    saved_ -= 1.0;
+    return true;
+}
+
+duration backoff(const routing_settings& settings, std::uint32_t attempt,
+                 std::uint64_t random) noexcept
+{
+    const std::uint32_t doublings =
+        std::min(std::max(attempt, 1U) - 1U, max_backoff_doublings);
+    const duration ceiling = std::min<duration>(
+        settings.backoff_max, settings.backoff_base * (1U << doublings));
+    const auto span = static_cast<std::uint64_t>(ceiling.count()) + 1U;
+    return duration(static_cast<duration::rep>(random % span));
+}
+
+} // namespace lovagegate::routing
