Carry each request from its caller to one outcome

Cause: leases, claims and retries need one owner on the entry instance. Change: routing::router, a pure state machine, with a mocked environment in its tests. A claim's result names the claim, so that a request that was told "running" cannot free the claim of the one that runs.

--- a/src/lovagegate/protocol/messages.hpp
+++ b/src/lovagegate/protocol/messages.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -207,6 +208,9 @@
     stale,    ///< issued before what the home can know about
 };
 
+/// @return the name used in counters
+[[nodiscard]] std::string_view to_string(claim_verdict v) noexcept;
+
 struct stored_answer
 {
     int status = 0;
@@ -221,8 +225,10 @@
     std::optional<stored_answer> answer;
 };
 
+/// Counts only when it comes from the claimant that the home said "go" to.
 struct claim_result
 {
+    local_id id = 0; ///< of the claim_request
     request_id request;
     request_outcome outcome = request_outcome::unknown;
     std::optional<stored_answer> answer; ///< if it is small enough to keep
--- /dev/null
+++ b/src/lovagegate/routing/open_request.hpp
@@ -0,0 +1,48 @@
+#ifndef LOVAGEGATE_ROUTING_OPEN_REQUEST_HPP
+#define LOVAGEGATE_ROUTING_OPEN_REQUEST_HPP
+
+#include "lovagegate/node/inputs.hpp"
+#include "lovagegate/routing/resolver.hpp"
+
+#include <set>
+#include <vector>
+
+namespace lovagegate::routing {
+
+/// Where a request stands.
+enum class request_stage : std::uint8_t
+{
+    claiming, ///< waits for the home of its request id
+    leasing,  ///< waits for a lease
+    running,  ///< an attempt on a target is open
+    paused,   ///< waits for its next attempt
+};
+
+/// One request between its arrival and its outcome.
+struct open_request
+{
+    node::caller_request call;
+    resolved_request resolved;
+    request_stage stage = request_stage::leasing;
+    time_point deadline{};
+    time_point wake{}; ///< end of the pause, or of the wait for a claim
+
+    std::uint32_t attempt = 0; ///< number of attempts on targets so far
+    std::uint32_t tries = 0;   ///< questions and attempts that failed
+    bool may_have_run = false;
+    bool answering = false; ///< the caller has part of the answer
+    bool claimed = false;   ///< its home said "go"
+    std::uint32_t claim_tries = 0;
+    /// Every instance that may hold a claim of this request.
+    std::set<instance_id> homes;
+
+    target_id target; ///< of the open attempt
+    incarnation target_start = 0;
+    std::vector<target_id> excluded;
+    refusal last_refusal = refusal::none;
+    duration retry_after{};
+};
+
+} // namespace lovagegate::routing
+
+#endif
--- /dev/null
+++ b/tests/routing/router_test.cpp
@@ -0,0 +1,316 @@
+#include "lovagegate/routing/router.hpp"
+
+#include <catch2/catch.hpp>
+#include <trompeloeil.hpp>
+
+using namespace lovagegate;
+using namespace lovagegate::routing;
+using trompeloeil::_;
+
+namespace {
+
+const instance_id owner{"i1"};
+const pool_id pool{"engines/0"};
+
+class mock_environment : public environment
+{
+public:
+    MAKE_CONST_MOCK0(declared, const ticket::declared_state&(), override);
+    MAKE_CONST_MOCK4(choose_pool,
+                     pool_id(const target_group&, const adapter_version&,
+                             std::uint32_t, fingerprint),
+                     override);
+    MAKE_CONST_MOCK1(owner_of, std::optional<instance_id>(const pool_id&),
+                     override);
+    MAKE_CONST_MOCK1(home_of, std::optional<instance_id>(const request_id&),
+                     override);
+    MAKE_CONST_MOCK1(quarantined, bool(fingerprint), override);
+    MAKE_CONST_MOCK1(suspicions, std::uint32_t(fingerprint), override);
+    MAKE_CONST_MOCK0(usable_instances, std::size_t(), override);
+    MAKE_MOCK1(report_crash, void(const protocol::suspicion&), override);
+    MAKE_MOCK1(report_silent, void(const instance_id&), override);
+};
+
+ticket::declared_state declared_site()
+{
+    ticket::declared_state s;
+    const service_id digest{"digest"};
+    const service_id hours{"hours"};
+    s.services[digest].group = target_group{"engines"};
+    s.services[hours].group = target_group{"plain"};
+    s.services[hours].routes = {{"POST", "/signoff", false, priority::normal}};
+    s.adapters["crew"] = {"base", {"2", "1"}, {digest}};
+    ticket::target engine;
+    engine.group = target_group{"engines"};
+    s.targets[target_id{"e1"}] = engine;
+    ticket::target plain;
+    plain.group = target_group{"plain"};
+    plain.kind = ticket::target_kind::plain;
+    s.targets[target_id{"p1"}] = plain;
+    s.targets[target_id{"p2"}] = plain;
+    return s;
+}
+
+/// A router between a mocked node and the test.
+struct fixture
+{
+    ticket::declared_state state = declared_site();
+    routing_settings settings;
+    mock_environment env;
+    counters count;
+    router r{settings, env, count, 1};
+    time_point now{10s};
+    node::outbox out;
+    std::vector<std::unique_ptr<trompeloeil::expectation>> allowed;
+
+    fixture()
+    {
+        allowed.push_back(
+            NAMED_ALLOW_CALL(env, declared()).LR_RETURN(std::ref(state)));
+        allowed.push_back(
+            NAMED_ALLOW_CALL(env, choose_pool(_, _, _, _)).RETURN(pool));
+        allowed.push_back(NAMED_ALLOW_CALL(env, owner_of(_)).RETURN(owner));
+        allowed.push_back(NAMED_ALLOW_CALL(env, home_of(_)).RETURN(owner));
+        allowed.push_back(NAMED_ALLOW_CALL(env, quarantined(_)).RETURN(false));
+        allowed.push_back(NAMED_ALLOW_CALL(env, suspicions(_)).RETURN(0U));
+        allowed.push_back(NAMED_ALLOW_CALL(env, usable_instances()).RETURN(1U));
+    }
+
+    void completion(local_id id, const std::string& model)
+    {
+        node::caller_request call;
+        call.id = id;
+        call.model = model;
+        r.on_request(std::move(call), admission::open, now, out);
+    }
+
+    void sign_off(local_id id)
+    {
+        node::caller_request call;
+        call.id = id;
+        call.completion = false;
+        call.service = service_id{"hours"};
+        call.method = "POST";
+        call.path = "/signoff";
+        call.request = request_id{"so-1"};
+        call.issued = wall_time{1s};
+        r.on_request(std::move(call), admission::open, now, out);
+    }
+
+    /// Takes the outputs of one kind out of the outbox.
+    template <typename T>
+    std::vector<T> taken()
+    {
+        std::vector<T> found;
+        for (const node::output& o : out)
+            if (const T* t = std::get_if<T>(&o))
+                found.push_back(*t);
+        out.clear();
+        return found;
+    }
+
+    template <typename T>
+    std::vector<T> taken_messages()
+    {
+        std::vector<T> found;
+        for (const auto& m : taken<node::send_message>())
+            if (const T* t = std::get_if<T>(&m.body))
+                found.push_back(*t);
+        return found;
+    }
+
+    void grant(const protocol::lease_request& question)
+    {
+        protocol::lease_grant g;
+        g.id = question.id;
+        g.pool = question.pool;
+        g.target = target_id{"e1"};
+        g.send_window = 2s;
+        g.ttl = 6s;
+        r.on_grant(owner, g, now, out);
+    }
+
+    void end_attempt(local_id id, std::uint32_t attempt, node::attempt_end end)
+    {
+        r.on_attempt_ended({id, attempt, end, {}, {}}, now, out);
+    }
+
+    void pass(duration d)
+    {
+        for (const time_point end = now + d; now < end;) {
+            now += node::tick_interval;
+            r.tick(now, out);
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("a completion is sent under a lease and gives it back", "[routing]")
+{
+    fixture f;
+    f.completion(1, "crew");
+    const auto asked = f.taken_messages<protocol::lease_request>();
+    REQUIRE(asked.size() == 1);
+    CHECK(asked[0].adapter == adapter_version{"crew", "2"});
+    f.grant(asked[0]);
+    const auto sent = f.taken<node::start_attempt>();
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].target == target_id{"e1"});
+    f.end_attempt(1, 1, node::attempt_end::completed);
+    const auto ended = f.taken<node::finish_request>();
+    REQUIRE(ended.size() == 1);
+    CHECK(ended[0].outcome == request_outcome::completed);
+    f.pass(50ms);
+    const auto given_back = f.taken_messages<protocol::lease_release>();
+    REQUIRE(given_back.size() == 1);
+    CHECK(given_back[0].leases[0].end == protocol::lease_end::finished);
+    CHECK(f.r.open() == 0);
+}
+
+TEST_CASE("a version that no ticket permits is refused unrun", "[routing]")
+{
+    fixture f;
+    f.completion(1, "crew@3");
+    const auto ended = f.taken<node::finish_request>();
+    REQUIRE(ended.size() == 1);
+    CHECK(ended[0].outcome == request_outcome::not_run);
+    CHECK(ended[0].reason == refusal::version_not_allowed);
+}
+
+TEST_CASE("a grant that comes after its send window is not used", "[routing]")
+{
+    fixture f;
+    f.completion(1, "crew@1");
+    const auto asked = f.taken_messages<protocol::lease_request>();
+    f.now += 5s;
+    f.grant(asked.at(0));
+    CHECK(f.taken<node::start_attempt>().empty());
+    f.pass(100ms);
+    const auto again = f.taken_messages<protocol::lease_request>();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].id != asked[0].id);
+}
+
+TEST_CASE("a grant that nobody waits for is given back", "[routing]")
+{
+    fixture f;
+    protocol::lease_request abandoned;
+    abandoned.id = 77;
+    abandoned.pool = pool;
+    f.grant(abandoned);
+    f.pass(50ms);
+    const auto given_back = f.taken_messages<protocol::lease_release>();
+    REQUIRE(given_back.size() == 1);
+    CHECK(given_back[0].leases[0].end == protocol::lease_end::not_sent);
+}
+
+TEST_CASE("a silent owner is reported and another question is asked",
+          "[routing]")
+{
+    fixture f;
+    REQUIRE_CALL(f.env, report_silent(owner));
+    f.completion(1, "crew");
+    f.pass(3s + 200ms);
+    const auto asked = f.taken_messages<protocol::lease_request>();
+    REQUIRE(asked.size() == 4);
+    CHECK(asked[2].repeat == 2);
+    CHECK(asked[3].id != asked[0].id);
+}
+
+TEST_CASE("a sign-off whose connection breaks is unknown and not sent again",
+          "[routing]")
+{
+    fixture f;
+    f.sign_off(1);
+    const auto claim = f.taken_messages<protocol::claim_request>();
+    REQUIRE(claim.size() == 1);
+    f.r.on_claim_answer({1, protocol::claim_verdict::go, {}}, f.now, f.out);
+    REQUIRE(f.taken<node::start_attempt>().size() == 1);
+    REQUIRE_CALL(f.env, report_crash(_));
+    f.end_attempt(1, 1, node::attempt_end::broken);
+    const node::outbox all = f.out;
+    const auto ended = f.taken<node::finish_request>();
+    REQUIRE(ended.size() == 1);
+    CHECK(ended[0].outcome == request_outcome::unknown);
+    f.out = all;
+    const auto told = f.taken_messages<protocol::claim_result>();
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].outcome == request_outcome::unknown);
+    f.pass(5s);
+    CHECK(f.taken<node::start_attempt>().empty());
+}
+
+TEST_CASE("a sign-off that could not be sent goes to another target",
+          "[routing]")
+{
+    fixture f;
+    f.sign_off(1);
+    f.r.on_claim_answer({1, protocol::claim_verdict::go, {}}, f.now, f.out);
+    const auto first = f.taken<node::start_attempt>();
+    f.end_attempt(1, 1, node::attempt_end::connect_failed);
+    f.pass(100ms);
+    const auto second = f.taken<node::start_attempt>();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].target != first.at(0).target);
+}
+
+TEST_CASE("a sign-off that runs elsewhere frees nobody's claim", "[routing]")
+{
+    fixture f;
+    f.sign_off(1);
+    f.out.clear();
+    f.r.on_claim_answer({1, protocol::claim_verdict::running, {}}, f.now,
+                        f.out);
+    const node::outbox all = f.out;
+    CHECK(f.taken<node::finish_request>().at(0).reason ==
+          refusal::request_running);
+    f.out = all;
+    // The home tells claimants apart by the id of their claim.
+    for (const auto& told : f.taken_messages<protocol::claim_result>())
+        CHECK(told.id == 1);
+}
+
+TEST_CASE("a sign-off without a request id is refused unrun", "[routing]")
+{
+    fixture f;
+    node::caller_request call;
+    call.completion = false;
+    call.service = service_id{"hours"};
+    call.method = "POST";
+    call.path = "/signoff";
+    f.r.on_request(std::move(call), admission::open, f.now, f.out);
+    CHECK(f.taken<node::finish_request>().at(0).reason ==
+          refusal::request_id_required);
+}
+
+TEST_CASE("a broken completion is tried elsewhere before it has begun",
+          "[routing]")
+{
+    fixture f;
+    f.completion(1, "crew");
+    f.grant(f.taken_messages<protocol::lease_request>().at(0));
+    REQUIRE_CALL(f.env, report_crash(_));
+    f.end_attempt(1, 1, node::attempt_end::broken);
+    f.pass(100ms);
+    const auto again = f.taken_messages<protocol::lease_request>();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].excluded == std::vector<target_id>{target_id{"e1"}});
+}
+
+TEST_CASE(
+    "a completion that broke and found no other target is not \"not run\"",
+    "[routing]")
+{
+    fixture f;
+    f.completion(1, "crew");
+    f.grant(f.taken_messages<protocol::lease_request>().at(0));
+    REQUIRE_CALL(f.env, report_crash(_));
+    f.end_attempt(1, 1, node::attempt_end::broken);
+    f.pass(100ms);
+    const auto again = f.taken_messages<protocol::lease_request>();
+    f.r.on_refusal({again.at(0).id, pool, refusal::no_target, {}}, f.now,
+                   f.out);
+    CHECK(f.taken<node::finish_request>().at(0).outcome ==
+          request_outcome::unknown);
+}
