Add log lines and the metrics registry

Cause: operators read counters first, and a line for each change of state. Change: easylogging++ writes to standard error, one line of escaped key=value fields; Boost.Accumulators (count, sum, extended P-square) keep latency, first token, token gap, load stall and batch fill, shown as a page in Prometheus text format. Conclusion: extended_p_square_quantile copies an unset member, which GCC 12 refuses at -Werror; its markers at the wanted quantiles serve as well.

--- /dev/null
+++ b/src/lovagegate/logging/log.hpp
@@ -0,0 +1,49 @@
+#ifndef LOVAGEGATE_LOGGING_LOG_HPP
+#define LOVAGEGATE_LOGGING_LOG_HPP
+
+#include "lovagegate/settings/settings.hpp"
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+/// Log lines on standard error, one for each change of state. What happens
+/// for every request is counted instead.
+namespace lovagegate::logging {
+
+using level = settings::log_level;
+
+/// One KEY=VALUE of a log line.
+struct field
+{
+    field(std::string_view k, std::string_view v) : key(k), value(v) {}
+    field(std::string_view k, const std::string& v) : key(k), value(v) {}
+    field(std::string_view k, const char* v) : key(k), value(v) {}
+    field(std::string_view k, std::uint64_t v)
+        : key(k), value(std::to_string(v))
+    {
+    }
+
+    std::string_view key;
+    std::string value;
+};
+
+/// Sets the format and the least level; call it once, before the first line.
+/// @param least lines below this level are dropped
+void configure(level least);
+
+/// Writes one line: LEVEL TIME EVENT KEY=VALUE ...
+/// @param l level of the line
+/// @param event what changed, as one word
+/// @param fields further details
+void write(level l, std::string_view event,
+           std::initializer_list<field> fields = {});
+
+/// @return EVENT KEY=VALUE ..., with values quoted and escaped where needed
+[[nodiscard]] std::string format(std::string_view event,
+                                 std::initializer_list<field> fields);
+
+} // namespace lovagegate::logging
+
+#endif
--- /dev/null
+++ b/src/lovagegate/metrics/registry.hpp
@@ -0,0 +1,66 @@
+#ifndef LOVAGEGATE_METRICS_REGISTRY_HPP
+#define LOVAGEGATE_METRICS_REGISTRY_HPP
+
+#include "lovagegate/core/counters.hpp"
+#include "lovagegate/core/outcome.hpp"
+#include "lovagegate/core/time.hpp"
+#include "lovagegate/metrics/summary.hpp"
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace lovagegate::metrics {
+
+/// What is timed for requests of each priority.
+enum class timing : std::uint8_t
+{
+    latency,     ///< from the whole request to the end of the answer
+    first_token, ///< from the whole request to the first token of the answer
+    token_gap,   ///< between two tokens of one answer
+    load_stall,  ///< waiting for the adapter to be loaded
+};
+
+inline constexpr std::size_t timing_count = 4;
+
+/// A value that goes up and down, read when the page is made.
+struct gauge
+{
+    /// Prometheus name without the prefix, with labels in braces if any.
+    std::string name;
+    double value = 0;
+};
+
+/// Summaries of one instance and the page that shows them.
+class registry
+{
+public:
+    /// @param what which timing
+    /// @param p priority of the request
+    /// @param took how long
+    /// @param now time of the observation
+    void observe(timing what, priority p, duration took, time_point now);
+
+    /// @param share requests running on an engine over its batch limit
+    /// @param now time of the observation
+    void observe_batch_fill(double share, time_point now);
+
+    [[nodiscard]] const summary& timings(timing what, priority p) const;
+    [[nodiscard]] const summary& batch_fill() const { return batch_fill_; }
+
+    /// @param counts counters; each name gets the prefix and _total
+    /// @param gauges further values of this moment
+    /// @return a page in Prometheus text format 0.0.4
+    [[nodiscard]] std::string page(const counters& counts,
+                                   std::span<const gauge> gauges) const;
+
+private:
+    std::array<std::array<summary, priority_count>, timing_count> timings_;
+    summary batch_fill_;
+};
+
+} // namespace lovagegate::metrics
+
+#endif
--- /dev/null
+++ b/src/lovagegate/metrics/summary.cpp
@@ -0,0 +1,97 @@
+#include "lovagegate/metrics/summary.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace lovagegate::metrics {
+
+namespace acc = boost::accumulators;
+
+namespace {
+
+/// Up to this many values quantiles are exact; the estimator of Boost needs
+/// 2 n + 3 values for n markers before these mean anything.
+constexpr std::size_t exact_values = 64;
+
+/// Markers of the estimator: the reported quantiles and neighbours, which
+/// make the estimates of these better.
+constexpr std::array<double, 7> markers = {0.25, 0.5,  0.75, 0.9,
+                                           0.95, 0.99, 0.999};
+
+} // namespace
+
+summary::estimator::estimator()
+    : set(acc::extended_p_square_probabilities = markers)
+{
+}
+
+void summary::estimator::observe(double value)
+{
+    set(value);
+    ++seen;
+    if (seen <= exact_values) {
+        first.push_back(value);
+    }
+}
+
+double summary::estimator::quantile(double q) const
+{
+    if (seen == 0) {
+        return 0;
+    }
+    if (seen > exact_values) {
+        const auto* at = std::find(markers.begin(), markers.end(), q);
+        return acc::extended_p_square(set)[at - markers.begin()];
+    }
+    std::vector<double> sorted = first;
+    std::sort(sorted.begin(), sorted.end());
+    const auto rank = std::ceil(q * static_cast<double>(sorted.size()));
+    return sorted[static_cast<std::size_t>(std::max(rank, 1.0)) - 1];
+}
+
+summary::summary() = default;
+
+void summary::observe(double value, time_point now)
+{
+    rotate(now);
+    total_(value);
+    old_.observe(value);
+    young_.observe(value);
+}
+
+void summary::rotate(time_point now)
+{
+    if (rotated_ == time_point{}) {
+        rotated_ = now;
+    }
+    if (now - rotated_ < window) {
+        return;
+    }
+    const bool both_over = now - rotated_ >= 2 * window;
+    old_ = both_over ? estimator() : std::move(young_);
+    young_ = estimator();
+    rotated_ = now;
+}
+
+std::uint64_t summary::count() const
+{
+    return acc::count(total_);
+}
+
+double summary::sum() const
+{
+    return acc::sum(total_);
+}
+
+double summary::mean() const
+{
+    return count() == 0 ? 0 : sum() / static_cast<double>(count());
+}
+
+double summary::quantile(double q) const
+{
+    return old_.quantile(q);
+}
+
+} // namespace lovagegate::metrics
