--- /dev/null
+++ b/src/lovagegate/idempotency/claim_home.cpp
@@ -0,0 +1,205 @@
+#include "lovagegate/idempotency/claim_home.hpp"
+
+#include "lovagegate/idempotency/tenure_rule.hpp"
+
+#include <algorithm>
+
+namespace lovagegate::idempotency {
+
+using protocol::claim_verdict;
+
+std::string home_key(const request_id& r)
+{
+    return "requests/" + r.str();
+}
+
+claim_home::claim_home(instance_id self, claim_settings s, counters& c)
+    : self_(std::move(self)), settings_(s), counters_(c)
+{
+}
+
+void claim_home::answer(const protocol::sender& to, local_id id,
+                        claim_verdict verdict, node::outbox& out,
+                        std::optional<protocol::stored_answer> stored)
+{
+    counters_.add("home_verdicts", "verdict", to_string(verdict));
+    out.push_back(node::send_message{
+        to.instance, protocol::claim_answer{id, verdict, std::move(stored)}});
+}
+
+void claim_home::on_claim(const protocol::sender& from,
+                          const protocol::claim_request& claim, instant now,
+                          const membership::view& view, node::outbox& out)
+{
+    const auto& bounds = view.settings();
+    const auto tenure = view.own_tenure(home_key(claim.request));
+    const auto known = records_.find(claim.request);
+    if (known != records_.end()) {
+        answer_known(from, claim, known->second, tenure.has_value(), out);
+        return;
+    }
+    if (!tenure || !view.list_is_fresh(now.mono)) {
+        answer(from, claim.id, claim_verdict::not_home, out);
+        return;
+    }
+    const duration age = now.wall - claim.issued;
+    if (age >= settings_.horizon || age < -bounds.clock_skew ||
+        claim.issued <= forgotten_until_) {
+        answer(from, claim.id, claim_verdict::stale, out);
+        return;
+    }
+    // A list seen only after this process started says nothing of before.
+    const time_point since = std::max(tenure->since, view.started());
+    if (!issued_within_tenure(claim.issued, since, now, bounds)) {
+        ask_previous(from, claim, now, view, out);
+        return;
+    }
+    start_run(from, claim, out);
+}
+
+void claim_home::answer_known(const protocol::sender& from,
+                              const protocol::claim_request& claim,
+                              const record& r, bool is_home, node::outbox& out)
+{
+    const bool same_claim = r.holder.instance == from.instance &&
+                            r.holder.start == from.start && r.claim == claim.id;
+    if (r.issued != claim.issued)
+        counters_.add("claim_issue_times_changed");
+    if (r.state == stage::transferred) // the one it went to may be gone
+        answer(from, claim.id,
+               is_home ? claim_verdict::unknown : claim_verdict::not_home, out);
+    else if (r.print != claim.print && r.print != 0)
+        answer(from, claim.id, claim_verdict::conflict, out);
+    else if (r.state == stage::unknown)
+        answer(from, claim.id, claim_verdict::unknown, out);
+    else if (r.state == stage::done)
+        answer(from, claim.id, claim_verdict::done, out, r.answer);
+    else // a repeated claim: its answer was lost, and claims act once
+        answer(from, claim.id,
+               same_claim ? claim_verdict::go : claim_verdict::running, out);
+}
+
+void claim_home::start_run(const protocol::sender& from,
+                           const protocol::claim_request& claim,
+                           node::outbox& out)
+{
+    if (records_.size() >= settings_.max_records) {
+        answer(from, claim.id, claim_verdict::full, out);
+        return;
+    }
+    record r;
+    r.print = claim.print;
+    r.issued = claim.issued;
+    r.holder = from;
+    r.claim = claim.id;
+    insert(claim.request, std::move(r));
+    answer(from, claim.id, claim_verdict::go, out);
+}
+
+claim_home::record& claim_home::insert(const request_id& id, record r)
+{
+    by_issue_.emplace(r.issued, id);
+    return records_.insert_or_assign(id, std::move(r)).first->second;
+}
+
+void claim_home::on_result(const protocol::sender& from,
+                           const protocol::claim_result& result,
+                           instant /*now*/)
+{
+    const auto it = records_.find(result.request);
+    if (it == records_.end())
+        return;
+    record& r = it->second;
+    const bool holds = r.holder.instance == from.instance &&
+                       r.holder.start == from.start && r.claim == result.id &&
+                       r.state != stage::transferred && r.state != stage::done;
+    if (!holds) {
+        counters_.add("claim_results_unmatched");
+        return;
+    }
+    switch (result.outcome) {
+    case request_outcome::not_run:
+        erase(it);
+        return;
+    case request_outcome::completed:
+        r.state = stage::done;
+        keep_answer(it, result.answer);
+        return;
+    case request_outcome::unknown:
+        r.state = stage::unknown;
+        return;
+    }
+}
+
+void claim_home::keep_answer(record_map::iterator it,
+                             std::optional<protocol::stored_answer> stored)
+{
+    if (!stored || stored->body.size() > settings_.max_answer_bytes)
+        return;
+    answer_bytes_ += stored->body.size();
+    it->second.answer = std::move(stored);
+    answers_.push_back(it->first);
+    while (answer_bytes_ > settings_.max_answers_bytes) {
+        const auto oldest = records_.find(answers_.front());
+        answers_.pop_front();
+        if (oldest != records_.end())
+            drop_answer(oldest->second);
+    }
+}
+
+void claim_home::drop_answer(record& r)
+{
+    if (!r.answer)
+        return;
+    answer_bytes_ -= r.answer->body.size();
+    r.answer.reset();
+}
+
+void claim_home::on_peer_gone(const instance_id& peer)
+{
+    for (auto& [id, r] : records_)
+        if (r.state == stage::running && r.holder.instance == peer)
+            r.state = stage::unknown;
+}
+
+void claim_home::tick(instant now, node::outbox& out)
+{
+    for (auto it = transfers_.begin(); it != transfers_.end();) {
+        if (it->second.until > now.mono) {
+            ++it;
+            continue;
+        }
+        for (const waiting_claim& w : it->second.claims)
+            answer(w.from, w.claim.id, claim_verdict::stale, out);
+        it = transfers_.erase(it);
+    }
+    forget_old(now);
+}
+
+void claim_home::forget_old(instant now)
+{
+    const wall_time limit =
+        now.wall - std::chrono::duration_cast<std::chrono::milliseconds>(
+                       settings_.horizon);
+    while (!by_issue_.empty() && by_issue_.begin()->first < limit) {
+        // No id as old as a forgotten one is ever taken for new, even if the
+        // wall clock is set back.
+        forgotten_until_ = std::max(forgotten_until_, by_issue_.begin()->first);
+        erase(records_.find(by_issue_.begin()->second));
+    }
+    while (!answers_.empty() && !records_.contains(answers_.front()))
+        answers_.pop_front();
+}
+
+void claim_home::erase(record_map::iterator it)
+{
+    drop_answer(it->second);
+    auto [i, last] = by_issue_.equal_range(it->second.issued);
+    while (i != last && i->second != it->first)
+        ++i;
+    if (i != last)
+        by_issue_.erase(i);
+    records_.erase(it);
+}
+
+} // namespace lovagegate::idempotency
--- /dev/null
+++ b/src/lovagegate/idempotency/claim_home.hpp
@@ -0,0 +1,129 @@
+#ifndef LOVAGEGATE_IDEMPOTENCY_CLAIM_HOME_HPP
+#define LOVAGEGATE_IDEMPOTENCY_CLAIM_HOME_HPP
+
+#include "lovagegate/core/counters.hpp"
+#include "lovagegate/core/time.hpp"
+#include "lovagegate/idempotency/settings.hpp"
+#include "lovagegate/membership/view.hpp"
+#include "lovagegate/node/outputs.hpp"
+#include "lovagegate/protocol/messages.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+/// At most one run of a non-idempotent call.
+namespace lovagegate::idempotency {
+
+/// @return the key under which a request id has its home
+[[nodiscard]] std::string home_key(const request_id& r);
+
+/// The memory of the request ids whose home this instance is. A claim is
+/// answered `go` only if no other instance can have said so: see
+/// docs/design/at-most-once.md for the rule and the window that is left.
+class claim_home
+{
+public:
+    /// @param self this instance
+    /// @param s bounds
+    /// @param c counters of the instance; must outlive this
+    claim_home(instance_id self, claim_settings s, counters& c);
+
+    void on_claim(const protocol::sender& from,
+                  const protocol::claim_request& claim, instant now,
+                  const membership::view& view, node::outbox& out);
+    void on_result(const protocol::sender& from,
+                   const protocol::claim_result& result, instant now);
+    void on_transfer(const protocol::sender& from,
+                     const protocol::claim_transfer& transfer, instant now,
+                     const membership::view& view, node::outbox& out);
+    void on_transfer_answer(const protocol::sender& from,
+                            const protocol::claim_transfer_answer& answer,
+                            instant now, const membership::view& view,
+                            node::outbox& out);
+    /// The instance is gone or has started anew: what it ran may have run.
+    void on_peer_gone(const instance_id& peer);
+    /// Ends transfers that got no answer and forgets old ids.
+    void tick(instant now, node::outbox& out);
+
+    [[nodiscard]] std::size_t size() const noexcept { return records_.size(); }
+    [[nodiscard]] std::size_t answer_bytes() const noexcept
+    {
+        return answer_bytes_;
+    }
+
+private:
+    enum class stage : std::uint8_t
+    {
+        running,
+        done,
+        unknown,
+        transferred, ///< another instance is the home of this id now
+    };
+    struct record
+    {
+        stage state = stage::running;
+        fingerprint print = 0;
+        wall_time issued{};
+        protocol::sender holder; ///< claimant, or the home transferred to
+        local_id claim = 0;
+        std::optional<protocol::stored_answer> answer;
+    };
+    struct waiting_claim
+    {
+        protocol::sender from;
+        protocol::claim_request claim;
+    };
+    struct transfer
+    {
+        instance_id asked;
+        time_point until{};
+        std::vector<waiting_claim> claims;
+    };
+    using record_map = std::unordered_map<request_id, record>;
+
+    void answer_known(const protocol::sender& from,
+                      const protocol::claim_request& claim, const record& r,
+                      bool is_home, node::outbox& out);
+    void answer(const protocol::sender& to, local_id id,
+                protocol::claim_verdict verdict, node::outbox& out,
+                std::optional<protocol::stored_answer> stored = {});
+    void start_run(const protocol::sender& from,
+                   const protocol::claim_request& claim, node::outbox& out);
+    void ask_previous(const protocol::sender& from,
+                      const protocol::claim_request& claim, instant now,
+                      const membership::view& view, node::outbox& out);
+    [[nodiscard]] protocol::claim_transfer_answer
+    give_away(const protocol::sender& to, const protocol::claim_transfer& t,
+              instant now, const membership::view& view);
+    [[nodiscard]] bool can_give_away(const protocol::sender& to,
+                                     const protocol::claim_transfer& t,
+                                     instant now,
+                                     const membership::view& view) const;
+    void adopt(const request_id& id, const waiting_claim& first,
+               const protocol::claim_transfer_answer& a);
+    void keep_answer(record_map::iterator it,
+                     std::optional<protocol::stored_answer> stored);
+    void drop_answer(record& r);
+    void erase(record_map::iterator it);
+    void forget_old(instant now);
+    record& insert(const request_id& id, record r);
+
+    instance_id self_;
+    claim_settings settings_;
+    counters& counters_;
+    record_map records_;
+    std::multimap<wall_time, request_id> by_issue_;
+    std::deque<request_id> answers_; ///< oldest first
+    std::size_t answer_bytes_ = 0;
+    std::unordered_map<request_id, transfer> transfers_;
+    wall_time forgotten_until_{}; ///< ids issued before may be forgotten
+};
+
+} // namespace lovagegate::idempotency
+
+#endif
--- /dev/null
+++ b/src/lovagegate/membership/heartbeats.cpp
@@ -0,0 +1,132 @@
+// The sending half of membership::view.
+#include "lovagegate/membership/view.hpp"
+
+#include <algorithm>
+
+namespace lovagegate::membership {
+
+namespace {
+
+/// After a pause, second-hand evidence may have waited in a socket.
+constexpr duration backlog_time = 1s;
+
+} // namespace
+
+void view::note_pause(instant now)
+{
+    if (last_tick_ && now.mono - *last_tick_ > settings_.pause_bound) {
+        counters_.add("pauses");
+        ignore_heard_until_ = now.mono + backlog_time;
+        // Nobody can have been heard while this process stood still.
+        for (auto& [id, p] : peers_)
+            p.suspected_until = {};
+    }
+    last_tick_ = now.mono;
+}
+
+void view::tick(instant now, const protocol::ticket_digest& tickets,
+                node::outbox& out)
+{
+    now_ = std::max(now_, now.mono);
+    tickets_ = tickets;
+    note_pause(now);
+    const bool due = now.mono >= next_heartbeat_;
+    if (!due && !announce_)
+        return;
+    refresh_usable();
+    if (announce_ && phase_ != protocol::phase::starting) {
+        for (const instance_id& i : random_peers(settings_.announce_fanout))
+            send_heartbeat(i, now, false, out);
+    }
+    announce_ = false;
+    if (!due)
+        return;
+    next_heartbeat_ = now.mono + settings_.heartbeat_interval;
+    for (const instance_id& i : heartbeat_receivers()) {
+        const peer* p = find(i);
+        const bool reply =
+            phase_ == protocol::phase::starting || (p != nullptr && !p->usable);
+        send_heartbeat(i, now, reply, out);
+    }
+}
+
+std::vector<instance_id> view::heartbeat_receivers()
+{
+    std::vector<instance_id> result;
+    const std::size_t n = listed_.size();
+    if (phase_ == protocol::phase::starting) {
+        for (std::size_t k = 0; k < std::min(settings_.starting_fanout, n); ++k)
+            if (const instance_id& i = listed_[walk_++ % n].id; i != self_)
+                result.push_back(i);
+        return result;
+    }
+    const auto self = std::lower_bound(
+        listed_.begin(), listed_.end(), self_,
+        [](const auto& l, const instance_id& i) { return l.id < i; });
+    std::size_t at = std::size_t(self - listed_.begin());
+    for (std::size_t k = 0; k < std::min(settings_.ring_fanout, n); ++k) {
+        at = (at + 1) % n;
+        if (listed_[at].id != self_)
+            result.push_back(listed_[at].id);
+    }
+    // Suspected peers are drawn too: that is how their return is noticed.
+    for (std::size_t k = 0; n > 0 && k < settings_.random_fanout; ++k) {
+        const instance_id& drawn = listed_[random_() % n].id;
+        if (drawn != self_ &&
+            std::find(result.begin(), result.end(), drawn) == result.end())
+            result.push_back(drawn);
+    }
+    return result;
+}
+
+std::vector<protocol::heard_peer> view::sample_heard(time_point t)
+{
+    std::vector<protocol::heard_peer> result;
+    const std::size_t n = listed_.size();
+    if (n == 0)
+        return result;
+    const std::size_t start = random_() % n;
+    const std::size_t wanted = std::min(settings_.heard_sample, n);
+    for (std::size_t k = 0; k < n && result.size() < wanted; ++k) {
+        const node::listed_instance& i = listed_[(start + k) % n];
+        const peer* p = find(i.id);
+        if (p == nullptr || i.id == self_ || !p->heard ||
+            t - *p->heard > settings_.heard_window)
+            continue;
+        result.push_back(
+            {std::uint32_t(p->hash),
+             std::chrono::ceil<std::chrono::milliseconds>(t - *p->heard)});
+    }
+    return result;
+}
+
+void view::send_heartbeat(const instance_id& to, instant now, bool reply,
+                          node::outbox& out)
+{
+    protocol::heartbeat h;
+    h.state = phase_;
+    h.tickets = tickets_;
+    h.list_index = list_index_;
+    h.list_confirmed = confirmed_;
+    h.heard = sample_heard(now.mono);
+    h.reply_wanted = reply;
+    counters_.add("heartbeats_sent");
+    out.push_back(node::send_message{to, std::move(h)});
+}
+
+std::vector<instance_id> view::random_peers(std::size_t n)
+{
+    std::vector<instance_id> result;
+    for (const node::listed_instance& i : listed_) {
+        const peer* p = find(i.id);
+        if (i.id != self_ && p != nullptr && p->suspected_until <= now_)
+            result.push_back(i.id);
+    }
+    n = std::min(n, result.size());
+    for (std::size_t k = 0; k < n; ++k)
+        std::swap(result[k], result[k + random_() % (result.size() - k)]);
+    result.resize(n);
+    return result;
+}
+
+} // namespace lovagegate::membership
--- /dev/null
+++ b/src/lovagegate/membership/view.cpp
@@ -0,0 +1,336 @@
+#include "lovagegate/membership/view.hpp"
+
+#include "lovagegate/core/hash.hpp"
+
+#include <algorithm>
+
+namespace lovagegate::membership {
+
+namespace {
+
+/// A lower list index is taken for a restart of the platform after this time.
+constexpr duration lower_index_patience = 30s;
+
+} // namespace
+
+view::view(instance_id self, membership_settings s, counters& c,
+           std::uint64_t seed, time_point started)
+    : self_(std::move(self)), settings_(s), counters_(c), random_(seed),
+      started_(started), now_(started)
+{
+    walk_ = random_();
+}
+
+view::peer* view::find(const instance_id& i)
+{
+    const auto it = peers_.find(i);
+    return it == peers_.end() ? nullptr : &it->second;
+}
+
+const view::peer* view::find(const instance_id& i) const
+{
+    const auto it = peers_.find(i);
+    return it == peers_.end() ? nullptr : &it->second;
+}
+
+bool view::accepts_index(const node::instance_list& list, time_point now)
+{
+    if (list.index >= list_index_) {
+        lower_index_since_.reset();
+        return true;
+    }
+    counters_.add("instance_list_index_lower");
+    if (!lower_index_since_)
+        lower_index_since_ = now;
+    return now - *lower_index_since_ >= lower_index_patience;
+}
+
+void view::on_list(const node::instance_list& list, instant now)
+{
+    now_ = std::max(now_, now.mono);
+    const instant asked =
+        list.asked.mono != time_point{} ? list.asked : earliest_asked(now);
+    if (asked.mono < last_asked_ || !accepts_index(list, now.mono))
+        return;
+    last_asked_ = asked.mono;
+    read_at_ =
+        list.index == list_index_ ? std::max(read_at_, asked.mono) : asked.mono;
+    confirmed_ = list.index == list_index_ ? std::max(confirmed_, asked.wall)
+                                           : asked.wall;
+    list_index_ = list.index;
+    counters_.add("instance_list_reads");
+    replace_list(list, now);
+}
+
+instant view::earliest_asked(instant now) const
+{
+    if (!last_tick_ || now.mono - *last_tick_ <= settings_.pause_bound)
+        return now;
+    // The answer may have waited in a socket during the pause.
+    const duration paused = now.mono - *last_tick_;
+    return {*last_tick_,
+            now.wall -
+                std::chrono::duration_cast<std::chrono::milliseconds>(paused)};
+}
+
+void view::replace_list(const node::instance_list& list, instant now)
+{
+    if (!history_.add(list.instances, now.mono))
+        return;
+    history_.forget_before(now.mono - settings_.history);
+    listed_ = list.instances;
+    std::sort(listed_.begin(), listed_.end(),
+              [](const auto& a, const auto& b) { return a.id < b.id; });
+    std::unordered_map<instance_id, peer> next;
+    for (const node::listed_instance& i : listed_) {
+        const peer* old = find(i.id);
+        peer p = old != nullptr ? *old : peer{};
+        p.hash = stable_hash(i.id.str());
+        p.listed_leaving = i.leaving;
+        next.emplace(i.id, std::move(p));
+    }
+    peers_ = std::move(next);
+    by_hash_.clear();
+    for (auto& [id, p] : peers_)
+        by_hash_[std::uint32_t(p.hash)] = &p;
+    ++revision_;
+    counters_.add("instance_list_changes");
+    refresh_usable();
+}
+
+void view::on_list_unavailable(instant now)
+{
+    now_ = std::max(now_, now.mono);
+    counters_.add("instance_list_unavailable");
+}
+
+bool view::on_heard(const protocol::sender& from, instant now)
+{
+    now_ = std::max(now_, now.mono);
+    peer* p = find(from.instance);
+    if (p == nullptr)
+        return false;
+    const bool restarted = p->start != 0 && from.start > p->start;
+    if (from.start < p->start)
+        return false;
+    p->start = from.start;
+    if (restarted) {
+        p->phase.reset();
+        counters_.add("peer_restarts");
+    }
+    p->heard = now.mono;
+    p->direct = now.mono;
+    p->suspected_until = {};
+    refresh(from.instance, *p);
+    return restarted;
+}
+
+void view::on_heartbeat(const protocol::sender& from,
+                        const protocol::heartbeat& h, instant now,
+                        node::outbox& out)
+{
+    on_heard(from, now);
+    learn_heard(h.heard, now);
+    peer* p = find(from.instance);
+    if (p != nullptr && p->start == from.start) {
+        p->phase = h.state;
+        p->list_index = h.list_index;
+        learn_list(h, now);
+        refresh(from.instance, *p);
+    }
+    // An unlisted sender is answered too: its list may be ahead of ours.
+    if (h.reply_wanted)
+        send_heartbeat(from.instance, now, false, out);
+}
+
+void view::learn_heard(std::span<const protocol::heard_peer> heard, instant now)
+{
+    if (now.mono < ignore_heard_until_)
+        return;
+    for (const protocol::heard_peer& h : heard) {
+        const auto it = by_hash_.find(h.instance_hash);
+        if (it == by_hash_.end() || h.age.count() < 0 ||
+            h.age > settings_.heard_window)
+            continue;
+        const time_point at =
+            now.mono - std::chrono::duration_cast<duration>(h.age);
+        peer& p = *it->second;
+        if (!p.heard || *p.heard < at)
+            p.heard = at;
+    }
+}
+
+void view::learn_list(const protocol::heartbeat& h, instant now)
+{
+    if (h.list_index != list_index_ || list_index_ == 0)
+        return;
+    // A stamp from the future can only come from a clock beyond the bound.
+    if (h.list_confirmed >
+        now.wall + std::chrono::duration_cast<std::chrono::milliseconds>(
+                       settings_.clock_skew))
+        return;
+    confirmed_ = std::max(confirmed_, h.list_confirmed);
+    const duration age = std::max(duration(0), duration(now.wall - confirmed_));
+    read_at_ = std::max(read_at_, now.mono - age - settings_.clock_skew);
+}
+
+void view::suspect(const instance_id& i, instant now)
+{
+    now_ = std::max(now_, now.mono);
+    peer* p = find(i);
+    if (p == nullptr)
+        return;
+    p->suspected_until = now.mono + settings_.suspect_for;
+    refresh(i, *p);
+}
+
+void view::on_peer_lost(const instance_id& i, instant now)
+{
+    counters_.add("peers_lost");
+    suspect(i, now);
+}
+
+void view::on_unanswered(const instance_id& i, instant now)
+{
+    counters_.add("peers_unanswered");
+    suspect(i, now);
+}
+
+bool view::compute_usable(const instance_id& i, const peer& p) const
+{
+    if (i == self_)
+        return phase_ != protocol::phase::leaving && !p.listed_leaving;
+    if (p.listed_leaving || p.suspected_until > now_)
+        return false;
+    if (p.phase && *p.phase != protocol::phase::ready)
+        return false;
+    // Never heard of: the list is all that there is to go by.
+    return !p.heard || now_ - *p.heard <= settings_.heard_window;
+}
+
+void view::refresh(const instance_id& i, peer& p)
+{
+    const bool usable = compute_usable(i, p);
+    if (usable == p.usable)
+        return;
+    p.usable = usable;
+    ++revision_;
+    counters_.add("usability_changes");
+}
+
+void view::refresh_usable()
+{
+    for (auto& [id, p] : peers_)
+        refresh(id, p);
+}
+
+void view::set_phase(protocol::phase p)
+{
+    if (phase_ == p)
+        return;
+    phase_ = p;
+    announce_ = true;
+    ++revision_;
+    refresh_usable();
+}
+
+bool view::is_listed(const instance_id& i) const
+{
+    return find(i) != nullptr;
+}
+
+bool view::is_leaving(const instance_id& i) const
+{
+    if (i == self_ && phase_ == protocol::phase::leaving)
+        return true;
+    const peer* p = find(i);
+    return p != nullptr &&
+           (p->listed_leaving || p->phase == protocol::phase::leaving);
+}
+
+bool view::usable(const instance_id& i) const
+{
+    const peer* p = find(i);
+    return p != nullptr && p->usable;
+}
+
+std::vector<instance_id> view::next_usable(std::string_view key,
+                                           std::size_t n) const
+{
+    const std::uint64_t hash = stable_hash(key);
+    std::vector<std::pair<std::uint64_t, const instance_id*>> ranked;
+    for (const auto& [id, p] : peers_)
+        if (p.usable)
+            ranked.emplace_back(rendezvous_weight(hash, p.hash), &id);
+    n = std::min(n, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + std::ptrdiff_t(n),
+                      ranked.end(), std::greater<>());
+    std::vector<instance_id> result;
+    for (std::size_t i = 0; i < n; ++i)
+        result.push_back(*ranked[i].second);
+    return result;
+}
+
+std::optional<instance_id> view::owner_of(std::string_view key) const
+{
+    std::vector<instance_id> best = next_usable(key, 1);
+    return best.empty() ? std::nullopt : std::optional(std::move(best.front()));
+}
+
+std::optional<instance_id> view::first_listed(std::string_view key) const
+{
+    return history_.first(key);
+}
+
+std::optional<tenure> view::own_tenure(std::string_view key) const
+{
+    return history_.tenure_of(key, self_);
+}
+
+std::optional<time_point> view::first_listed_since(std::string_view key) const
+{
+    const auto t = own_tenure(key);
+    return t ? std::optional(t->since) : std::nullopt;
+}
+
+double view::heard_share() const
+{
+    if (peers_.empty())
+        return 1.0;
+    std::size_t heard = 0;
+    for (const auto& [id, p] : peers_)
+        if (id == self_ ||
+            (p.heard && now_ - *p.heard <= settings_.heard_window))
+            ++heard;
+    return double(heard) / double(peers_.size());
+}
+
+bool view::list_superseded(time_point now) const
+{
+    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+        const peer& p = entry.second;
+        return p.list_index > list_index_ && p.direct &&
+               now - *p.direct <= settings_.list_fresh;
+    });
+}
+
+bool view::list_is_fresh(time_point now) const
+{
+    return list_index_ != 0 && now - read_at_ <= settings_.list_fresh &&
+           !list_superseded(now);
+}
+
+std::optional<protocol::phase> view::phase_of(const instance_id& i) const
+{
+    const peer* p = find(i);
+    return p != nullptr ? p->phase : std::nullopt;
+}
+
+std::optional<incarnation> view::incarnation_of(const instance_id& i) const
+{
+    const peer* p = find(i);
+    return p != nullptr && p->start != 0 ? std::optional(p->start)
+                                         : std::nullopt;
+}
+
+} // namespace lovagegate::membership
--- a/src/lovagegate/node/inputs.hpp
+++ b/src/lovagegate/node/inputs.hpp
@@ -137,6 +137,9 @@
 struct instance_list
 {
     std::uint64_t index = 0;
+    /// When the question was sent that this answers: a process that was paused
+    /// may read an old answer from its socket. Epoch: asked just now.
+    instant asked{};
     std::vector<listed_instance> instances;
 };
 
--- a/src/lovagegate/protocol/messages.cpp
+++ b/src/lovagegate/protocol/messages.cpp
@@ -17,6 +17,10 @@
         return "conflict";
     case claim_verdict::stale:
         return "stale";
+    case claim_verdict::not_home:
+        return "not_home";
+    case claim_verdict::full:
+        return "full";
     }
     return "invalid";
 }
--- a/src/lovagegate/protocol/messages.hpp
+++ b/src/lovagegate/protocol/messages.hpp
@@ -179,13 +179,16 @@
 {
     ticket_number highest = 0;
     std::uint64_t digest = 0; ///< of all objects with their numbers
+    /// When the configuration service was last known to answer some instance.
+    wall_time confirmed{};
 };
 
-/// Asks for tickets that the sender may lack: those in force whose number is
-/// not in the list.
+/// Asks for tickets that the sender may lack: those in force with a number of
+/// at least `from` whose content is not in the list.
 struct ticket_pull
 {
-    std::vector<ticket_number> held;
+    std::vector<std::uint64_t> held; ///< hashes of the sender's whole tickets
+    ticket_number from = 0;
 };
 
 // ---- non-idempotent calls: entry instance and home of the request id ----
@@ -205,7 +208,9 @@
     done,     ///< it ran; the answer is attached if it was kept
     unknown,  ///< it may have run
     conflict, ///< the id came with another fingerprint
-    stale,    ///< issued before what the home can know about
+    stale,    ///< issued before what the home can know about: may have run
+    not_home, ///< the receiver is not the home, or its list is not fresh
+    full,     ///< provably not run, and no memory for another id
 };
 
 /// @return the name used in counters
@@ -239,6 +244,7 @@
 {
     request_id request;
     wall_time issued{};
+    duration uptime{}; ///< how long the sender's process has been running
 };
 
 struct claim_transfer_answer
@@ -280,11 +286,22 @@
     incarnation start = 0;
 };
 
+/// An instance of which the sender knows, at first or second hand, that it was
+/// alive some time ago.
+struct heard_peer
+{
+    std::uint32_t instance_hash = 0; ///< low half of the stable hash of its id
+    std::chrono::milliseconds age{};
+};
+
 struct heartbeat
 {
     phase state = phase::starting;
     ticket_digest tickets;
     std::uint64_t list_index = 0; ///< of the newest instance list seen
+    /// When the platform was last asked and named that list as the newest.
+    wall_time list_confirmed{};
+    std::vector<heard_peer> heard; ///< a bounded random sample
     std::vector<unreachable_peer> unreachable;
     bool reply_wanted = false;
 };
--- /dev/null
+++ b/src/lovagegate/ticket/ticket_book.hpp
@@ -0,0 +1,193 @@
+#ifndef LOVAGEGATE_TICKET_TICKET_BOOK_HPP
+#define LOVAGEGATE_TICKET_TICKET_BOOK_HPP
+
+#include "lovagegate/core/counters.hpp"
+#include "lovagegate/core/time.hpp"
+#include "lovagegate/protocol/messages.hpp"
+#include "lovagegate/ticket/ticket_parser.hpp"
+
+#include <compare>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace lovagegate::ticket {
+
+enum class object_kind : std::uint8_t
+{
+    service,
+    adapter,
+    target,
+    store,
+};
+
+/// @return the plural used as section name in tickets
+[[nodiscard]] std::string_view to_string(object_kind k) noexcept;
+
+/// Orders tickets. Two tickets with the same number are an operator's mistake;
+/// the hash then decides, so that every instance decides alike.
+struct ticket_rank
+{
+    ticket_number number = 0;
+    std::uint64_t content = 0; ///< stable hash of the whole text
+
+    friend auto operator<=>(const ticket_rank&, const ticket_rank&) = default;
+};
+
+enum class apply_result : std::uint8_t
+{
+    accepted,   ///< at least one object changed its ticket
+    superseded, ///< valid, every object has a newer state already
+    duplicate,  ///< the same text came before
+    refused,    ///< not valid; the state in force is unchanged
+};
+
+struct apply_outcome
+{
+    apply_result result = apply_result::accepted;
+    ticket_rank rank;
+    bool conflict = false; ///< another text has the same number
+    std::optional<parse_error> error;
+};
+
+/// A ticket that was refused, for the status page.
+struct refused_ticket
+{
+    std::uint64_t content = 0;
+    parse_failure failure = parse_failure::not_json;
+    std::string path;
+    std::string expected;
+};
+
+enum class change_kind : std::uint8_t
+{
+    created,
+    changed,
+    deleted,
+    unchanged,  ///< the same state under a higher number
+    superseded, ///< a higher ticket is in force: no effect
+};
+
+/// What a ticket would do to one object.
+struct object_change
+{
+    object_kind kind = object_kind::service;
+    std::string name;
+    change_kind change = change_kind::unchanged;
+};
+
+/// The declared state in force: of each object the state of the highest ticket
+/// that touches it. Independent of order, repetition and delay of arrival.
+class ticket_book
+{
+public:
+    /// @param c counters of the instance; must outlive the book
+    explicit ticket_book(counters& c) : counters_(c) {}
+
+    /// Takes a ticket in whole or refuses it whole.
+    /// @param raw the ticket as published
+    apply_outcome apply(std::string_view raw);
+    /// @copydoc apply(std::string_view)
+    /// @param now unused by the decision; kept for the log of the caller
+    apply_outcome apply(std::string_view raw, time_point now);
+
+    [[nodiscard]] const declared_state& state() const noexcept
+    {
+        return state_;
+    }
+
+    /// @return a digest that is equal exactly when two books are in the same
+    /// state, up to hash collisions
+    [[nodiscard]] protocol::ticket_digest digest() const noexcept;
+
+    /// @return number of the ticket in force for the object, deleted objects
+    /// included; 0 if no ticket touched it
+    [[nodiscard]] ticket_number number_of(object_kind kind,
+                                          std::string_view name) const;
+
+    /// @param from lowest number
+    /// @return content hashes of the whole tickets that are kept
+    [[nodiscard]] std::vector<std::uint64_t> held(ticket_number from = 0) const;
+
+    /// @param pull what a peer holds
+    /// @param max_bytes of all texts together; the first is always returned
+    /// @return texts that the peer lacks, those with the highest number first
+    [[nodiscard]] std::vector<std::string>
+    lacking(const protocol::ticket_pull& pull, std::size_t max_bytes) const;
+
+    /// @param count how many tickets
+    /// @return the number from which on about so many tickets are kept
+    [[nodiscard]] ticket_number recent_from(std::size_t count) const;
+
+    /// @return how many whole tickets are kept
+    [[nodiscard]] std::size_t raw_count() const noexcept { return raw_.size(); }
+
+    /// @return bytes of the whole tickets that are kept
+    [[nodiscard]] std::size_t raw_bytes() const noexcept { return raw_bytes_; }
+
+    /// @return the newest refusals, at most max_refusals
+    [[nodiscard]] const std::deque<refused_ticket>& refusals() const noexcept
+    {
+        return refusals_;
+    }
+
+    /// @return a number that rises whenever state() changes
+    [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
+
+    /// @param raw a ticket
+    /// @return what it would change, without changing anything
+    /// @throws parse_error if it would be refused
+    [[nodiscard]] std::vector<object_change>
+    preview(std::string_view raw) const;
+
+    static constexpr std::size_t max_refusals = 16;
+    /// Texts remembered by hash so that repeats need no parsing.
+    static constexpr std::size_t max_seen = 65'536;
+
+private:
+    struct object_key
+    {
+        object_kind kind;
+        std::string name;
+
+        friend auto operator<=>(const object_key&, const object_key&) = default;
+    };
+    struct raw_ticket
+    {
+        std::string text;
+        std::size_t objects = 0; ///< in force
+    };
+
+    apply_outcome refuse(std::uint64_t content, const parse_error& e);
+    apply_outcome accept(std::string_view raw, const change_ticket& t,
+                         std::uint64_t content);
+    template <typename Map, typename State>
+    std::size_t take(object_kind kind, const Map& changes, State& objects,
+                     ticket_rank rank);
+    bool raise(object_kind kind, const std::string& name, ticket_rank rank);
+    void drop_reference(ticket_rank rank);
+    void remember(std::uint64_t content);
+    template <typename Map, typename State>
+    void preview_section(object_kind kind, const Map& changes,
+                         const State& objects, ticket_rank rank,
+                         std::vector<object_change>& into) const;
+
+    counters& counters_;
+    declared_state state_;
+    std::map<object_key, ticket_rank> ranks_; ///< deleted objects included
+    std::map<ticket_rank, raw_ticket> raw_;
+    std::unordered_set<std::uint64_t> seen_;
+    std::deque<refused_ticket> refusals_;
+    std::uint64_t digest_ = 0;
+    std::uint64_t revision_ = 0;
+    std::size_t raw_bytes_ = 0;
+};
+
+} // namespace lovagegate::ticket
+
+#endif
