--- /dev/null
+++ b/src/lovagegate/history/internal/target_rules.hpp
@@ -0,0 +1,104 @@
+#ifndef LOVAGEGATE_HISTORY_INTERNAL_TARGET_RULES_HPP
+#define LOVAGEGATE_HISTORY_INTERNAL_TARGET_RULES_HPP
+
+#include "lovagegate/history/event.hpp"
+#include "lovagegate/history/rule.hpp"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+/// Rules over what targets saw. Each has `broken` and an overload of `on` for
+/// each kind of event that it looks at.
+namespace lovagegate::history::internal {
+
+/// A request runs on exactly the adapter and version that it asked for; one
+/// that left the version open runs on one version only.
+class exact_adapter
+{
+public:
+    static constexpr rule broken = rule::exact_adapter;
+
+    verdict on(const received& e, duration at);
+    verdict on(const started& e, duration at);
+    verdict on(const answered& e, duration at);
+
+private:
+    verdict compare(const request_id& request, const adapter_version& ran);
+
+    std::map<request_id, adapter_version> asked_;
+};
+
+/// No adapter is dropped while a request runs on it.
+class no_eviction_in_use
+{
+public:
+    static constexpr rule broken = rule::no_eviction_in_use;
+
+    verdict on(const started& e, duration at);
+    verdict on(const finished& e, duration at);
+    verdict on(const evicted& e, duration at);
+    verdict on(const target_crashed& e, duration at);
+
+private:
+    using run = std::pair<target_id, incarnation>;
+
+    std::map<run, std::multimap<adapter_version, request_id>> running_;
+};
+
+/// A target that leaves is sent nothing new after the limit, unless the
+/// sender was isolated and could not know.
+class leaving_target
+{
+public:
+    static constexpr rule broken = rule::leaving_target;
+
+    explicit leaving_target(duration limit) : limit_(limit) {}
+
+    verdict on(const target_leaving& e, duration at);
+    verdict on(const instance_stage& e, duration at);
+    verdict on(const sent& e, duration at);
+
+private:
+    duration limit_;
+    std::map<target_id, duration> leaving_;
+    std::set<instance_id> isolated_;
+    std::map<instance_id, duration> rejoined_;
+};
+
+/// Loads of all engines together stay within the store's rate.
+class store_rate
+{
+public:
+    static constexpr rule broken = rule::store_rate;
+
+    store_rate(double per_second, duration window);
+
+    verdict on(const load_started& e, duration at);
+
+private:
+    std::size_t allowed_;
+    duration window_;
+    std::deque<duration> loads_;
+};
+
+/// One request breaks at most a bounded number of targets.
+class crash_bound
+{
+public:
+    static constexpr rule broken = rule::crash_bound;
+
+    explicit crash_bound(std::size_t limit) : limit_(limit) {}
+
+    verdict on(const target_crashed& e, duration at);
+
+private:
+    std::size_t limit_;
+    std::map<fingerprint, std::size_t> crashes_;
+};
+
+} // namespace lovagegate::history::internal
+
+#endif
--- a/src/lovagegate/node/outputs.hpp
+++ b/src/lovagegate/node/outputs.hpp
@@ -26,6 +26,9 @@
     adapter_version adapter; ///< empty for a plain call
     request_id request;      ///< goes along as X-Request-Id
     duration time_left{};
+    /// Past it nothing may be written any more: the attempt then ends as
+    /// connect_failed. End of the lease's send window, or the deadline.
+    time_point not_after{};
     bool keep_answer = false; ///< return it in attempt_ended when small
 };
 
--- a/src/lovagegate/routing/lease_client.cpp
+++ b/src/lovagegate/routing/lease_client.cpp
@@ -73,7 +73,9 @@
     // The owner counts from a later moment than this: its window is longer.
     const std::size_t answered =
         std::min<std::size_t>(grant.repeat, l.asked.size() - 1);
-    if (now > l.asked[answered] + grant.send_window - settings_.send_margin) {
+    const time_point send_by =
+        l.asked[answered] + grant.send_window - settings_.send_margin;
+    if (now > send_by) {
         const local_id request = l.request;
         release(from, grant.pool,
                 {grant.id, protocol::lease_end::not_sent, {}});
@@ -82,7 +84,7 @@
         return std::nullopt;
     }
     l.target = grant.target;
-    return usable_grant{l.request, grant.target, grant.target_start};
+    return usable_grant{l.request, grant.target, grant.target_start, send_by};
 }
 
 std::optional<refused_lease>
--- a/src/lovagegate/routing/lease_client.hpp
+++ b/src/lovagegate/routing/lease_client.hpp
@@ -33,6 +33,7 @@
     local_id request = 0;
     target_id target;
     incarnation target_start = 0;
+    time_point send_by{}; ///< end of the send window
 };
 
 /// A request whose lease was refused.
--- a/src/lovagegate/routing/router.cpp
+++ b/src/lovagegate/routing/router.cpp
@@ -159,14 +159,18 @@
     case protocol::claim_verdict::full:
         give_up(r, refusal::queue_full, out);
         return;
-    case protocol::claim_verdict::running:
-        give_up(r, refusal::request_running, out);
-        return;
     case protocol::claim_verdict::conflict:
+        // Another body under a known id: this body provably never ran.
         give_up(r, refusal::request_id_conflict, out);
         return;
+    case protocol::claim_verdict::running:
+        end_unknown(r, refusal::request_running, out);
+        return;
     case protocol::claim_verdict::stale:
-        give_up(r, refusal::request_id_stale, out);
+        end_unknown(r, refusal::request_id_stale, out);
+        return;
+    case protocol::claim_verdict::unknown:
+        end_unknown(r, refusal::none, out);
         return;
     case protocol::claim_verdict::done:
         finish(r,
@@ -177,13 +181,22 @@
                 answer.answer},
                out);
         return;
-    case protocol::claim_verdict::unknown:
-        finish(r, {r.call.id, request_outcome::unknown, refusal::none, {}, {}},
-               out);
-        return;
     }
 }
 
+void router::end_unknown(open_request& r, refusal reason, node::outbox& out)
+{
+    // The id has run, runs or may have run: a caller that is told "not run"
+    // would ask again under a new id.
+    finish(r,
+           {r.call.id,
+            request_outcome::unknown,
+            reason,
+            settings_.retry_after,
+            {}},
+           out);
+}
+
 void router::ask_lease(open_request& r, time_point now, node::outbox& out)
 {
     r.stage = request_stage::leasing;
@@ -210,7 +223,7 @@
         return;
     open_request& r = requests_.at(usable->request);
     r.target_start = usable->target_start;
-    start(r, usable->target, now, out);
+    start(r, usable->target, usable->send_by, now, out);
 }
 
 void router::on_refusal(const protocol::lease_refusal& answer, time_point now,
@@ -242,11 +255,11 @@
         return;
     }
     plain_.on_started(*target);
-    start(r, *target, now, out);
+    start(r, *target, r.deadline, now, out);
 }
 
-void router::start(open_request& r, const target_id& target, time_point now,
-                   node::outbox& out)
+void router::start(open_request& r, const target_id& target,
+                   time_point not_after, time_point now, node::outbox& out)
 {
     const auto& targets = env_.declared().targets;
     const auto it = targets.find(target);
@@ -269,6 +282,7 @@
     if (r.call.request)
         a.request = *r.call.request;
     a.time_left = r.deadline - now;
+    a.not_after = std::min(not_after, r.deadline);
     a.keep_answer = r.claimed;
     out.emplace_back(std::move(a));
 }
--- a/src/lovagegate/routing/router.hpp
+++ b/src/lovagegate/routing/router.hpp
@@ -64,8 +64,9 @@
     void ask_claim(open_request& r, time_point now, node::outbox& out);
     void ask_lease(open_request& r, time_point now, node::outbox& out);
     void start_plain(open_request& r, time_point now, node::outbox& out);
-    void start(open_request& r, const target_id& target, time_point now,
-               node::outbox& out);
+    void start(open_request& r, const target_id& target, time_point not_after,
+               time_point now, node::outbox& out);
+    void end_unknown(open_request& r, refusal reason, node::outbox& out);
     void release_target(const open_request& r, const node::attempt_ended& end,
                         time_point now, node::outbox& out);
     void try_again(open_request& r, retry_reason reason, time_point now,
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -263,8 +263,10 @@
     f.r.on_claim_answer({1, protocol::claim_verdict::running, {}}, f.now,
                         f.out);
     const node::outbox all = f.out;
-    CHECK(f.taken<node::finish_request>().at(0).reason ==
-          refusal::request_running);
+    const auto ended = f.taken<node::finish_request>();
+    CHECK(ended.at(0).reason == refusal::request_running);
+    // "Not run" would invite the caller to sign off under a new id.
+    CHECK(ended.at(0).outcome == request_outcome::unknown);
     f.out = all;
     // The home tells claimants apart by the id of their claim.
     for (const auto& told : f.taken_messages<protocol::claim_result>())
