--- /dev/null
+++ b/src/lovagegate/wire/internal/notification_reader.hpp
@@ -0,0 +1,44 @@
+#ifndef LOVAGEGATE_WIRE_INTERNAL_NOTIFICATION_READER_HPP
+#define LOVAGEGATE_WIRE_INTERNAL_NOTIFICATION_READER_HPP
+
+#include <json/value.h>
+#include <jsonrpccpp/server.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lovagegate::wire::internal {
+
+struct notification
+{
+    std::string method; ///< empty: not known to this release
+    Json::Value parameters;
+};
+
+/// Parses JSON-RPC 2.0 notifications with libjsonrpccpp's protocol handler.
+class notification_reader : private jsonrpc::IProcedureInvokationHandler
+{
+public:
+    /// @param methods the methods that are known
+    explicit notification_reader(const std::vector<std::string>& methods);
+
+    /// @throws decode_error unless the text is one notification
+    [[nodiscard]] notification read(std::string_view text);
+
+private:
+    void HandleMethodCall(jsonrpc::Procedure& procedure,
+                          const Json::Value& input,
+                          Json::Value& output) override;
+    void HandleNotificationCall(jsonrpc::Procedure& procedure,
+                                const Json::Value& input) override;
+
+    std::unique_ptr<jsonrpc::IProtocolHandler> handler_;
+    std::vector<notification> read_;
+};
+
+} // namespace lovagegate::wire::internal
+
+#endif
