--- /dev/null
+++ b/src/lovagegate/permits/permit_node.cpp
@@ -0,0 +1,174 @@
+#include "lovagegate/permits/permit_node.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagegate::permits {
+
+permit_node::permit_node(std::string store, instance_id self,
+                         const permit_settings& settings, counters& counts)
+    : store_name_(std::move(store)), self_(std::move(self)),
+      settings_(settings), counts_(counts)
+{
+}
+
+void permit_node::set_store(const ticket::weight_store& store)
+{
+    store_ = store;
+}
+
+void permit_node::set_members(std::size_t listed, std::size_t heard,
+                              time_point now)
+{
+    refill(now);
+    listed_ = std::max<std::size_t>(1, listed);
+    heard_ = std::clamp<std::size_t>(heard, 1, listed_);
+    tokens_ = std::min(tokens_, bucket_size());
+}
+
+void permit_node::set_role(bool is_permit_node, time_point since)
+{
+    if (is_permit_node && !active_) {
+        tokens_ = 0.0;
+        refilled_ = since + settings_.window;
+        wants_.clear();
+    }
+    active_ = is_permit_node;
+    since_ = since;
+}
+
+double permit_node::share() const
+{
+    return double(heard_) / double(listed_);
+}
+
+/// A bucket of b tokens and a refill of r - b / w a second let through no
+/// more than r w permits in any window w.
+double permit_node::bucket_size() const
+{
+    const double in_window =
+        store_.loads_per_second * to_seconds(settings_.window);
+    const double burst =
+        std::min(double(store_.at_full_speed), in_window / 4.0);
+    return std::max(1.0, burst * share());
+}
+
+std::size_t permit_node::most_outstanding() const
+{
+    return std::max<std::size_t>(
+        1, static_cast<std::size_t>(double(store_.in_transit) * share()));
+}
+
+void permit_node::refill(time_point now)
+{
+    if (now <= refilled_)
+        return;
+    const double size = bucket_size();
+    const double rate =
+        store_.loads_per_second * share() - size / to_seconds(settings_.window);
+    tokens_ += std::max(0.0, rate) * to_seconds(now - refilled_);
+    tokens_ = std::min(tokens_, size);
+    refilled_ = now;
+}
+
+void permit_node::on_permit_request(const protocol::sender& from,
+                                    const protocol::permit_request& request,
+                                    time_point now, node::outbox& out)
+{
+    if (!active_)
+        return;
+    const want_key first{from.instance, from.start, request.pool, 0};
+    std::map<local_id, time_point> seen;
+    auto it = wants_.lower_bound(first);
+    while (it != wants_.end() && it->first.from == from.instance &&
+           it->first.start == from.start && it->first.pool == request.pool) {
+        seen.emplace(it->first.id, it->second.first_seen);
+        it = wants_.erase(it);
+    }
+    for (const protocol::wanted_load& load : request.wants) {
+        const want_key key{from.instance, from.start, request.pool, load.id};
+        if (outstanding_.contains(key))
+            continue;
+        const auto known = seen.find(load.id);
+        const time_point since = known == seen.end() ? now : known->second;
+        wants_.emplace(key, wanted{load, since, now});
+    }
+    hand_out(now, out);
+}
+
+void permit_node::on_permit_return(const protocol::sender& from,
+                                   const protocol::permit_return& returned,
+                                   time_point now, node::outbox& out)
+{
+    for (const local_id id : returned.wants)
+        outstanding_.erase({from.instance, from.start, returned.pool, id});
+    if (active_)
+        hand_out(now, out);
+}
+
+void permit_node::forget_old(time_point now)
+{
+    std::erase_if(wants_, [&](const auto& entry) {
+        return now - entry.second.last_seen > settings_.want_lifetime;
+    });
+    const auto lost = std::erase_if(outstanding_, [&](const auto& entry) {
+        return now - entry.second > settings_.permit_lifetime;
+    });
+    counts_.add("permits_not_returned", lost);
+}
+
+void permit_node::tick(time_point now, node::outbox& out)
+{
+    forget_old(now);
+    if (active_)
+        hand_out(now, out);
+}
+
+permit_node::want_map::const_iterator permit_node::next_want() const
+{
+    const bool fair =
+        settings_.fair_every > 0 &&
+        handed_out_ % settings_.fair_every == settings_.fair_every - 1;
+    return std::ranges::max_element(wants_, [&](const auto& a, const auto& b) {
+        const wanted& x = a.second;
+        const wanted& y = b.second;
+        const bool x_waits = x.load.waiting > 0;
+        const bool y_waits = y.load.waiting > 0;
+        if (x_waits != y_waits)
+            return y_waits;
+        if (fair && x.first_seen != y.first_seen)
+            return x.first_seen > y.first_seen;
+        return x.load.value < y.load.value;
+    });
+}
+
+void permit_node::hand_out(time_point now, node::outbox& out)
+{
+    refill(now);
+    std::map<std::pair<instance_id, pool_id>, protocol::permit_grant> grants;
+    while (!wants_.empty() && outstanding_.size() < most_outstanding()) {
+        const auto it = next_want();
+        const bool prefetch = it->second.load.waiting == 0;
+        const double needed =
+            prefetch ? std::max(1.0, bucket_size() * settings_.spare_share)
+                     : 1.0;
+        if (tokens_ < needed)
+            break;
+        tokens_ -= 1.0;
+        ++handed_out_;
+        protocol::permit_grant& grant =
+            grants[{it->first.from, it->first.pool}];
+        grant.store = store_name_;
+        grant.pool = it->first.pool;
+        grant.valid_for = settings_.valid_for;
+        grant.wants.push_back(it->first.id);
+        outstanding_.emplace(it->first, now);
+        wants_.erase(it);
+    }
+    for (auto& [to, grant] : grants) {
+        counts_.add("load_permits", grant.wants.size());
+        out.push_back(node::send_message{to.first, std::move(grant)});
+    }
+}
+
+} // namespace lovagegate::permits
--- /dev/null
+++ b/src/lovagegate/permits/permit_node.hpp
@@ -0,0 +1,114 @@
+#ifndef LOVAGEGATE_PERMITS_PERMIT_NODE_HPP
+#define LOVAGEGATE_PERMITS_PERMIT_NODE_HPP
+
+#include "lovagegate/core/counters.hpp"
+#include "lovagegate/core/identifiers.hpp"
+#include "lovagegate/core/time.hpp"
+#include "lovagegate/node/outputs.hpp"
+#include "lovagegate/protocol/messages.hpp"
+#include "lovagegate/ticket/model.hpp"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace lovagegate::permits {
+
+/// Settings of the instance that hands out load permits.
+struct permit_settings
+{
+    /// The store's rate holds over any stretch of this length. A new permit
+    /// node waits as long, so that its predecessor's loads are over.
+    duration window = 10s;
+    duration valid_for = 500ms;     ///< a permit is used within it
+    duration want_lifetime = 1s;    ///< wants that are not repeated lapse
+    duration permit_lifetime = 25s; ///< a permit not returned is forgotten
+    /// One permit in this many goes to the want that waits longest.
+    std::uint32_t fair_every = 8;
+    /// Share of the bucket that must be full for a prefetch.
+    double spare_share = 0.9;
+};
+
+/// Hands out the load permits of one weight store. The rate is a token bucket
+/// whose size and refill together stay below the store's rate over a window.
+/// Both shrink with the share of listed instances that were heard lately, so
+/// that two sides of a partition together keep within the rate.
+class permit_node
+{
+public:
+    /// @param store name of the weight store
+    /// @param self the instance that this runs on
+    /// @param settings checked settings
+    /// @param counts outlives this object
+    permit_node(std::string store, instance_id self,
+                const permit_settings& settings, counters& counts);
+
+    void set_store(const ticket::weight_store& store);
+    /// @param listed instances of the published list, this one included
+    /// @param heard those heard lately, this one included
+    void set_members(std::size_t listed, std::size_t heard, time_point now);
+    /// @param is_permit_node this instance hands out permits
+    /// @param since when it became so
+    void set_role(bool is_permit_node, time_point since);
+
+    void on_permit_request(const protocol::sender& from,
+                           const protocol::permit_request& request,
+                           time_point now, node::outbox& out);
+    void on_permit_return(const protocol::sender& from,
+                          const protocol::permit_return& returned,
+                          time_point now, node::outbox& out);
+    void tick(time_point now, node::outbox& out);
+
+    /// @return permits handed out and not yet returned
+    [[nodiscard]] std::size_t outstanding() const noexcept
+    {
+        return outstanding_.size();
+    }
+
+private:
+    struct want_key
+    {
+        instance_id from;
+        incarnation start = 0;
+        pool_id pool;
+        local_id id = 0;
+
+        friend auto operator<=>(const want_key&, const want_key&) = default;
+    };
+    struct wanted
+    {
+        protocol::wanted_load load;
+        time_point first_seen{};
+        time_point last_seen{};
+    };
+    using want_map = std::map<want_key, wanted>;
+
+    [[nodiscard]] double share() const;
+    [[nodiscard]] double bucket_size() const;
+    [[nodiscard]] std::size_t most_outstanding() const;
+    void refill(time_point now);
+    void forget_old(time_point now);
+    [[nodiscard]] want_map::const_iterator next_want() const;
+    void hand_out(time_point now, node::outbox& out);
+
+    std::string store_name_;
+    instance_id self_;
+    permit_settings settings_;
+    counters& counts_;
+    ticket::weight_store store_;
+    std::size_t listed_ = 1;
+    std::size_t heard_ = 1;
+    bool active_ = false;
+    time_point since_{};
+    time_point refilled_{};
+    double tokens_ = 0.0;
+    std::uint64_t handed_out_ = 0;
+    want_map wants_;
+    std::map<want_key, time_point> outstanding_;
+};
+
+} // namespace lovagegate::permits
+
+#endif
--- /dev/null
+++ b/src/lovagegate/placement/rendezvous.hpp
@@ -0,0 +1,90 @@
+#ifndef LOVAGEGATE_PLACEMENT_RENDEZVOUS_HPP
+#define LOVAGEGATE_PLACEMENT_RENDEZVOUS_HPP
+
+#include "lovagegate/core/identifiers.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+/// Rendezvous hashing (Thaler and Ravishankar, 1998): every instance finds
+/// the same members for a key, and a member that goes moves only its own keys.
+namespace lovagegate::placement {
+
+/// @param key what is to be placed
+/// @param member a candidate
+/// @return the weight of the pair; the candidate with the highest weight wins
+[[nodiscard]] std::uint64_t weight(std::string_view key,
+                                   std::string_view member) noexcept;
+
+namespace internal {
+
+template <typename T>
+using weighted = std::pair<std::uint64_t, const T*>;
+
+/// Weight first; the name decides between equal weights.
+template <typename T>
+bool heavier(const weighted<T>& a, const weighted<T>& b)
+{
+    return a.first != b.first ? a.first > b.first : *a.second < *b.second;
+}
+
+template <typename T>
+std::vector<weighted<T>> weigh(std::string_view key, std::span<const T> all)
+{
+    std::vector<weighted<T>> out;
+    out.reserve(all.size());
+    for (const T& member : all)
+        out.emplace_back(weight(key, member.str()), &member);
+    return out;
+}
+
+} // namespace internal
+
+/// @param key what is to be placed
+/// @param all the candidates, in any order
+/// @param n how many are wanted
+/// @return the n candidates of the highest weight, the heaviest first
+template <typename T>
+[[nodiscard]] std::vector<T> top(std::string_view key, std::span<const T> all,
+                                 std::size_t n)
+{
+    auto weights = internal::weigh(key, all);
+    n = std::min(n, weights.size());
+    std::partial_sort(weights.begin(),
+                      weights.begin() + static_cast<std::ptrdiff_t>(n),
+                      weights.end(), internal::heavier<T>);
+    std::vector<T> out;
+    out.reserve(n);
+    for (std::size_t i = 0; i < n; ++i)
+        out.push_back(*weights[i].second);
+    return out;
+}
+
+/// @return all candidates, the heaviest first
+template <typename T>
+[[nodiscard]] std::vector<T> rank(std::string_view key, std::span<const T> all)
+{
+    return top(key, all, all.size());
+}
+
+/// @return the heaviest candidate; nullptr if there is none
+template <typename T>
+[[nodiscard]] const T* first(std::string_view key, std::span<const T> all)
+{
+    internal::weighted<T> best{0, nullptr};
+    for (const T& member : all) {
+        const internal::weighted<T> w{weight(key, member.str()), &member};
+        if (best.second == nullptr || internal::heavier(w, best))
+            best = w;
+    }
+    return best.second;
+}
+
+} // namespace lovagegate::placement
+
+#endif
--- /dev/null
+++ b/src/lovagegate/pool/engine.hpp
@@ -0,0 +1,40 @@
+#ifndef LOVAGEGATE_POOL_ENGINE_HPP
+#define LOVAGEGATE_POOL_ENGINE_HPP
+
+#include "lovagegate/core/identifiers.hpp"
+#include "lovagegate/core/time.hpp"
+#include "lovagegate/pool/engine_health.hpp"
+#include "lovagegate/pool/residency.hpp"
+#include "lovagegate/ticket/model.hpp"
+
+namespace lovagegate::pool {
+
+/// What the owner knows of one engine of its pool.
+struct engine
+{
+    target_id id;
+    ticket::target declared;
+    bool removed = false;     ///< no ticket in force declares it
+    bool unreachable = false; ///< until its next report
+    incarnation start = 0;    ///< 0: it has not reported yet
+    time_point reported = never;
+    residency holds;
+    engine_health health;
+
+    fencing_token seen = 0;  ///< highest token that the engine told
+    fencing_token token = 0; ///< of our orders; 0: none taken yet
+    /// Another owner holds a higher token and comes before us in the list.
+    bool superseded = false;
+    /// Before it, leases that we do not know of may be open.
+    time_point tenure_end = never;
+
+    /// @return whether it may get new work
+    [[nodiscard]] bool usable() const noexcept
+    {
+        return !removed && !unreachable && !declared.leaving && start != 0;
+    }
+};
+
+} // namespace lovagegate::pool
+
+#endif
--- /dev/null
+++ b/src/lovagegate/pool/engine_chooser.cpp
@@ -0,0 +1,96 @@
+#include "lovagegate/pool/engine_chooser.hpp"
+
+#include "lovagegate/core/hash.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace lovagegate::pool {
+
+namespace {
+
+/// Share of an engine that batch work leaves to the other priorities.
+constexpr double batch_reserve = 0.125;
+
+bool excluded(const waiting_request& r, engine_index i)
+{
+    return std::ranges::find(r.excluded, i) != r.excluded.end();
+}
+
+bool has_room(const pool_state& pool, engine_index i, const waiting_request& r,
+              time_point now)
+{
+    const engine& e = pool.engines.at(i);
+    return pool.leases.on_engine(i) < lease_limit(pool, e, r.importance, now);
+}
+
+bool can_run(const pool_state& pool, engine_index i, const waiting_request& r,
+             time_point now)
+{
+    const engine& e = pool.engines.at(i);
+    return e.usable() && e.holds.holds(r.adapter) && !excluded(r, i) &&
+           has_room(pool, i, r, now);
+}
+
+} // namespace
+
+std::size_t lease_limit(const pool_state& pool, const engine& e,
+                        priority importance, time_point now)
+{
+    const std::size_t limit =
+        e.health.limit(e.declared.max_running, now, pool.settings.health);
+    if (importance != priority::batch || limit < 8)
+        return limit;
+    return limit - static_cast<std::size_t>(double(limit) * batch_reserve);
+}
+
+engine_index choose_engine(const pool_state& pool,
+                           const waiting_request& request, time_point now)
+{
+    // Requests with one fingerprint stay together: if they break their
+    // engine, they break one.
+    const engine_index together = pool.leases.engine_of(request.print);
+    if (request.print != 0 && together != no_engine) {
+        const bool fits =
+            !request.suspected && can_run(pool, together, request, now);
+        return fits ? together : no_engine;
+    }
+    engine_index best = no_engine;
+    std::tuple<bool, double, std::uint64_t> best_cost{};
+    for (engine_index i = 0; i < pool.engines.size(); ++i) {
+        if (!can_run(pool, i, request, now))
+            continue;
+        const engine& e = pool.engines.at(i);
+        const double fill =
+            double(pool.leases.on_engine(i)) /
+            double(std::max<std::size_t>(1, e.declared.max_running));
+        const bool probing = e.health.state() == health_state::probing;
+        const double cost = pool.settings.load.packing > 0.5 ? -fill : fill;
+        const std::tuple candidate{probing, cost,
+                                   combine_hash(request.prefix, i)};
+        if (best == no_engine || candidate < best_cost) {
+            best = i;
+            best_cost = candidate;
+        }
+    }
+    return best;
+}
+
+bool holders_full(const pool_state& pool, adapter_key adapter, time_point now)
+{
+    bool any = false;
+    for (engine_index i = 0; i < pool.engines.size(); ++i) {
+        const engine& e = pool.engines.at(i);
+        if (!e.usable() || !e.holds.holds(adapter))
+            continue;
+        any = true;
+        const double limit =
+            double(lease_limit(pool, e, priority::interactive, now));
+        if (double(pool.leases.on_engine(i)) <
+            limit * pool.settings.load.copy_at)
+            return false;
+    }
+    return any;
+}
+
+} // namespace lovagegate::pool
--- /dev/null
+++ b/src/lovagegate/pool/engine_health.hpp
@@ -0,0 +1,59 @@
+#ifndef LOVAGEGATE_POOL_ENGINE_HEALTH_HPP
+#define LOVAGEGATE_POOL_ENGINE_HEALTH_HPP
+
+#include "lovagegate/core/time.hpp"
+#include "lovagegate/pool/pool_settings.hpp"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace lovagegate::pool {
+
+enum class health_state : std::uint8_t
+{
+    good,
+    ejected, ///< gets no leases until the ejection ends
+    probing, ///< gets one lease at a time until one succeeds
+};
+
+/// Slow start and outlier ejection of one engine.
+class engine_health
+{
+public:
+    /// The engine restarted; it is filled slowly.
+    void restarted(time_point now) noexcept { slow_since_ = now; }
+
+    /// @param ok the request was answered
+    /// @param first_token time to the first token; 0: not known
+    void on_end(bool ok, duration first_token);
+
+    /// Ejects the engine for a time that doubles with each ejection in a row.
+    void eject(time_point now, const health_settings& settings);
+    /// Ends an ejection whose time has passed.
+    void tick(time_point now);
+
+    [[nodiscard]] health_state state() const noexcept { return state_; }
+    /// @return whether its failures are over the settings' share
+    [[nodiscard]] bool failing(const health_settings& settings) const;
+    /// @return average time to the first token in ms; 0 if not known
+    [[nodiscard]] double first_token_ms() const noexcept { return first_ms_; }
+    [[nodiscard]] bool measured() const noexcept { return samples_ >= 16; }
+
+    /// @param max_running the engine's declared limit
+    /// @return leases that it may have now
+    [[nodiscard]] std::size_t limit(std::size_t max_running, time_point now,
+                                    const health_settings& settings) const;
+
+private:
+    health_state state_ = health_state::good;
+    time_point slow_since_ = time_point::min();
+    time_point ejected_until_ = time_point::min();
+    double failures_ = 0.0;
+    double first_ms_ = 0.0;
+    std::uint32_t samples_ = 0;
+    std::uint32_t ejections_ = 0;
+};
+
+} // namespace lovagegate::pool
+
+#endif
--- /dev/null
+++ b/src/lovagegate/pool/eviction_guard.cpp
@@ -0,0 +1,101 @@
+#include "lovagegate/pool/eviction_guard.hpp"
+
+#include <algorithm>
+
+namespace lovagegate::pool {
+
+namespace {
+
+/// A report proves an adapter idle when its content is younger than all that
+/// may have run.
+bool confirmed_idle(const engine& e, const slot& s,
+                    const lease_settings& settings)
+{
+    time_point unproven = s.unproven_end;
+    if (s.loaded < e.tenure_end)
+        unproven = std::max(unproven, e.tenure_end);
+    return unproven == never || s.idle_report >= unproven + settings.report_lag;
+}
+
+/// Work reported after every lease of ours can have ended is another owner's.
+bool foreign_work(const slot& s, const lease_settings& settings)
+{
+    if (s.busy_report == never || s.idle_report > s.busy_report)
+        return false;
+    const time_point last = std::max({s.proven_end, s.unproven_end, s.loaded});
+    return last == never || s.busy_report >= last + settings.report_lag;
+}
+
+eviction_block check_role(const engine& e, const ownership& role,
+                          const lease_settings& settings, time_point now)
+{
+    if (!role.owner)
+        return eviction_block::not_owner;
+    if (e.superseded)
+        return eviction_block::superseded;
+    if (!e.declared.checks_fencing) {
+        if (!role.first_listed)
+            return eviction_block::not_first_listed;
+        if (now - role.list_read > settings.list_fresh)
+            return eviction_block::list_stale;
+    }
+    return now < e.tenure_end ? eviction_block::tenure : eviction_block::none;
+}
+
+} // namespace
+
+eviction_block check_eviction(const engine& e, const slot& s, std::size_t open,
+                              const ownership& role,
+                              const lease_settings& settings, time_point now)
+{
+    if (open > 0)
+        return eviction_block::open_lease;
+    if (s.state != slot_state::ready)
+        return eviction_block::order_in_flight;
+    const eviction_block block = check_role(e, role, settings, now);
+    if (block != eviction_block::none)
+        return block;
+    if (foreign_work(s, settings))
+        return eviction_block::running;
+    if (!confirmed_idle(e, s, settings))
+        return eviction_block::unconfirmed_idle;
+    // In a partition another owner may grant what we see as idle: the proof
+    // has to be as young as a poll can make it.
+    if (!role.all_heard && s.idle_report + settings.confirm_age < now)
+        return eviction_block::unconfirmed_idle;
+    return eviction_block::none;
+}
+
+time_point tenure_end(time_point since, const lease_settings& settings)
+{
+    return since + settings.ttl + settings.list_lag;
+}
+
+std::string_view to_string(eviction_block b) noexcept
+{
+    switch (b) {
+    case eviction_block::none:
+        return "none";
+    case eviction_block::not_owner:
+        return "not_owner";
+    case eviction_block::order_in_flight:
+        return "order_in_flight";
+    case eviction_block::open_lease:
+        return "open_lease";
+    case eviction_block::tenure:
+        return "tenure";
+    case eviction_block::unconfirmed_idle:
+        return "unconfirmed_idle";
+    case eviction_block::running:
+        return "running";
+    case eviction_block::superseded:
+        return "superseded";
+    case eviction_block::not_first_listed:
+        return "not_first_listed";
+    case eviction_block::list_stale:
+        return "list_stale";
+    }
+    return "invalid";
+}
+
+} // namespace lovagegate::pool
--- /dev/null
+++ b/src/lovagegate/pool/load_back_off.cpp
@@ -0,0 +1,39 @@
+#include "lovagegate/pool/load_back_off.hpp"
+
+#include "lovagegate/core/hash.hpp"
+
+#include <algorithm>
+
+namespace lovagegate::pool {
+
+std::uint32_t load_back_off::on_failure(adapter_key adapter,
+                                        std::uint64_t jitter_seed,
+                                        time_point now,
+                                        const load_settings& settings)
+{
+    record& r = failures_[adapter];
+    const std::uint32_t doublings = std::min(r.failures, 10U);
+    ++r.failures;
+    const duration whole = std::min(settings.back_off * (1U << doublings),
+                                    settings.longest_back_off);
+    constexpr std::uint64_t steps = 1024;
+    const std::uint64_t part = combine_hash(jitter_seed, r.failures) % steps;
+    // Between a half and the whole of the delay.
+    r.next = now + whole / 2 + whole * part / (2 * steps);
+    return r.failures;
+}
+
+bool load_back_off::ready(adapter_key adapter, time_point now) const
+{
+    return wait(adapter, now) == duration::zero();
+}
+
+duration load_back_off::wait(adapter_key adapter, time_point now) const
+{
+    const auto it = failures_.find(adapter);
+    if (it == failures_.end() || it->second.next <= now)
+        return duration::zero();
+    return it->second.next - now;
+}
+
+} // namespace lovagegate::pool
--- /dev/null
+++ b/src/lovagegate/pool/load_back_off.hpp
@@ -0,0 +1,40 @@
+#ifndef LOVAGEGATE_POOL_LOAD_BACK_OFF_HPP
+#define LOVAGEGATE_POOL_LOAD_BACK_OFF_HPP
+
+#include "lovagegate/core/time.hpp"
+#include "lovagegate/pool/adapter_table.hpp"
+#include "lovagegate/pool/pool_settings.hpp"
+
+#include <cstdint>
+#include <unordered_map>
+
+namespace lovagegate::pool {
+
+/// Delays the next load of adapters whose loads failed: exponential, with
+/// jitter so that adapters that failed together do not return together.
+class load_back_off
+{
+public:
+    /// @return failures in a row
+    std::uint32_t on_failure(adapter_key adapter, std::uint64_t jitter_seed,
+                             time_point now, const load_settings& settings);
+    void on_success(adapter_key adapter) { failures_.erase(adapter); }
+
+    /// @return whether a load may be tried
+    [[nodiscard]] bool ready(adapter_key adapter, time_point now) const;
+    /// @return time until a load may be tried
+    [[nodiscard]] duration wait(adapter_key adapter, time_point now) const;
+
+private:
+    struct record
+    {
+        std::uint32_t failures = 0;
+        time_point next{};
+    };
+
+    std::unordered_map<adapter_key, record> failures_;
+};
+
+} // namespace lovagegate::pool
+
+#endif
--- /dev/null
+++ b/src/lovagegate/pool/load_manager.cpp
@@ -0,0 +1,319 @@
+#include "lovagegate/pool/load_manager.hpp"
+
+#include "lovagegate/pool/fencing.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagegate::pool {
+
+namespace {
+
+/// A request is repeated after it while loads are wanted, in case it or its
+/// answer was lost.
+constexpr duration repeat_interval = 200ms;
+/// Ordinary time of a load, until the permit came.
+constexpr duration typical_load = 300ms;
+
+} // namespace
+
+load_manager::load_manager(pool_state& pool)
+    : pool_(pool), planner_(pool),
+      rate_(pool.settings.queue.default_loads_per_second)
+{
+}
+
+void load_manager::set_permit_node(const instance_id& node,
+                                   const std::string& store)
+{
+    if (permit_node_ != node)
+        last_request_ = never;
+    permit_node_ = node;
+    store_ = store;
+}
+
+/// Slots that a load could take now, over all engines.
+std::size_t load_manager::places(time_point now) const
+{
+    std::size_t sum = 0;
+    for (engine_index i = 0; i < pool_.engines.size(); ++i) {
+        const engine& e = pool_.engines.at(i);
+        if (!e.usable() || e.superseded)
+            continue;
+        sum += e.holds.free();
+        sum += static_cast<std::size_t>(
+            std::ranges::count_if(e.holds.slots(), [&](const slot& s) {
+                return pool_.check(i, s, now) == eviction_block::none;
+            }));
+    }
+    return sum;
+}
+
+std::vector<want> load_manager::current_wants(time_point now) const
+{
+    std::vector<want> wants = planner_.wants(back_off_, now);
+    if (!wants.empty())
+        return wants;
+    const adapter_key candidate = departed_.best(pool_);
+    if (candidate == no_adapter || !back_off_.ready(candidate, now))
+        return wants;
+    const auto place = planner_.place(candidate, now);
+    const double gain = planner_.reuse(candidate);
+    if (place && gain > pool_.settings.load.prefetch_gain *
+                            (place->victim_uses + planner_.least_reuse)) {
+        want w;
+        w.adapter = candidate;
+        w.score = gain;
+        w.prefetch = true;
+        wants.push_back(w);
+    }
+    return wants;
+}
+
+protocol::wanted_load load_manager::describe(const want& w, time_point now)
+{
+    const auto [it, added] = want_ids_.try_emplace(w.adapter, next_id_);
+    if (added)
+        ++next_id_;
+    protocol::wanted_load out;
+    out.id = it->second;
+    out.importance = w.importance;
+    out.waiting = w.waiting;
+    out.value = w.score;
+    if (w.deadline != time_point::max())
+        out.deadline = std::max(duration::zero(), w.deadline - now);
+    return out;
+}
+
+void load_manager::request_permits(time_point now, node::outbox& out)
+{
+    if (!pool_.role.owner || permit_node_.empty())
+        return;
+    const duration interval = pool_.settings.load.want_interval;
+    if (last_request_ != never && now - last_request_ < interval) {
+        postponed_ = true;
+        return;
+    }
+    postponed_ = false;
+    last_wants_ = current_wants(now);
+    const bool any = !last_wants_.empty() && !last_wants_.front().prefetch;
+    rate_.set_wanted(any, now);
+    protocol::permit_request request;
+    const std::size_t n = std::min(
+        {last_wants_.size(), places(now), pool_.settings.load.most_wants});
+    for (std::size_t i = 0; i < n; ++i)
+        request.wants.push_back(describe(last_wants_[i], now));
+    if (n == 0 && !told_wants_)
+        return;
+    told_wants_ = n > 0;
+    request.store = store_;
+    request.pool = pool_.id;
+    request.in_transit = static_cast<std::uint32_t>(permits_.size());
+    last_request_ = now;
+    out.push_back(node::send_message{permit_node_, std::move(request)});
+}
+
+void load_manager::on_permit_grant(const protocol::permit_grant& grant,
+                                   time_point now, node::outbox& out)
+{
+    rate_.on_permits(grant.wants.size(), now);
+    for (const local_id id : grant.wants) {
+        std::erase_if(want_ids_,
+                      [&](const auto& entry) { return entry.second == id; });
+        if (!pool_.role.owner || !start_load(id, now, out)) {
+            pool_.counts.add("load_permits_unused");
+            give_back(id, out);
+        }
+    }
+}
+
+/// A permit is for any load: it goes to the best one of this moment.
+bool load_manager::start_load(local_id permit, time_point now,
+                              node::outbox& out)
+{
+    for (const want& w : current_wants(now)) {
+        const auto place = planner_.place(w.adapter, now);
+        if (!place)
+            continue;
+        engine& e = pool_.engines.at(place->engine);
+        const local_id id = next_id_++;
+        if (place->victim == no_adapter) {
+            e.holds.begin_load(w.adapter, id, now);
+            order(place->engine, id, node::order_kind::load, w.adapter, now,
+                  out);
+        } else {
+            e.holds.begin_unload(place->victim, w.adapter, id, now);
+            order(place->engine, id, node::order_kind::unload, place->victim,
+                  now, out);
+        }
+        permits_.emplace(id, permit);
+        want_ids_.erase(w.adapter);
+        if (w.prefetch)
+            pool_.counts.add("prefetches");
+        return true;
+    }
+    return false;
+}
+
+void load_manager::order(engine_index index, local_id id, node::order_kind kind,
+                         adapter_key adapter, time_point now, node::outbox& out)
+{
+    engine& e = pool_.engines.at(index);
+    node::order_engine o;
+    o.target = e.id;
+    o.address = e.declared.address;
+    o.port = e.declared.port;
+    o.order = id;
+    o.kind = kind;
+    o.adapter = pool_.adapters.adapter(adapter);
+    o.token = order_token(e);
+    o.not_after = now + pool_.settings.load.order_window;
+    pool_.counts.add(kind == node::order_kind::load ? "loads" : "unloads");
+    out.push_back(std::move(o));
+}
+
+void load_manager::give_back(local_id permit, node::outbox& out)
+{
+    protocol::permit_return message;
+    message.store = store_;
+    message.pool = pool_.id;
+    message.wants.push_back(permit);
+    out.push_back(node::send_message{permit_node_, std::move(message)});
+}
+
+void load_manager::end_permit(local_id order_id, node::outbox& out)
+{
+    const auto it = permits_.find(order_id);
+    if (it == permits_.end())
+        return;
+    give_back(it->second, out);
+    permits_.erase(it);
+}
+
+order_result load_manager::unload_done(engine_index index, local_id order_id,
+                                       time_point now, node::outbox& out)
+{
+    engine& e = pool_.engines.at(index);
+    departed_.add(e.holds.with_order(order_id)->adapter);
+    const local_id id = next_id_++;
+    const adapter_key next = e.holds.follow_unload(order_id, id, now);
+    if (next == no_adapter) {
+        end_permit(order_id, out);
+        return {};
+    }
+    const auto permit = permits_.find(order_id);
+    if (permit != permits_.end()) {
+        permits_.emplace(id, permit->second);
+        permits_.erase(order_id);
+    }
+    order(index, id, node::order_kind::load, next, now, out);
+    return {};
+}
+
+order_result load_manager::order_failed(engine_index index, const slot& s,
+                                        time_point now, node::outbox& out)
+{
+    const adapter_key adapter =
+        s.state == slot_state::loading ? s.adapter : no_adapter;
+    const local_id id = s.order;
+    pool_.engines.at(index).holds.order_failed(id, now);
+    end_permit(id, out);
+    if (adapter == no_adapter)
+        return {};
+    pool_.counts.add("load_failures");
+    const std::uint32_t failures = back_off_.on_failure(
+        adapter, stable_hash(to_string(pool_.adapters.adapter(adapter))), now,
+        pool_.settings.load);
+    if (failures < pool_.settings.load.most_failures)
+        return {};
+    return {index, no_adapter, adapter, back_off_.wait(adapter, now)};
+}
+
+order_result load_manager::on_order_ended(const node::order_ended& ended,
+                                          time_point now, node::outbox& out)
+{
+    const engine_index index = pool_.engines.find(ended.target);
+    if (index == no_engine)
+        return {};
+    engine& e = pool_.engines.at(index);
+    if (ended.end == node::order_end::stale_token) {
+        pool_.counts.add("stale_tokens");
+        learn_token(e, ended.highest_token, pool_.role, pool_.settings.lease,
+                    now);
+    }
+    const slot* s = e.holds.with_order(ended.order);
+    if (s == nullptr)
+        return {};
+    if (ended.end == node::order_end::unknown) {
+        e.holds.order_unknown(ended.order, now);
+        end_permit(ended.order, out);
+        return {};
+    }
+    if (ended.end == node::order_end::stale_token) {
+        e.holds.order_failed(ended.order, now);
+        end_permit(ended.order, out);
+        return {};
+    }
+    if (ended.end == node::order_end::failed)
+        return order_failed(index, *s, now, out);
+    if (s->state == slot_state::unloading)
+        return unload_done(index, ended.order, now, out);
+    const adapter_key loaded = s->adapter;
+    e.holds.load_done(ended.order, now);
+    back_off_.on_success(loaded);
+    end_permit(ended.order, out);
+    return {index, loaded, no_adapter, {}};
+}
+
+void load_manager::tick(time_point now, node::outbox& out)
+{
+    for (engine& e : pool_.engines) {
+        for (const local_id id :
+             e.holds.overdue(now, pool_.settings.load.timeout)) {
+            pool_.counts.add("orders_overdue");
+            e.holds.order_unknown(id, now);
+            end_permit(id, out);
+        }
+    }
+    std::vector<local_id> lost;
+    for (const auto& [order_id, permit] : permits_) {
+        const bool open = std::ranges::any_of(pool_.engines, [&](engine& e) {
+            return e.holds.with_order(order_id) != nullptr;
+        });
+        if (!open)
+            lost.push_back(order_id);
+    }
+    std::ranges::sort(lost);
+    for (const local_id order_id : lost)
+        end_permit(order_id, out);
+    if (last_request_ == never || now - last_request_ >= repeat_interval ||
+        postponed_ || !told_wants_)
+        request_permits(now, out);
+}
+
+void load_manager::step_down(node::outbox& out)
+{
+    want_ids_.clear();
+    last_wants_.clear();
+    if (!told_wants_ || permit_node_.empty())
+        return;
+    told_wants_ = false;
+    protocol::permit_request request;
+    request.store = store_;
+    request.pool = pool_.id;
+    request.in_transit = static_cast<std::uint32_t>(permits_.size());
+    out.push_back(node::send_message{permit_node_, std::move(request)});
+}
+
+duration load_manager::expected_wait(const waiting_request& request,
+                                     time_point now) const
+{
+    const double own = planner_.score(request, now);
+    const auto ahead = std::ranges::count_if(
+        last_wants_, [&](const want& w) { return w.score > own; });
+    const double seconds = double(ahead) / rate_.per_second();
+    return typical_load + std::chrono::duration_cast<duration>(
+                              std::chrono::duration<double>(seconds));
+}
+
+} // namespace lovagegate::pool
--- /dev/null
+++ b/src/lovagegate/pool/load_manager.hpp
@@ -0,0 +1,97 @@
+#ifndef LOVAGEGATE_POOL_LOAD_MANAGER_HPP
+#define LOVAGEGATE_POOL_LOAD_MANAGER_HPP
+
+#include "lovagegate/node/inputs.hpp"
+#include "lovagegate/node/outputs.hpp"
+#include "lovagegate/pool/departed_adapters.hpp"
+#include "lovagegate/pool/load_back_off.hpp"
+#include "lovagegate/pool/load_planner.hpp"
+#include "lovagegate/pool/load_rate.hpp"
+#include "lovagegate/pool/pool_state.hpp"
+#include "lovagegate/protocol/messages.hpp"
+
+#include <cstddef>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lovagegate::pool {
+
+/// What the end of an order means for waiting requests.
+struct order_result
+{
+    engine_index engine = no_engine;
+    adapter_key loaded = no_adapter; ///< can be granted now
+    adapter_key failed = no_adapter; ///< failed too often in a row
+    duration retry_after{};          ///< with `failed`
+};
+
+/// Asks for load permits and turns them into orders to the engines.
+class load_manager
+{
+public:
+    /// @param pool outlives this object
+    explicit load_manager(pool_state& pool);
+
+    /// @param node the instance that hands out the store's permits
+    /// @param store name of the weight store
+    void set_permit_node(const instance_id& node, const std::string& store);
+
+    /// Tells the permit node which loads are wanted.
+    /// @param out gets the message, unless the last is too young
+    void request_permits(time_point now, node::outbox& out);
+
+    void on_permit_grant(const protocol::permit_grant& grant, time_point now,
+                         node::outbox& out);
+    [[nodiscard]] order_result on_order_ended(const node::order_ended& ended,
+                                              time_point now,
+                                              node::outbox& out);
+    /// Gives up on orders that are overdue.
+    void tick(time_point now, node::outbox& out);
+    /// The pool has another owner.
+    void step_down(node::outbox& out);
+    /// An engine lost the adapter, by restart or on its own.
+    void on_departed(adapter_key adapter) { departed_.add(adapter); }
+
+    /// @return time until a load of this score is expected to be done
+    [[nodiscard]] duration expected_wait(const waiting_request& request,
+                                         time_point now) const;
+    /// @return loads ordered and not yet ended
+    [[nodiscard]] std::size_t in_transit() const noexcept
+    {
+        return permits_.size();
+    }
+
+private:
+    [[nodiscard]] std::size_t places(time_point now) const;
+    [[nodiscard]] std::vector<want> current_wants(time_point now) const;
+    [[nodiscard]] protocol::wanted_load describe(const want& w, time_point now);
+    bool start_load(local_id permit, time_point now, node::outbox& out);
+    void order(engine_index index, local_id id, node::order_kind kind,
+               adapter_key adapter, time_point now, node::outbox& out);
+    void give_back(local_id permit, node::outbox& out);
+    void end_permit(local_id order_id, node::outbox& out);
+    order_result unload_done(engine_index index, local_id order_id,
+                             time_point now, node::outbox& out);
+    order_result order_failed(engine_index index, const slot& s, time_point now,
+                              node::outbox& out);
+
+    pool_state& pool_;
+    load_planner planner_;
+    load_back_off back_off_;
+    load_rate rate_;
+    departed_adapters departed_;
+    instance_id permit_node_;
+    std::string store_;
+    local_id next_id_ = 1;
+    std::unordered_map<adapter_key, local_id> want_ids_;
+    std::unordered_map<local_id, local_id> permits_; ///< by order
+    std::vector<want> last_wants_;
+    time_point last_request_ = never;
+    bool told_wants_ = false; ///< the last request named some
+    bool postponed_ = false;  ///< a request was held back by the interval
+};
+
+} // namespace lovagegate::pool
+
+#endif
--- /dev/null
+++ b/src/lovagegate/pool/load_planner.cpp
@@ -0,0 +1,160 @@
+#include "lovagegate/pool/load_planner.hpp"
+
+#include "lovagegate/pool/engine_chooser.hpp"
+
+#include <algorithm>
+
+namespace lovagegate::pool {
+
+namespace {
+
+/// Expected uses count over the next requests of the pool, this many.
+constexpr double reuse_horizon = 64.0;
+/// Weight of an expected use beside that of a waiting request.
+constexpr double reuse_weight = 0.5;
+/// Orders in flight on one engine.
+constexpr std::size_t most_orders = 2;
+/// Cost of a fully loaded engine, in expected uses.
+constexpr double fill_cost = 0.1;
+/// Cost of a second copy in the same failure domain.
+constexpr double same_domain_cost = 0.5;
+
+} // namespace
+
+double load_planner::score(const waiting_request& request, time_point now) const
+{
+    const queue_settings& q = pool_.settings.queue;
+    const auto i = static_cast<std::size_t>(request.importance);
+    const double waited = to_seconds(now - request.arrived);
+    return q.weight[i] * (1.0 + waited / q.patience[i]);
+}
+
+double load_planner::reuse(adapter_key adapter) const
+{
+    return pool_.demand.expected(adapter, reuse_horizon);
+}
+
+bool load_planner::held_for_group(std::span<const waiting_request> waiting,
+                                  time_point now) const
+{
+    const queue_settings& q = pool_.settings.queue;
+    if (waiting.front().importance != priority::batch ||
+        waiting.size() >= q.batch_group)
+        return false;
+    return std::ranges::none_of(waiting, [&](const waiting_request& r) {
+        return now - r.arrived >= q.batch_hold ||
+               r.deadline - now <= q.batch_hold;
+    });
+}
+
+std::optional<want>
+load_planner::want_for(adapter_key adapter,
+                       std::span<const waiting_request> waiting,
+                       time_point now) const
+{
+    if (pool_.engines.awaited(adapter) || held_for_group(waiting, now))
+        return std::nullopt;
+    const bool resident = pool_.engines.resident(adapter);
+    if (resident && !holders_full(pool_, adapter, now))
+        return std::nullopt;
+    want w;
+    w.adapter = adapter;
+    w.importance = waiting.front().importance;
+    w.waiting = static_cast<std::uint32_t>(waiting.size());
+    for (const waiting_request& r : waiting) {
+        w.score += score(r, now);
+        w.deadline = std::min(w.deadline, r.deadline);
+    }
+    w.score += reuse_weight * reuse(adapter);
+    return w;
+}
+
+std::vector<want> load_planner::wants(const load_back_off& back_off,
+                                      time_point now) const
+{
+    std::vector<want> out;
+    for (const auto& [adapter, waiting] : pool_.queue.adapters()) {
+        if (!back_off.ready(adapter, now))
+            continue;
+        if (const auto w = want_for(adapter, waiting, now))
+            out.push_back(*w);
+    }
+    std::ranges::stable_sort(out, std::ranges::greater{}, &want::score);
+    return out;
+}
+
+bool load_planner::suits(engine_index i, adapter_key adapter) const
+{
+    const engine& e = pool_.engines.at(i);
+    if (!e.usable() || e.superseded || e.holds.find(adapter) != nullptr ||
+        e.holds.in_flight() >= most_orders ||
+        e.health.state() == health_state::ejected)
+        return false;
+    // A waiting request that may not run there gains nothing.
+    const auto waiting = pool_.queue.of(adapter);
+    return waiting.empty() ||
+           std::ranges::any_of(waiting, [&](const waiting_request& r) {
+               return std::ranges::find(r.excluded, i) == r.excluded.end();
+           });
+}
+
+double load_planner::side_cost(engine_index i, adapter_key adapter) const
+{
+    const engine& e = pool_.engines.at(i);
+    const double fill =
+        double(pool_.leases.on_engine(i)) /
+        double(std::max<std::size_t>(1, e.declared.max_running));
+    double cost = fill_cost * fill * (1.0 - 2.0 * pool_.settings.load.packing);
+    if (fill >= 1.0)
+        cost += 1.0;
+    for (engine_index k = 0; k < pool_.engines.size(); ++k) {
+        const engine& other = pool_.engines.at(k);
+        if (k != i && other.holds.holds(adapter) &&
+            other.declared.domain == e.declared.domain)
+            cost += same_domain_cost;
+    }
+    return cost;
+}
+
+std::optional<load_place> load_planner::cheapest_slot(engine_index i,
+                                                      time_point now) const
+{
+    const engine& e = pool_.engines.at(i);
+    if (e.holds.free() > 0)
+        return load_place{i, no_adapter, 0.0};
+    std::optional<load_place> best;
+    for (const slot& s : e.holds.slots()) {
+        if (pool_.check(i, s, now) != eviction_block::none ||
+            !pool_.queue.of(s.adapter).empty())
+            continue;
+        double uses = reuse(s.adapter);
+        // A second copy loses nothing that the other does not serve.
+        if (pool_.engines.copies(s.adapter) > 1)
+            uses *= 0.5;
+        if (!best || uses < best->victim_uses)
+            best = load_place{i, s.adapter, uses};
+    }
+    return best;
+}
+
+std::optional<load_place> load_planner::place(adapter_key adapter,
+                                              time_point now) const
+{
+    std::optional<load_place> best;
+    double best_cost = 0.0;
+    for (engine_index i = 0; i < pool_.engines.size(); ++i) {
+        if (!suits(i, adapter))
+            continue;
+        const auto candidate = cheapest_slot(i, now);
+        if (!candidate)
+            continue;
+        const double cost = candidate->victim_uses + side_cost(i, adapter);
+        if (!best || cost < best_cost) {
+            best = candidate;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace lovagegate::pool
--- /dev/null
+++ b/src/lovagegate/pool/load_rate.cpp
@@ -0,0 +1,41 @@
+#include "lovagegate/pool/load_rate.hpp"
+
+#include <algorithm>
+
+namespace lovagegate::pool {
+
+namespace {
+
+/// Waiting time after which the average takes a new sample.
+constexpr duration sample_time = 2s;
+constexpr double sample_share = 0.3;
+constexpr double least_rate = 0.05;
+
+} // namespace
+
+void load_rate::advance(time_point now)
+{
+    if (wanted_)
+        waited_ += now - last_;
+    last_ = now;
+    if (waited_ < sample_time)
+        return;
+    const double sample = double(permits_) / to_seconds(waited_);
+    rate_ = std::max(least_rate, rate_ + sample_share * (sample - rate_));
+    waited_ = {};
+    permits_ = 0;
+}
+
+void load_rate::set_wanted(bool wanted, time_point now)
+{
+    advance(now);
+    wanted_ = wanted;
+}
+
+void load_rate::on_permits(std::size_t count, time_point now)
+{
+    permits_ += count;
+    advance(now);
+}
+
+} // namespace lovagegate::pool
--- /dev/null
+++ b/src/lovagegate/pool/pool_owner.cpp
@@ -0,0 +1,366 @@
+#include "lovagegate/pool/pool_owner.hpp"
+
+#include "lovagegate/pool/engine_chooser.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace lovagegate::pool {
+
+namespace {
+
+/// A caller that was refused for want of room comes back after it.
+constexpr duration full_retry = 1s;
+/// Crashes of different target runs that quarantine a fingerprint.
+constexpr std::size_t quarantine_crashes = 2;
+
+lease_key make_key(const protocol::sender& from, local_id id)
+{
+    return {from.instance, from.start, id};
+}
+
+/// @return whether the engine is provably done with the request
+bool proves_end(protocol::lease_end end)
+{
+    return end == protocol::lease_end::finished ||
+           end == protocol::lease_end::not_sent ||
+           end == protocol::lease_end::missing;
+}
+
+} // namespace
+
+pool_owner::pool_owner(pool_id pool, instance_id self,
+                       const pool_settings& settings, counters& counts,
+                       crash_oracle_ref oracle)
+    : self_(std::move(self)), pool_(std::move(pool), settings, counts),
+      oracle_(oracle), loads_(pool_)
+{
+}
+
+bool pool_owner::quarantined(const protocol::lease_request& r) const
+{
+    return r.suspicions >= quarantine_crashes ||
+           crashes_.crashes(r.print) >= quarantine_crashes ||
+           oracle_.is_quarantined(r.print);
+}
+
+waiting_request pool_owner::to_waiting(const protocol::sender& from,
+                                       const protocol::lease_request& request,
+                                       time_point now)
+{
+    waiting_request w;
+    w.key = make_key(from, request.id);
+    w.adapter = pool_.adapters.key(request.adapter);
+    w.importance = request.importance;
+    w.arrived = now;
+    w.deadline = now + request.deadline;
+    w.print = request.print;
+    w.prefix = request.prefix;
+    w.suspected = request.suspicions > 0 ||
+                  crashes_.crashes(request.print) > 0 ||
+                  oracle_.is_suspected(request.print);
+    for (const target_id& id : request.excluded) {
+        const engine_index i = pool_.engines.find(id);
+        if (i != no_engine)
+            w.excluded.push_back(i);
+    }
+    return w;
+}
+
+void pool_owner::on_lease_request(const protocol::sender& from,
+                                  const protocol::lease_request& request,
+                                  time_point now, node::outbox& out)
+{
+    const lease_key key = make_key(from, request.id);
+    if (const lease* open = pool_.leases.find(key)) {
+        // The grant was lost: the same one again.
+        out.push_back(node::send_message{from.instance, open->grant});
+        return;
+    }
+    if (pool_.queue.contains(key))
+        return;
+    if (!pool_.role.owner) {
+        refuse(key, refusal::owner_unreachable, {}, out);
+        return;
+    }
+    if (quarantined(request)) {
+        refuse(key, refusal::quarantined, {}, out);
+        return;
+    }
+    waiting_request w = to_waiting(from, request, now);
+    const bool hit = pool_.engines.resident(w.adapter);
+    if (pool_.demand.on_request(w.adapter, w.importance, hit))
+        pool_.counts.add("popularity_shifts");
+    const engine_index index = choose_engine(pool_, w, now);
+    if (index != no_engine) {
+        grant(w, index, now, out);
+        return;
+    }
+    duration retry_after{};
+    const refusal reason = admit(w, now, out, retry_after);
+    if (reason != refusal::none) {
+        refuse(key, reason, retry_after, out);
+        return;
+    }
+    pool_.queue.push(std::move(w));
+    loads_.request_permits(now, out);
+}
+
+refusal pool_owner::admit(const waiting_request& request, time_point now,
+                          node::outbox& out, duration& retry_after)
+{
+    const queue_settings& q = pool_.settings.queue;
+    retry_after = full_retry;
+    if (!pool_.engines.any_hope())
+        return refusal::no_target;
+    if (request.importance == priority::batch) {
+        const auto most =
+            static_cast<std::size_t>(double(q.limit) * q.batch_share);
+        if (pool_.queue.size(priority::batch) >= most)
+            return refusal::queue_full;
+    }
+    if (pool_.queue.size() >= q.limit) {
+        if (request.importance == priority::batch)
+            return refusal::queue_full;
+        const auto displaced = pool_.queue.take_youngest_batch();
+        if (!displaced)
+            return refusal::queue_full;
+        refuse(displaced->key, refusal::queue_full, full_retry, out);
+    }
+    if (pool_.engines.copies(request.adapter) > 0)
+        return refusal::none;
+    const duration wait = loads_.expected_wait(request, now);
+    if (now + wait <= request.deadline)
+        return refusal::none;
+    retry_after = std::max(full_retry, now + wait - request.deadline);
+    return refusal::deadline_unreachable;
+}
+
+void pool_owner::grant(const waiting_request& request, engine_index index,
+                       time_point now, node::outbox& out)
+{
+    const engine& e = pool_.engines.at(index);
+    protocol::lease_grant message;
+    message.id = request.key.id;
+    message.pool = pool_.id;
+    message.target = e.id;
+    message.token = e.token;
+    message.send_window = pool_.settings.lease.send_window;
+    message.ttl = pool_.settings.lease.ttl;
+    message.width = width_of(request.adapter);
+
+    lease l;
+    l.engine = index;
+    l.engine_start = e.start;
+    l.adapter = request.adapter;
+    l.print = request.print;
+    l.importance = request.importance;
+    l.expires = now + pool_.settings.lease.ttl;
+    l.grant = message;
+    pool_.leases.open(request.key, std::move(l));
+    pool_.counts.add("leases_granted");
+    out.push_back(node::send_message{request.key.holder, std::move(message)});
+}
+
+/// Pools over which the adapter should be spread: as many as keep it on less
+/// than half of one pool.
+std::uint32_t pool_owner::width_of(adapter_key adapter) const
+{
+    std::size_t open = 0;
+    double room = 0.0;
+    for (engine_index i = 0; i < pool_.engines.size(); ++i) {
+        const engine& e = pool_.engines.at(i);
+        open += pool_.leases.on_adapter(i, adapter);
+        room += e.usable() ? double(e.declared.max_running) : 0.0;
+    }
+    const double width =
+        room > 0.0 ? std::floor(2.0 * double(open) / room) : 0.0;
+    return 1U + static_cast<std::uint32_t>(width);
+}
+
+void pool_owner::refuse(const lease_key& key, refusal reason,
+                        duration retry_after, node::outbox& out)
+{
+    protocol::lease_refusal message;
+    message.id = key.id;
+    message.pool = pool_.id;
+    message.reason = reason;
+    message.retry_after = retry_after;
+    pool_.counts.add("lease_refusals", "reason", to_string(reason));
+    out.push_back(node::send_message{key.holder, std::move(message)});
+}
+
+void pool_owner::refuse_all(std::span<const waiting_request> requests,
+                            refusal reason, duration retry_after,
+                            node::outbox& out)
+{
+    for (const waiting_request& r : requests)
+        refuse(r.key, reason, retry_after, out);
+}
+
+void pool_owner::serve_adapter(adapter_key adapter, time_point now,
+                               node::outbox& out)
+{
+    std::vector<std::pair<waiting_request, engine_index>> ready;
+    bool more = true;
+    while (more) {
+        more = false;
+        for (const waiting_request& r : pool_.queue.of(adapter)) {
+            const engine_index index = choose_engine(pool_, r, now);
+            if (index == no_engine)
+                continue;
+            const auto taken = pool_.queue.remove(lease_key(r.key));
+            grant(*taken, index, now, out);
+            more = true;
+            break;
+        }
+    }
+}
+
+/// Room on an engine goes to the adapter whose first waiting request is the
+/// most important, then the oldest.
+void pool_owner::serve_engine(engine_index index, time_point now,
+                              node::outbox& out)
+{
+    std::vector<const waiting_request*> heads;
+    for (const slot& s : pool_.engines.at(index).holds.slots()) {
+        const auto waiting = pool_.queue.of(s.adapter);
+        if (s.state == slot_state::ready && !waiting.empty())
+            heads.push_back(&waiting.front());
+    }
+    std::ranges::sort(heads, [](const auto* a, const auto* b) {
+        return std::pair(a->importance, a->sequence) <
+               std::pair(b->importance, b->sequence);
+    });
+    std::vector<adapter_key> order;
+    for (const waiting_request* head : heads)
+        order.push_back(head->adapter);
+    for (const adapter_key adapter : order)
+        serve_adapter(adapter, now, out);
+}
+
+void pool_owner::serve_all(time_point now, node::outbox& out)
+{
+    for (engine_index i = 0; i < pool_.engines.size(); ++i)
+        serve_engine(i, now, out);
+}
+
+void pool_owner::end_lease(const lease& l, bool proven, time_point now)
+{
+    engine& e = pool_.engines.at(l.engine);
+    const bool same_run = l.engine_start == 0 || e.start == l.engine_start;
+    if (same_run)
+        e.holds.lease_ended(l.adapter, proven, now);
+}
+
+void pool_owner::record_end(const lease& l, const protocol::released_lease& end,
+                            time_point now)
+{
+    engine& e = pool_.engines.at(l.engine);
+    if (e.start != l.engine_start)
+        return;
+    switch (end.end) {
+    case protocol::lease_end::finished:
+        e.health.on_end(true, end.first_token);
+        break;
+    case protocol::lease_end::missing:
+        pool_.counts.add("adapters_missing");
+        e.holds.remove(l.adapter);
+        break;
+    case protocol::lease_end::crashed:
+        crashes_.add({l.print, e.id, l.engine_start});
+        e.health.on_end(false, {});
+        e.unreachable = true;
+        break;
+    case protocol::lease_end::failed:
+        e.health.on_end(false, {});
+        break;
+    case protocol::lease_end::not_sent:
+        return;
+    }
+    judge_health(l.engine, now);
+}
+
+void pool_owner::on_release(const protocol::sender& from,
+                            const protocol::lease_release& release,
+                            time_point now, node::outbox& out)
+{
+    for (const protocol::released_lease& end : release.leases) {
+        const auto l = pool_.leases.close(make_key(from, end.id));
+        if (!l)
+            continue;
+        end_lease(*l, proves_end(end.end), now);
+        record_end(*l, end, now);
+        const engine& e = pool_.engines.at(l->engine);
+        if (e.unreachable)
+            out.push_back(
+                node::poll_engine{e.id, e.declared.address, e.declared.port});
+        serve_adapter(l->adapter, now, out);
+        serve_engine(l->engine, now, out);
+    }
+    if (pool_.queue.size() > 0)
+        loads_.request_permits(now, out);
+}
+
+void pool_owner::register_lease(const lease_key& key,
+                                const protocol::open_lease& open,
+                                time_point now)
+{
+    const time_point expires = now + pool_.settings.lease.ttl;
+    if (pool_.leases.find(key) != nullptr) {
+        pool_.leases.renew(key, expires);
+        return;
+    }
+    const engine_index index = pool_.engines.find(open.target);
+    if (index == no_engine)
+        return;
+    lease l;
+    l.engine = index;
+    l.engine_start = pool_.engines.at(index).start;
+    l.adapter = pool_.adapters.key(open.adapter);
+    l.print = open.print;
+    l.expires = expires;
+    l.grant.id = key.id;
+    l.grant.pool = pool_.id;
+    l.grant.target = open.target;
+    pool_.leases.open(key, std::move(l));
+    pool_.counts.add("leases_registered");
+}
+
+void pool_owner::on_renewal(const protocol::sender& from,
+                            const protocol::lease_renewal& renewal,
+                            time_point now, node::outbox&)
+{
+    for (const protocol::open_lease& open : renewal.leases)
+        register_lease(make_key(from, open.id), open, now);
+}
+
+void pool_owner::on_cancel(const protocol::sender& from,
+                           const protocol::lease_cancel& cancel, time_point now,
+                           node::outbox& out)
+{
+    const lease_key key = make_key(from, cancel.id);
+    if (pool_.queue.remove(key))
+        return;
+    // The grant may be on its way: the entry will not use it.
+    protocol::lease_release release;
+    release.pool = pool_.id;
+    release.leases.push_back({cancel.id, protocol::lease_end::not_sent, {}});
+    on_release(from, release, now, out);
+}
+
+void pool_owner::on_peer_gone(const instance_id& peer, time_point)
+{
+    const auto gone = pool_.queue.take_holder(peer);
+    pool_.counts.add("waiting_of_dead_instances", gone.size());
+}
+
+void pool_owner::on_suspicions(std::span<const protocol::suspicion> crashes,
+                               time_point)
+{
+    for (const protocol::suspicion& crash : crashes)
+        crashes_.add(crash);
+}
+
+} // namespace lovagegate::pool
--- a/src/lovagegate/protocol/messages.hpp
+++ b/src/lovagegate/protocol/messages.hpp
@@ -121,6 +121,7 @@
     {
         instance_id holder;
         open_lease lease;
+        incarnation start = 0; ///< of the holder
     };
     std::vector<holder_lease> leases;
     struct engine_token
@@ -129,6 +130,8 @@
         fencing_token token = 0;
     };
     std::vector<engine_token> tokens;
+    /// The sender knew of every lease that may be open in the pool.
+    bool complete = false;
 };
 
 // ---- load permits: owner of a pool and permit node ----
--- /dev/null
+++ b/tests/pool/eviction_safety_test.cpp
@@ -0,0 +1,267 @@
+#include "pool_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagegate;
+using namespace lovagegate::pool;
+using lovagegate::pool::test::pool_fixture;
+
+namespace {
+
+node::adapter_load held(const std::string& adapter, std::uint32_t running = 0)
+{
+    return {{adapter, "1"}, running, 0};
+}
+
+/// One engine with one slot that holds "a" for an open lease.
+struct one_slot : pool_fixture
+{
+    local_id first = 0;
+
+    explicit one_slot(bool checks_fencing = true)
+        : pool_fixture(1, 1, checks_fencing)
+    {
+        settle();
+        first = ask("a");
+        obey();
+        REQUIRE(granted(first));
+    }
+};
+
+} // namespace
+
+TEST_CASE("an adapter with an open lease is never evicted", "[pool]")
+{
+    one_slot f;
+    f.ask("b");
+    CHECK(f.evictions() == 0);
+    f.release(f.first);
+    f.pass(50ms);
+    CHECK(f.evictions() == 1);
+}
+
+TEST_CASE("a lease that expired blocks eviction until a younger report",
+          "[pool]")
+{
+    one_slot f;
+    f.ask("b");
+    f.pass(f.settings.lease.ttl + 1s);
+    CHECK(f.counts.count("leases_expired") == 1);
+    f.report({held("a")}); // its content may be older than the expiry
+    f.pass(1ms);
+    CHECK(f.evictions() == 0);
+    f.pass(f.settings.lease.report_lag);
+    f.report({held("a", 1)}); // the request still runs
+    f.pass(50ms);
+    CHECK(f.evictions() == 0);
+    f.pass(50ms);
+    f.report({held("a")});
+    f.pass(50ms);
+    CHECK(f.evictions() == 1);
+}
+
+TEST_CASE("a failed target keeps the adapter until a younger report", "[pool]")
+{
+    one_slot f;
+    f.ask("b");
+    f.release(f.first, protocol::lease_end::failed);
+    CHECK(f.evictions() == 0);
+    f.pass(f.settings.lease.report_lag);
+    f.report({held("a")});
+    f.pass(50ms);
+    CHECK(f.evictions() == 1);
+}
+
+TEST_CASE("work that no lease explains blocks eviction", "[pool]")
+{
+    one_slot f;
+    f.release(f.first);
+    f.pass(f.settings.lease.report_lag);
+    f.report({held("a", 1)});
+    f.ask("b");
+    CHECK(f.evictions() == 0);
+    f.pass(1s);
+    f.report({held("a")});
+    f.pass(200ms);
+    CHECK(f.evictions() == 1);
+}
+
+TEST_CASE("a new owner grants residents but evicts nothing in its tenure",
+          "[pool]")
+{
+    pool_fixture f;
+    f.owner.set_ownership(f.first_listed(), f.now, f.out);
+    f.report({held("a")});
+    const local_id on_resident = f.ask("a");
+    CHECK(f.granted(on_resident));
+    f.release(on_resident);
+    f.ask("b");
+    f.pass(f.settings.lease.ttl + f.settings.lease.list_lag - 1s);
+    f.report({held("a")});
+    CHECK(f.evictions() == 0);
+    f.pass(1s + f.settings.lease.report_lag);
+    f.report({held("a")});
+    f.pass(200ms);
+    CHECK(f.evictions() == 1);
+}
+
+TEST_CASE("a lease of the earlier owner is registered by its renewal", "[pool]")
+{
+    pool_fixture f;
+    f.owner.set_ownership(f.first_listed(), f.now, f.out);
+    f.report({held("a")});
+    protocol::lease_renewal renewal;
+    renewal.pool = pool_id("lm#0");
+    renewal.leases.push_back({77, target_id("engine-0"), {"a", "1"}, 0});
+    f.ask("b", priority::interactive, 0, 600s);
+    for (int i = 0; i < 20; ++i) {
+        f.owner.on_renewal(f.entry, renewal, f.now, f.out);
+        f.pass(2s);
+        f.report({held("a", 0)}); // reports may miss it
+        CHECK(f.evictions() == 0);
+    }
+    f.release(77);
+    f.pass(200ms);
+    CHECK(f.evictions() == 1);
+}
+
+TEST_CASE("on engines that check nothing only the first of a fresh list evicts",
+          "[pool]")
+{
+    one_slot f(false);
+    f.release(f.first);
+    ownership role = f.owner.state().role;
+    SECTION("a stale list")
+    {
+        f.now += f.settings.lease.list_fresh + 1s;
+    }
+    SECTION("a list that names another instance first")
+    {
+        role.first_listed = false;
+        f.owner.set_ownership(role, f.now, f.out);
+    }
+    const local_id b = f.ask("b");
+    CHECK(f.evictions() == 0);
+    CHECK_FALSE(f.granted(b));
+    f.now += 50ms;
+    role.first_listed = true;
+    role.list_read = f.now;
+    f.owner.set_ownership(role, f.now, f.out);
+    f.owner.tick(f.now, f.out);
+    CHECK(f.evictions() == 1);
+}
+
+TEST_CASE("in a partition eviction needs a report of this moment", "[pool]")
+{
+    one_slot f(false);
+    f.release(f.first);
+    ownership role = f.owner.state().role;
+    role.all_heard = false;
+    role.list_read = f.now;
+    f.owner.set_ownership(role, f.now, f.out);
+    f.ask("b");
+    CHECK(f.evictions() == 0);
+    f.pass(1s);
+    bool polled = false;
+    for (const node::output& o : f.out)
+        polled = polled || std::holds_alternative<node::poll_engine>(o);
+    CHECK(polled);
+    f.report({held("a")});
+    f.pass(200ms);
+    CHECK(f.evictions() == 1);
+}
+
+TEST_CASE("orders carry a token above the highest that the engine told",
+          "[pool]")
+{
+    pool_fixture f;
+    f.owner.set_ownership(f.first_listed(), f.now, f.out);
+    auto report = f.make_report({});
+    report.highest_token = 41;
+    f.owner.on_report(report, f.now, f.out);
+    f.ask("a");
+    f.permit_all();
+    const auto orders = f.take_orders();
+    REQUIRE(orders.size() == 1);
+    CHECK(orders.front().token == 42);
+}
+
+TEST_CASE("a refused token makes the first listed owner raise and wait anew",
+          "[pool]")
+{
+    one_slot f;
+    f.release(f.first);
+    f.ask("b", priority::interactive, 0, 600s);
+    f.permit_all();
+    const auto orders = f.take_orders();
+    REQUIRE(orders.size() == 1);
+    f.owner.on_order_ended(
+        {orders[0].target, orders[0].order, node::order_end::stale_token, 90},
+        f.now, f.out);
+    f.pass(1s);
+    CHECK(f.evictions() == 0);
+    f.pass(tenure_end(f.now, f.settings.lease) - f.now);
+    f.pass(f.settings.lease.report_lag);
+    f.report({held("a")});
+    f.pass(200ms);
+    f.permit_all();
+    const auto later = f.take_orders();
+    REQUIRE(later.size() == 1);
+    CHECK(later[0].token == 91);
+}
+
+TEST_CASE("a refused token makes an owner by evidence give no more orders",
+          "[pool]")
+{
+    one_slot f;
+    f.release(f.first);
+    ownership role = f.owner.state().role;
+    role.first_listed = false;
+    f.owner.set_ownership(role, f.now, f.out);
+    auto report = f.make_report({held("a")});
+    report.highest_token = 90;
+    f.owner.on_report(report, f.now, f.out);
+    f.ask("b", priority::interactive, 0, 600s);
+    for (int i = 0; i < 60; ++i) {
+        f.pass(1s);
+        f.permit_all();
+        CHECK(f.take_orders().empty());
+    }
+    const local_id resident = f.ask("a");
+    CHECK(f.granted(resident));
+}
+
+TEST_CASE("a complete handover spares the next owner the tenure", "[pool]")
+{
+    one_slot before;
+    const auto handover = before.owner.handover(before.now);
+    CHECK(handover.complete);
+    pool_fixture f;
+    f.now = before.now;
+    f.next_id = 100;
+    f.owner.on_handover({instance_id("owner-0"), 1}, handover, f.now, f.out);
+    f.owner.set_ownership(f.first_listed(), f.now, f.out);
+    f.pass(f.settings.lease.report_lag);
+    f.report({held("a", 1)});
+    f.ask("b");
+    CHECK(f.evictions() == 0); // the lease that was handed over is open
+    f.release(before.first);
+    f.pass(f.settings.lease.report_lag);
+    f.report({held("a")});
+    f.pass(200ms);
+    CHECK(f.evictions() == 1);
+}
+
+TEST_CASE("an engine that restarted holds nothing and keeps no lease", "[pool]")
+{
+    one_slot f;
+    auto report = f.make_report({});
+    report.start = 2;
+    f.owner.on_report(report, f.now, f.out);
+    CHECK(f.owner.state().leases.size() == 0);
+    f.out.clear();
+    const local_id again = f.ask("a");
+    CHECK_FALSE(f.granted(again));
+    f.obey();
+    CHECK(f.granted(again));
+}
