Put the parts together in node::node

Cause: the parts of the decision core need one state machine that the daemon, the fuzzing and the measurement share. Change: node::node routes inputs and messages to the parts, follows changes of membership and declared state, decides when the platform is read, hands pools over at a planned stop. Messages to itself are delivered within the step. Measured: 3 node tests pass: one load serves requests of 1 and of 3 instances for the same adapter. Conclusion: the whole path is there without sockets.

--- /dev/null
+++ b/src/lovagegate/node/node.cpp
@@ -0,0 +1,296 @@
+#include "lovagegate/node/node.hpp"
+
+#include <utility>
+
+namespace lovagegate::node {
+namespace {
+
+/// Constants that separate the random streams of the parts.
+constexpr std::uint64_t view_stream = 0x76696577U;
+constexpr std::uint64_t gossip_stream = 0x676f7373U;
+constexpr std::uint64_t router_stream = 0x726f7574U;
+
+/// Messages of an instance to itself that one step may cause; more would be
+/// two parts that answer each other for ever.
+constexpr std::size_t max_self_deliveries = 10'000;
+
+} // namespace
+
+node::node(node_settings settings, instance_id self, incarnation start,
+           std::uint64_t seed, instant now)
+    : settings_(std::move(settings)), self_(std::move(self)), start_(start),
+      now_(now), book_(counters_), view_(self_, settings_.membership, counters_,
+                                         seed ^ view_stream, now.mono),
+      gossip_(settings_.gossip, counters_, seed ^ gossip_stream),
+      home_(self_, settings_.claims, counters_),
+      crashes_(settings_.quarantine, counters_),
+      pools_(self_, settings_, counters_, crashes_),
+      permits_(self_, settings_.permits, counters_),
+      list_schedule_(settings_.list),
+      router_(settings_.routing, *this, counters_, seed ^ router_stream)
+{
+}
+
+void node::step(const input& in, instant now, outbox& out)
+{
+    now_ = now;
+    const std::size_t first = out.size();
+    dispatch(in, now, out);
+    deliver_to_self(now, out, first);
+}
+
+void node::dispatch(const input& in, instant now, outbox& out)
+{
+    std::visit([&](const auto& i) { on(i, now, out); }, in);
+}
+
+void node::deliver_to_self(instant now, outbox& out, std::size_t from)
+{
+    std::size_t delivered = 0;
+    for (std::size_t i = from; i < out.size();) {
+        const auto* sent = std::get_if<send_message>(&out[i]);
+        if (sent == nullptr || sent->to != self_) {
+            ++i;
+            continue;
+        }
+        const protocol::message body = sent->body;
+        out.erase(out.begin() + static_cast<std::ptrdiff_t>(i));
+        if (++delivered > max_self_deliveries) {
+            counters_.add("self_deliveries_dropped");
+            continue;
+        }
+        const sender me{self_, start_};
+        std::visit([&](const auto& m) { receive(me, m, now, out); }, body);
+    }
+}
+
+void node::on(const caller_request& in, instant now, outbox& out)
+{
+    routing::admission state = routing::admission::open;
+    if (phase_ == protocol::phase::leaving)
+        state = routing::admission::stopping;
+    else if (phase_ == protocol::phase::starting)
+        state = routing::admission::not_ready;
+    router_.on_request(in, state, now.mono, out);
+}
+
+void node::on(const caller_gone& in, instant, outbox& out)
+{
+    router_.on_caller_gone(in.id, out);
+}
+
+void node::on(const target_answering& in, instant, outbox&)
+{
+    router_.on_answering(in);
+}
+
+void node::on(const attempt_ended& in, instant now, outbox& out)
+{
+    router_.on_attempt_ended(in, now.mono, out);
+}
+
+void node::on(const peer_message& in, instant now, outbox& out)
+{
+    const sender& from = in.envelope.from;
+    if (view_.on_heard(from, now)) {
+        // Another process under the same name: what the earlier one held is
+        // in nobody's hands.
+        home_.on_peer_gone(from.instance);
+        pools_.on_peer_gone(from.instance, now.mono);
+    }
+    std::visit([&](const auto& m) { receive(from, m, now, out); },
+               in.envelope.body);
+    refresh(now, out);
+}
+
+void node::on(const peer_lost& in, instant now, outbox& out)
+{
+    view_.on_peer_lost(in.peer, now);
+    refresh(now, out);
+}
+
+void node::on(const engine_report& in, instant now, outbox& out)
+{
+    pools_.on_report(in, now.mono, out);
+}
+
+void node::on(const engine_unreachable& in, instant now, outbox& out)
+{
+    pools_.on_unreachable(in.target, now.mono, out);
+}
+
+void node::on(const order_ended& in, instant now, outbox& out)
+{
+    pools_.on_order_ended(in, now.mono, out);
+}
+
+void node::on(const instance_list& in, instant now, outbox& out)
+{
+    view_.on_list(in, now);
+    list_schedule_.on_answer(true, now.mono);
+    refresh(now, out);
+}
+
+void node::on(const published_tickets& in, instant now, outbox& out)
+{
+    reading_tickets_ = false;
+    gossip_.on_published(in.tickets, book_, now);
+    refresh(now, out);
+}
+
+void node::on(const platform_unavailable& in, instant now, outbox&)
+{
+    counters_.add("platform_unavailable", "part",
+                  in.part == platform_part::tickets ? "tickets" : "instances");
+    if (in.part == platform_part::tickets) {
+        reading_tickets_ = false;
+        gossip_.on_service_unavailable(now);
+    } else {
+        view_.on_list_unavailable(now);
+        list_schedule_.on_answer(false, now.mono);
+    }
+}
+
+void node::on(const tick&, instant now, outbox& out)
+{
+    view_.tick(now, gossip_.digest(book_, now), out);
+    gossip_.tick(now, view_, book_, out);
+    read_platform_services(now, out);
+    update_phase(now, out);
+    refresh(now, out);
+    crashes_.tick(now.mono, view_, out);
+    home_.tick(now, out);
+    permits_.tick(now.mono, out);
+    pools_.tick(book_.state(), now.mono, out);
+    router_.tick(now.mono, out);
+    finish_drain(now, out);
+}
+
+void node::on(const stop_requested&, instant now, outbox& out)
+{
+    if (phase_ == protocol::phase::leaving)
+        return;
+    phase_ = protocol::phase::leaving;
+    stop_at_ = now.mono;
+    view_.set_phase(phase_);
+    out.emplace_back(log_event{
+        "stopping", {{"open_requests", std::to_string(router_.open())}}});
+    pools_.hand_over(view_, now.mono, out);
+    refresh(now, out);
+}
+
+void node::refresh(instant now, outbox& out)
+{
+    pools_.refresh(book_.state(), book_.revision(), view_, now.mono, out);
+    permits_.refresh(book_.state(), book_.revision(), view_, now.mono);
+}
+
+void node::update_phase(instant, outbox& out)
+{
+    if (phase_ != protocol::phase::starting || view_.listed().empty() ||
+        !gossip_.knows_enough(view_, book_))
+        return;
+    phase_ = protocol::phase::ready;
+    view_.set_phase(phase_);
+    out.emplace_back(log_event{
+        "ready", {{"ticket", std::to_string(book_.digest().highest)}}});
+}
+
+void node::read_platform_services(instant now, outbox& out)
+{
+    list_schedule_.tick(view_.listed().size(), view_.list_superseded(now.mono),
+                        now.mono, out);
+    if (reading_tickets_ || !gossip_.may_read(now))
+        return;
+    reading_tickets_ = true;
+    gossip_.on_read_started(now);
+    out.emplace_back(
+        read_platform{platform_part::tickets, gossip_.watch_wait()});
+}
+
+void node::finish_drain(instant now, outbox& out)
+{
+    if (phase_ != protocol::phase::leaving || drained_ || router_.open() > 0 ||
+        now.mono < stop_at_ + settings_.leave_notice)
+        return;
+    drained_ = true;
+    out.emplace_back(drained{});
+}
+
+node_status node::status() const
+{
+    node_status s;
+    s.instance = self_;
+    s.phase = phase_;
+    s.listed_instances = view_.listed().size();
+    s.usable_instances = usable_instances();
+    s.tickets = book_.digest();
+    s.refused_tickets.assign(book_.refusals().begin(), book_.refusals().end());
+    for (const auto& [pool, targets] : pools_.map().all())
+        s.pools.push_back({pool, pools_.owner_of(pool).value_or(instance_id{}),
+                           targets.size()});
+    s.owned = pools_.status();
+    s.open_requests = router_.open_by_service();
+    s.quarantined = crashes_.quarantined().size();
+    return s;
+}
+
+const ticket::declared_state& node::declared() const
+{
+    return book_.state();
+}
+
+pool_id node::choose_pool(const target_group& group,
+                          const adapter_version& adapter, std::uint32_t width,
+                          fingerprint print) const
+{
+    const auto it = book_.state().adapters.find(adapter.adapter);
+    const std::string_view model = it == book_.state().adapters.end()
+                                       ? std::string_view{}
+                                       : std::string_view(it->second.model);
+    return pools_.map().choose(adapter, group, width, print, model);
+}
+
+std::optional<instance_id> node::owner_of(const pool_id& pool) const
+{
+    return pools_.owner_of(pool);
+}
+
+std::optional<instance_id> node::home_of(const request_id& request) const
+{
+    return view_.first_listed(idempotency::home_key(request));
+}
+
+bool node::quarantined(fingerprint print) const
+{
+    return crashes_.is_quarantined(print);
+}
+
+std::uint32_t node::suspicions(fingerprint print) const
+{
+    return crashes_.count(print);
+}
+
+std::size_t node::usable_instances() const
+{
+    std::size_t n = 0;
+    for (const listed_instance& i : view_.listed())
+        n += view_.usable(i.id) ? 1 : 0;
+    return n;
+}
+
+void node::report_crash(const protocol::suspicion& crash)
+{
+    counters_.add("target_crashes_seen");
+    if (crashes_.on_crash(crash, now_.mono))
+        pools_.on_suspicions(std::span(&crash, 1), now_.mono);
+}
+
+void node::report_silent(const instance_id& instance)
+{
+    counters_.add("peers_silent");
+    if (instance != self_)
+        view_.on_unanswered(instance, now_);
+}
+
+} // namespace lovagegate::node
--- /dev/null
+++ b/src/lovagegate/node/node_settings.hpp
@@ -0,0 +1,43 @@
+#ifndef LOVAGEGATE_NODE_NODE_SETTINGS_HPP
+#define LOVAGEGATE_NODE_NODE_SETTINGS_HPP
+
+#include "lovagegate/idempotency/settings.hpp"
+#include "lovagegate/membership/settings.hpp"
+#include "lovagegate/permits/permit_node.hpp"
+#include "lovagegate/placement/pool_map.hpp"
+#include "lovagegate/pool/pool_settings.hpp"
+#include "lovagegate/propagation/ticket_gossip.hpp"
+#include "lovagegate/quarantine/crash_register.hpp"
+#include "lovagegate/routing/settings.hpp"
+
+namespace lovagegate::node {
+
+/// Reads of the platform's instance list.
+struct list_settings
+{
+    duration least_wait = 2s;       ///< of one watch
+    duration retry = 1s;            ///< after a read that failed
+    double calls_per_second = 60.0; ///< of the whole fleet
+};
+
+/// Settings of all decision code of one instance.
+struct node_settings
+{
+    std::size_t pool_size = placement::default_pool_size;
+    duration report_interval = 500ms; ///< between two reads of an engine
+    /// Time from a stop request until the others know that this instance
+    /// leaves.
+    duration leave_notice = 2s;
+    list_settings list;
+    routing::routing_settings routing;
+    pool::pool_settings pool;
+    permits::permit_settings permits;
+    membership::membership_settings membership;
+    propagation::gossip_settings gossip;
+    idempotency::claim_settings claims;
+    quarantine::quarantine_settings quarantine;
+};
+
+} // namespace lovagegate::node
+
+#endif
--- a/src/lovagegate/node/outputs.hpp
+++ b/src/lovagegate/node/outputs.hpp
@@ -4,6 +4,7 @@
 #include "lovagegate/core/identifiers.hpp"
 #include "lovagegate/core/outcome.hpp"
 #include "lovagegate/core/time.hpp"
+#include "lovagegate/node/inputs.hpp"
 #include "lovagegate/protocol/messages.hpp"
 
 #include <cstdint>
@@ -81,6 +82,14 @@
     std::uint16_t port = 0;
 };
 
+/// Asks the platform; the answer comes as instance_list, published_tickets or
+/// platform_unavailable. Every such output gets exactly one answer.
+struct read_platform
+{
+    platform_part part = platform_part::tickets;
+    duration wait{}; ///< how long the service may wait for news; 0: not at all
+};
+
 /// One change of state for the log.
 struct log_event
 {
@@ -95,7 +104,7 @@
 
 using output =
     std::variant<start_attempt, cancel_attempt, finish_request, send_message,
-                 order_engine, poll_engine, log_event, drained>;
+                 order_engine, poll_engine, read_platform, log_event, drained>;
 
 /// Outputs of one step in the order in which they are to be carried out.
 using outbox = std::vector<output>;
--- /dev/null
+++ b/tests/node/node_test.cpp
@@ -0,0 +1,53 @@
+#include "tests/node/small_site.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagegate;
+using namespace lovagegate::tests;
+
+TEST_CASE("a request to any instance runs on the engine with its adapter",
+          "[node]")
+{
+    const auto instances = GENERATE(1U, 3U);
+    small_site site(instances);
+    site.pass(20s);
+    for (std::size_t i = 0; i < instances; ++i)
+        REQUIRE(site.at("i" + std::to_string(i)).phase() ==
+                protocol::phase::ready);
+    for (std::size_t i = 0; i < instances; ++i)
+        site.feed(instance_id{"i" + std::to_string(i)}, completion(i + 1));
+    site.pass(3s);
+    REQUIRE(site.attempts.size() == instances);
+    CHECK(site.attempts[0].adapter == adapter_version{"crew", "2"});
+    // One load serves all of them.
+    CHECK(site.loads == 1);
+    CHECK(site.finished.empty());
+}
+
+TEST_CASE("an instance that knows no ticket refuses requests unrun", "[node]")
+{
+    small_site site(1);
+    site.feed(instance_id{"i0"}, completion(1));
+    REQUIRE(site.finished.size() == 1);
+    CHECK(site.finished[0].reason == refusal::not_ready);
+}
+
+TEST_CASE("a stopping instance finishes what it has and takes no more",
+          "[node]")
+{
+    small_site site(2);
+    site.pass(20s);
+    site.feed(instance_id{"i0"}, completion(1));
+    site.pass(2s);
+    REQUIRE(site.attempts.size() == 1);
+    site.feed(instance_id{"i0"}, node::stop_requested{});
+    site.feed(instance_id{"i0"}, completion(2));
+    REQUIRE(site.finished.size() == 1);
+    CHECK(site.finished[0].reason == refusal::stopping);
+    site.pass(5s);
+    CHECK(site.at("i0").open_requests() == 1);
+    site.feed(instance_id{"i0"},
+              node::attempt_ended{1, 1, node::attempt_end::completed, {}, {}});
+    CHECK(site.finished.back().outcome == request_outcome::completed);
+    CHECK(site.at("i0").open_requests() == 0);
+}
