Add the I/O layer over libwebsockets

Cause: the daemon needs sockets, timers and HTTP that tell the truth about how far a request came, since at-most-once delivery is decided on it. Found by the tests and guarded in the wrappers: the library takes a close within a chunked body for its end; it repeats the end of a body without end when bytes follow it; a listening socket outlives its vhost; it does not report callers who leave while their answer is prepared. The client opens a connection for each request, so that a refused connection proves that nothing was sent. Conclusion: servers, clients and links can be built on it.

--- /dev/null
+++ b/src/lovagegate/net/event_loop.cpp
@@ -0,0 +1,146 @@
+#include "lovagegate/net/event_loop.hpp"
+
+#include "lovagegate/net/errors.hpp"
+#include "lovagegate/net/internal/timer_entry.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+namespace lovagegate::net {
+
+namespace {
+
+/// The library's own timeouts would end long answers and blocking queries;
+/// each class of this area sets timers of its own.
+constexpr unsigned library_timeout_s = 7 * 24 * 3600;
+/// Heads in use at once; they are allocated on demand.
+constexpr unsigned max_heads = 20000;
+
+lws_context* make_context(const loop_settings& settings)
+{
+    // A proxy named by the environment must never carry requests to targets.
+    ::unsetenv("http_proxy");
+    lws_set_log_level(0, nullptr);
+    lws_context_creation_info info{};
+    info.options =
+        LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.max_http_header_data2 = settings.max_header_bytes;
+    info.max_http_header_pool2 = max_heads;
+    info.pt_serv_buf_size = settings.read_buffer_bytes;
+    info.timeout_secs = library_timeout_s;
+    info.connect_timeout_secs = library_timeout_s;
+    info.timeout_secs_ah_idle = library_timeout_s;
+    return lws_create_context(&info);
+}
+
+} // namespace
+
+event_loop::event_loop(const loop_settings& settings)
+    : context_(make_context(settings))
+{
+    if (!context_)
+        throw context_error("libwebsockets context could not be created");
+}
+
+event_loop::~event_loop()
+{
+    for (auto& [id, entry] : timers_)
+        lws_sul_cancel(&entry->sul);
+    lws_context_destroy(context_);
+}
+
+void event_loop::run()
+{
+    while (!stopped_)
+        run_once();
+    stopped_ = false;
+}
+
+void event_loop::run_once()
+{
+    if (lws_service(context_, 0) < 0)
+        throw context_error("the event loop failed");
+    run_posted();
+}
+
+void event_loop::stop() noexcept
+{
+    stopped_ = true;
+    wake();
+}
+
+void event_loop::wake() noexcept
+{
+    lws_cancel_service(context_);
+}
+
+void event_loop::post(task fn)
+{
+    {
+        const std::lock_guard lock(posted_mutex_);
+        posted_.push_back(std::move(fn));
+    }
+    wake();
+}
+
+void event_loop::run_posted()
+{
+    std::vector<task> tasks;
+    {
+        const std::lock_guard lock(posted_mutex_);
+        tasks.swap(posted_);
+    }
+    for (auto& fn : tasks)
+        fn();
+}
+
+timer_id event_loop::call_later(duration delay, task fn)
+{
+    auto entry = std::make_unique<internal::timer_entry>();
+    entry->loop = this;
+    entry->id = ++last_timer_;
+    entry->fn = std::move(fn);
+    const auto us = std::max<duration::rep>(delay.count(), 1);
+    lws_sul_schedule(context_, 0, &entry->sul, &internal::timer_entry::expired,
+                     us);
+    const timer_id id = entry->id;
+    timers_.emplace(id, std::move(entry));
+    return id;
+}
+
+void event_loop::cancel(timer_id id) noexcept
+{
+    const auto it = timers_.find(id);
+    if (it == timers_.end())
+        return;
+    lws_sul_cancel(&it->second->sul);
+    timers_.erase(it);
+}
+
+void event_loop::fire(timer_id id)
+{
+    const auto it = timers_.find(id);
+    if (it == timers_.end())
+        return;
+    const auto entry = std::move(it->second);
+    timers_.erase(it);
+    entry->fn();
+}
+
+instant event_loop::now() noexcept
+{
+    using std::chrono::duration_cast;
+    const auto steady = std::chrono::steady_clock::now().time_since_epoch();
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    return {time_point(duration_cast<duration>(steady)),
+            wall_time(duration_cast<std::chrono::milliseconds>(wall))};
+}
+
+void event_loop::keep(std::shared_ptr<void> value)
+{
+    kept_.push_back(std::move(value));
+}
+
+} // namespace lovagegate::net
--- /dev/null
+++ b/src/lovagegate/net/http_call.cpp
@@ -0,0 +1,287 @@
+#include "lovagegate/net/http_call.hpp"
+
+#include "lovagegate/net/internal/headers.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <libwebsockets.h>
+#include <sys/socket.h>
+
+namespace lovagegate::net {
+
+namespace {
+
+constexpr std::size_t io_bytes = std::size_t{16} * 1024;
+
+bool has_body(const client_request& request)
+{
+    return !request.body.empty() || request.method == "POST" ||
+           request.method == "PUT" || request.method == "PATCH";
+}
+
+/// @return whether the target has closed and all that it sent was read
+bool at_end_of_stream(::lws* wsi)
+{
+    char byte = 0;
+    return ::recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT) ==
+           0;
+}
+
+} // namespace
+
+std::string_view to_string(call_failure f) noexcept
+{
+    switch (f) {
+    case call_failure::connect_failed:
+        return "connect_failed";
+    case call_failure::connect_timeout:
+        return "connect_timeout";
+    case call_failure::broken_before_response:
+        return "broken_before_response";
+    case call_failure::response_timeout:
+        return "response_timeout";
+    case call_failure::broken_in_body:
+        return "broken_in_body";
+    case call_failure::body_timeout:
+        return "body_timeout";
+    }
+    return "invalid";
+}
+
+http_call::http_call(event_loop& loop, client_request request,
+                     call_events events)
+    : loop_(loop), request_(std::move(request)), events_(std::move(events))
+{
+}
+
+http_call::~http_call()
+{
+    clear_timer();
+}
+
+void http_call::start(::lws* wsi)
+{
+    wsi_ = wsi;
+    if (!connected_)
+        set_timer(request_.connect_timeout);
+}
+
+int http_call::on_handshake(unsigned char** at, std::size_t space)
+{
+    if (done_)
+        return -1;
+    connected_ = true;
+    const auto guard = shared_from_this();
+    if (events_.on_connected)
+        events_.on_connected();
+    if (done_)
+        return -1;
+    header_list headers = request_.headers;
+    if (has_body(request_))
+        headers.push_back(
+            {"content-length", std::to_string(request_.body.size())});
+    if (!internal::append_headers(wsi_, headers, at, space))
+        return -1;
+    if (!request_.body.empty()) {
+        lws_client_http_body_pending(wsi_, 1);
+        lws_callback_on_writable(wsi_);
+    }
+    set_timer(request_.response_timeout);
+    return 0;
+}
+
+int http_call::write_body()
+{
+    static std::array<unsigned char, LWS_PRE + io_bytes> buffer;
+    const std::size_t left = request_.body.size() - body_sent_;
+    const std::size_t n = std::min(left, io_bytes);
+    std::memcpy(buffer.data() + LWS_PRE, request_.body.data() + body_sent_, n);
+    if (lws_write(wsi_, buffer.data() + LWS_PRE, n, LWS_WRITE_HTTP) < 0)
+        return -1;
+    body_sent_ += n;
+    if (body_sent_ < request_.body.size()) {
+        lws_callback_on_writable(wsi_);
+    } else {
+        lws_client_http_body_pending(wsi_, 0);
+        request_.body = {};
+        body_sent_ = 0;
+    }
+    return 0;
+}
+
+int http_call::on_writeable()
+{
+    if (done_)
+        return -1;
+    if (!request_.body.empty())
+        return write_body();
+    if (unread_ && !paused_)
+        return read_body();
+    return 0;
+}
+
+int http_call::on_head()
+{
+    if (done_)
+        return -1;
+    responded_ = true;
+    response_head head;
+    head.status = static_cast<int>(lws_http_client_http_response(wsi_));
+    head.headers = internal::read_headers(wsi_);
+    chunked_ = !head.header("transfer-encoding").empty();
+    set_timer(request_.body_timeout);
+    if (events_.on_response)
+        events_.on_response(head);
+    return done_ ? -1 : 0;
+}
+
+int http_call::on_readable()
+{
+    if (done_)
+        return -1;
+    if (paused_) {
+        unread_ = true;
+        return 0;
+    }
+    return read_body();
+}
+
+int http_call::read_body()
+{
+    std::array<char, LWS_PRE + io_bytes> buffer;
+    char* at = buffer.data() + LWS_PRE;
+    int size = static_cast<int>(io_bytes);
+    unread_ = false;
+    const bool at_end = chunked_ && at_end_of_stream(wsi_);
+    reading_ = true;
+    got_data_ = false;
+    const int n = lws_http_client_read(wsi_, &at, &size);
+    reading_ = false;
+    if (completed_ && !done_)
+        finish(at_end && !got_data_);
+    return n < 0 || done_ ? -1 : 0;
+}
+
+void http_call::on_data(std::string_view data)
+{
+    if (done_ || data.empty())
+        return;
+    got_data_ = true;
+    if (!paused_)
+        set_timer(request_.body_timeout);
+    if (events_.on_data)
+        events_.on_data(data);
+}
+
+void http_call::on_completed()
+{
+    completed_ = true;
+    if (!done_ && !reading_)
+        finish(false);
+}
+
+void http_call::finish(bool cut_off)
+{
+    // The library takes a close within a chunked body for its end.
+    if (cut_off) {
+        fail(call_failure::broken_in_body);
+        return;
+    }
+    end();
+    const auto complete = std::move(events_.on_complete);
+    events_ = {};
+    if (complete)
+        complete();
+}
+
+void http_call::on_closed()
+{
+    if (done_ || reading_)
+        return;
+    if (!connected_)
+        fail(call_failure::connect_failed);
+    else if (responded_)
+        fail(call_failure::broken_in_body);
+    else
+        fail(call_failure::broken_before_response);
+}
+
+void http_call::fail(call_failure f)
+{
+    end();
+    const auto failed = std::move(events_.on_failed);
+    events_ = {};
+    if (failed)
+        failed(f);
+}
+
+void http_call::end()
+{
+    done_ = true;
+    clear_timer();
+}
+
+void http_call::cancel()
+{
+    end();
+    // The events may be running now: their functions go when the call goes.
+    if (wsi_)
+        lws_set_timeout(wsi_, PENDING_TIMEOUT_KILLED_BY_PARENT,
+                        LWS_TO_KILL_ASYNC);
+}
+
+void http_call::pause()
+{
+    if (paused_ || done_)
+        return;
+    paused_ = true;
+    clear_timer();
+    if (wsi_)
+        lws_rx_flow_control(wsi_, 0);
+}
+
+void http_call::resume()
+{
+    if (!paused_ || done_)
+        return;
+    paused_ = false;
+    set_timer(request_.body_timeout);
+    if (!wsi_)
+        return;
+    lws_rx_flow_control(wsi_, 1);
+    if (unread_)
+        lws_callback_on_writable(wsi_);
+}
+
+void http_call::expire()
+{
+    const auto guard = shared_from_this();
+    if (wsi_)
+        lws_set_timeout(wsi_, PENDING_TIMEOUT_KILLED_BY_PARENT,
+                        LWS_TO_KILL_ASYNC);
+    if (!connected_)
+        fail(call_failure::connect_timeout);
+    else
+        fail(responded_ ? call_failure::body_timeout
+                        : call_failure::response_timeout);
+}
+
+void http_call::set_timer(duration d)
+{
+    clear_timer();
+    if (d > duration::zero())
+        timer_ = loop_.call_later(d, [this] {
+            timer_ = 0;
+            expire();
+        });
+}
+
+void http_call::clear_timer()
+{
+    if (timer_ != 0)
+        loop_.cancel(timer_);
+    timer_ = 0;
+}
+
+} // namespace lovagegate::net
--- /dev/null
+++ b/src/lovagegate/net/http_server.hpp
@@ -0,0 +1,116 @@
+#ifndef LOVAGEGATE_NET_HTTP_SERVER_HPP
+#define LOVAGEGATE_NET_HTTP_SERVER_HPP
+
+#include "lovagegate/core/time.hpp"
+#include "lovagegate/net/event_loop.hpp"
+#include "lovagegate/net/http_exchange.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace lovagegate::net {
+
+namespace internal {
+class server_connection;
+struct server_slot;
+} // namespace internal
+
+/// Bounds of one http_server.
+struct http_server_settings
+{
+    std::string address = "127.0.0.1"; ///< IP address to bind
+    std::uint16_t port = 0;            ///< 0: any free port
+    std::size_t max_body_bytes = std::size_t{1} << 20U;
+    std::size_t max_connections = 4096;
+    duration head_timeout = 10s; ///< from connect to the whole head
+    duration body_timeout = 30s; ///< from the head to the whole body
+    duration idle_timeout = 60s; ///< between two requests
+    duration gone_poll = 250ms;  ///< how often waiting callers are checked
+};
+
+/// Why a request was refused before it reached the handler.
+enum class bad_request : std::uint8_t
+{
+    body_too_large,    ///< Content-Length over the bound
+    length_required,   ///< a body without Content-Length
+    malformed_length,  ///< Content-Length is not a number
+    unsupported_method ///< a method that the library does not name
+};
+
+/// What a server has seen; the users of the server report it.
+struct http_server_counts
+{
+    std::uint64_t accepted = 0;
+    std::uint64_t refused_connections = 0; ///< over max_connections
+    std::uint64_t requests = 0;
+    std::uint64_t refused_requests = 0; ///< see bad_request
+    std::uint64_t closed_unread = 0;    ///< closed before a whole request
+    std::uint64_t timed_out = 0;        ///< of those, by our timeouts
+};
+
+/// Status, headers and body of a short answer.
+struct http_answer
+{
+    int status = 400;
+    header_list headers;
+    std::string body;
+};
+
+/// HTTP/1.1 server on one address, for any number of requests at once.
+class http_server
+{
+public:
+    using request_handler = std::function<void(const exchange_ptr&)>;
+    using refusal_handler = std::function<http_answer(bad_request)>;
+
+    /// @param loop outlives the server
+    /// @param settings bounds
+    /// @param on_request gets each whole request
+    /// @param on_refusal writes the answer to a refused request; may be empty
+    /// @throws bind_error if the address cannot be bound
+    http_server(event_loop& loop, http_server_settings settings,
+                request_handler on_request, refusal_handler on_refusal = {});
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// @return the port that is bound
+    [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
+
+    /// @return open connections
+    [[nodiscard]] std::size_t connections() const noexcept
+    {
+        return connections_.size();
+    }
+
+    /// @return what was seen so far
+    [[nodiscard]] const http_server_counts& counts() const noexcept
+    {
+        return counts_;
+    }
+
+private:
+    friend class internal::server_connection;
+    friend struct internal::server_slot;
+    [[nodiscard]] bool accepts() noexcept;
+    void check_callers();
+    void schedule_check();
+
+    event_loop& loop_;
+    http_server_settings settings_;
+    request_handler on_request_;
+    refusal_handler on_refusal_;
+    std::shared_ptr<internal::server_slot> slot_;
+    std::set<internal::server_connection*> connections_;
+    http_server_counts counts_;
+    timer_id check_timer_ = 0;
+    std::uint16_t port_ = 0;
+};
+
+} // namespace lovagegate::net
+
+#endif
--- /dev/null
+++ b/src/lovagegate/net/internal/client_slot.hpp
@@ -0,0 +1,27 @@
+#ifndef LOVAGEGATE_NET_INTERNAL_CLIENT_SLOT_HPP
+#define LOVAGEGATE_NET_INTERNAL_CLIENT_SLOT_HPP
+
+#include "lovagegate/net/http_call.hpp"
+
+#include <libwebsockets.h>
+
+namespace lovagegate::net::internal {
+
+/// The library's callback for the connections of an http_client.
+struct client_slot
+{
+    bool alive = true; ///< whether the client is still there
+
+    static int callback(lws* wsi, lws_callback_reasons reason, void* user,
+                        void* in, std::size_t size);
+
+private:
+    static int call_event(http_call& call, lws* wsi,
+                          lws_callback_reasons reason, void* in,
+                          std::size_t size);
+    static void drop(lws* wsi, http_call& call);
+};
+
+} // namespace lovagegate::net::internal
+
+#endif
--- /dev/null
+++ b/src/lovagegate/net/internal/peer_slot.hpp
@@ -0,0 +1,40 @@
+#ifndef LOVAGEGATE_NET_INTERNAL_PEER_SLOT_HPP
+#define LOVAGEGATE_NET_INTERNAL_PEER_SLOT_HPP
+
+#include "lovagegate/net/peer_link.hpp"
+
+#include <libwebsockets.h>
+
+namespace lovagegate::net::internal {
+
+/// Name of the WebSocket subprotocol between instances.
+inline constexpr const char* peer_protocol = "lovagegate-peer";
+
+/// What the library's callbacks reach a listener or connector through; it
+/// outlives them.
+struct peer_slot
+{
+    event_loop* loop = nullptr; ///< empty once the owner is gone
+    peer_settings settings;
+    peer_events events; ///< of accepted links
+    lws_vhost* vhost = nullptr;
+    std::size_t accepted = 0; ///< accepted links now open
+
+    /// Creates the vhost.
+    /// @param address IP address to listen on, empty for a connector
+    void create(event_loop& on, const std::string& address, std::uint16_t port);
+    void close();
+
+    static int callback(lws* wsi, lws_callback_reasons reason, void* user,
+                        void* in, std::size_t size);
+
+private:
+    int accept(lws* wsi);
+    int link_event(peer_link& link, lws* wsi, lws_callback_reasons reason,
+                   void* in, std::size_t size);
+    void drop(peer_link& link, lws* wsi, bool was_accepted);
+};
+
+} // namespace lovagegate::net::internal
+
+#endif
--- /dev/null
+++ b/src/lovagegate/net/internal/server_connection.hpp
@@ -0,0 +1,74 @@
+#ifndef LOVAGEGATE_NET_INTERNAL_SERVER_CONNECTION_HPP
+#define LOVAGEGATE_NET_INTERNAL_SERVER_CONNECTION_HPP
+
+#include "lovagegate/net/http_server.hpp"
+
+#include <libwebsockets.h>
+#include <string>
+#include <string_view>
+
+namespace lovagegate::net::internal {
+
+/// One accepted connection: reads requests one after another and writes their
+/// answers. Owned by the library's connection (its opaque user data).
+class server_connection
+{
+public:
+    server_connection(http_server& server, lws* wsi);
+    ~server_connection();
+    server_connection(const server_connection&) = delete;
+    server_connection& operator=(const server_connection&) = delete;
+
+    /// @return nonzero closes the connection, for each of these
+    int on_head();
+    int on_body(std::string_view part);
+    int on_body_end();
+    int on_writeable();
+    int on_timer();
+
+    /// Tells the exchange that the caller is gone.
+    void on_gone();
+
+    void append(std::string_view data);
+    void answer_ended();
+    void close_after_answer() noexcept { close_after_answer_ = true; }
+    void kill() noexcept;
+    [[nodiscard]] std::string head_text(int status,
+                                        const header_list& headers) const;
+    [[nodiscard]] std::size_t buffered() const noexcept
+    {
+        return out_.size() - sent_;
+    }
+    [[nodiscard]] bool takes_chunks() const;
+
+    /// @return whether a request is being answered
+    [[nodiscard]] bool is_answering() const noexcept
+    {
+        return exchange_ != nullptr;
+    }
+    [[nodiscard]] lws* native() const noexcept { return wsi_; }
+
+private:
+    void read_head();
+    int dispatch();
+    int refuse(bad_request reason);
+    int send_part();
+    int end_transaction();
+    void set_timer(duration d) noexcept;
+    void clear_timer() noexcept;
+
+    http_server& server_;
+    lws* wsi_;
+    http_request request_;
+    exchange_ptr exchange_;
+    std::string out_;
+    std::size_t sent_ = 0;
+    bool reading_ = false; ///< a request has begun and is not whole
+    bool ended_ = false;   ///< the whole answer is in out_
+    bool refused_ = false;
+    bool close_after_answer_ = false;
+};
+
+} // namespace lovagegate::net::internal
+
+#endif
--- /dev/null
+++ b/src/lovagegate/net/peer_connector.hpp
@@ -0,0 +1,41 @@
+#ifndef LOVAGEGATE_NET_PEER_CONNECTOR_HPP
+#define LOVAGEGATE_NET_PEER_CONNECTOR_HPP
+
+#include "lovagegate/net/peer_link.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace lovagegate::net {
+
+/// Opens links to other instances.
+class peer_connector
+{
+public:
+    /// @param loop outlives the connector
+    /// @param settings bounds of each link
+    /// @throws context_error if the library refuses
+    peer_connector(event_loop& loop, const peer_settings& settings);
+    ~peer_connector();
+    peer_connector(const peer_connector&) = delete;
+    peer_connector& operator=(const peer_connector&) = delete;
+
+    /// Begins to open a link. Events come later, never from within.
+    /// @param address IP address of the other instance
+    /// @param port its peer port
+    /// @return the link, which takes messages at once
+    peer_link_ptr connect(const std::string& address, std::uint16_t port,
+                          peer_events events);
+
+private:
+    void open(const peer_link_ptr& link, std::uint16_t port);
+
+    event_loop& loop_;
+    peer_settings settings_;
+    std::shared_ptr<internal::peer_slot> slot_;
+};
+
+} // namespace lovagegate::net
+
+#endif
--- /dev/null
+++ b/src/lovagegate/net/peer_link.hpp
@@ -0,0 +1,108 @@
+#ifndef LOVAGEGATE_NET_PEER_LINK_HPP
+#define LOVAGEGATE_NET_PEER_LINK_HPP
+
+#include "lovagegate/net/event_loop.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+struct lws;
+
+namespace lovagegate::net {
+
+namespace internal {
+struct peer_slot;
+}
+
+/// Bounds of the links of one listener or connector.
+struct peer_settings
+{
+    std::size_t max_message_bytes = std::size_t{1200} * 1024;
+    std::size_t max_queued_bytes = std::size_t{8} << 20U;
+    std::size_t max_links = 1024; ///< of a listener
+    duration connect_timeout = 2s;
+};
+
+/// What became of a message given to peer_link::send().
+enum class send_result : std::uint8_t
+{
+    queued,
+    queue_full, ///< max_queued_bytes
+    too_large,  ///< max_message_bytes
+    closed,     ///< the link is closed
+};
+
+class peer_link;
+using peer_link_ptr = std::shared_ptr<peer_link>;
+
+/// What happens to links. Each function may be empty. A connector's link that
+/// never opens gets on_closed alone.
+struct peer_events
+{
+    std::function<void(const peer_link_ptr&)> on_open;
+    std::function<void(const peer_link_ptr&, std::string message)> on_message;
+    std::function<void(const peer_link_ptr&)> on_closed;
+};
+
+/// One WebSocket connection between two instances; messages are whole and in
+/// order as long as it is open.
+class peer_link : public std::enable_shared_from_this<peer_link>
+{
+public:
+    peer_link(event_loop& loop, const peer_settings& settings,
+              peer_events events, std::string remote);
+    ~peer_link();
+    peer_link(const peer_link&) = delete;
+    peer_link& operator=(const peer_link&) = delete;
+
+    /// Queues a message, also before the link is open.
+    send_result send(std::string message);
+
+    /// Closes the link; on_closed does not follow.
+    void close();
+
+    /// @return bytes of messages not yet given to the library
+    [[nodiscard]] std::size_t queued_bytes() const noexcept
+    {
+        return queued_bytes_;
+    }
+
+    /// @return whether messages can go through now
+    [[nodiscard]] bool is_open() const noexcept { return open_; }
+
+    /// @return IP address of the other side
+    [[nodiscard]] const std::string& remote() const noexcept { return remote_; }
+
+private:
+    friend struct internal::peer_slot;
+    friend class peer_listener;
+    friend class peer_connector;
+
+    void start(::lws* wsi);
+    void on_established(::lws* wsi);
+    int on_receive(std::string_view part, bool first, bool last);
+    int on_writeable();
+    void on_gone();
+
+    event_loop& loop_;
+    peer_settings settings_;
+    peer_events events_;
+    std::string remote_;
+    peer_link_ptr self_; ///< while the library refers to it
+    ::lws* wsi_ = nullptr;
+    std::deque<std::string> queue_;
+    std::size_t queued_bytes_ = 0;
+    std::string incoming_;
+    timer_id timer_ = 0;
+    bool open_ = false;
+    bool closed_ = false;
+};
+
+} // namespace lovagegate::net
+
+#endif
--- /dev/null
+++ b/src/lovagegate/net/peer_listener.hpp
@@ -0,0 +1,39 @@
+#ifndef LOVAGEGATE_NET_PEER_LISTENER_HPP
+#define LOVAGEGATE_NET_PEER_LISTENER_HPP
+
+#include "lovagegate/net/peer_link.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace lovagegate::net {
+
+/// Accepts links from other instances on one address.
+class peer_listener
+{
+public:
+    /// @param loop outlives the listener
+    /// @param address IP address to bind
+    /// @param port 0: any free port
+    /// @param settings bounds of each link
+    /// @param events for all links
+    /// @throws bind_error if the address cannot be bound
+    peer_listener(event_loop& loop, const std::string& address,
+                  std::uint16_t port, const peer_settings& settings,
+                  peer_events events);
+    ~peer_listener();
+    peer_listener(const peer_listener&) = delete;
+    peer_listener& operator=(const peer_listener&) = delete;
+
+    /// @return the port that is bound
+    [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
+
+private:
+    std::shared_ptr<internal::peer_slot> slot_;
+    std::uint16_t port_ = 0;
+};
+
+} // namespace lovagegate::net
+
+#endif
