--- a/src/lovagegate/node/inputs.hpp
+++ b/src/lovagegate/node/inputs.hpp
@@ -92,6 +92,9 @@
 struct engine_report
 {
     target_id target;
+    /// When the question was sent that this answers: a process that was paused
+    /// may read an old answer from its socket. Epoch: asked just now.
+    time_point asked{};
     incarnation start = 0;           ///< which run of the engine reports
     fencing_token highest_token = 0; ///< 0: the engine does not tell
     std::vector<adapter_load> resident;
--- a/src/lovagegate/node/node.cpp
+++ b/src/lovagegate/node/node.cpp
@@ -111,6 +111,12 @@
 
 void node::on(const engine_report& in, instant now, outbox& out)
 {
+    const bool stale = in.asked != time_point{} &&
+                       now.mono - in.asked > settings_.report_patience;
+    if (stale) {
+        counters_.add("engine_reports_stale");
+        return;
+    }
     pools_.on_report(in, now.mono, out);
 }
 
--- a/src/lovagegate/node/node_settings.hpp
+++ b/src/lovagegate/node/node_settings.hpp
@@ -15,9 +15,10 @@
 /// Reads of the platform's instance list.
 struct list_settings
 {
-    duration least_wait = 2s;       ///< of one watch
-    duration retry = 1s;            ///< after a read that failed
-    double calls_per_second = 60.0; ///< of the whole fleet
+    duration least_wait = 2s;        ///< of one watch
+    duration least_interval = 250ms; ///< between two reads of one instance
+    duration retry = 1s;             ///< after a read that failed
+    double calls_per_second = 60.0;  ///< of the whole fleet
 };
 
 /// Settings of all decision code of one instance.
@@ -25,6 +26,9 @@
 {
     std::size_t pool_size = placement::default_pool_size;
     duration report_interval = 500ms; ///< between two reads of an engine
+    /// A report that took longer is dropped: its content may be older than the
+    /// owners' report_lag allows.
+    duration report_patience = 1s;
     /// Time from a stop request until the others know that this instance
     /// leaves.
     duration leave_notice = 2s;
--- a/src/lovagegate/node/platform_schedule.cpp
+++ b/src/lovagegate/node/platform_schedule.cpp
@@ -15,6 +15,7 @@
     if (reading_ || now < next_)
         return;
     reading_ = true;
+    asked_ = now;
     // A waiting watch counts as one call, so that the wait sets the rate.
     const auto fair =
         std::chrono::duration_cast<duration>(std::chrono::duration<double>(
@@ -27,7 +28,8 @@
 void platform_schedule::on_answer(bool ok, time_point now)
 {
     reading_ = false;
-    next_ = ok ? now : now + settings_.retry;
+    // A service that answers at once, whatever it was asked, is not pressed.
+    next_ = ok ? asked_ + settings_.least_interval : now + settings_.retry;
 }
 
 } // namespace lovagegate::node
--- a/src/lovagegate/node/platform_schedule.hpp
+++ b/src/lovagegate/node/platform_schedule.hpp
@@ -26,6 +26,7 @@
 private:
     const list_settings& settings_;
     bool reading_ = false;
+    time_point asked_{};
     time_point next_{};
 };
 
--- /dev/null
+++ b/src/lovagegate/serve/engine_reporter.hpp
@@ -0,0 +1,43 @@
+#ifndef LOVAGEGATE_SERVE_ENGINE_REPORTER_HPP
+#define LOVAGEGATE_SERVE_ENGINE_REPORTER_HPP
+
+#include "lovagegate/net/http_client.hpp"
+#include "lovagegate/node/outputs.hpp"
+#include "lovagegate/serve/core_port.hpp"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace lovagegate::serve {
+
+/// Reads the reports of engines and passes orders on to them.
+class engine_reporter
+{
+public:
+    /// @param client outlives the reporter
+    engine_reporter(net::http_client& client, core_port core);
+
+    /// Reads an engine's two pages; a poll of an engine that is being polled
+    /// is dropped.
+    void poll(const node::poll_engine& question);
+
+    void order(const node::order_engine& order);
+
+private:
+    struct poll_state;
+    struct order_state;
+
+    void read_page(const std::shared_ptr<poll_state>& poll,
+                   const std::string& path, std::string poll_state::*page);
+    void page_done(poll_state& poll, bool ok);
+    void end_order(const order_state& order, node::order_end end);
+
+    net::http_client& client_;
+    core_port core_;
+    std::set<target_id> polling_;
+};
+
+} // namespace lovagegate::serve
+
+#endif
