Add the stand-ins, the load tool and the status command

Cause: the path is tried on loopback against engines, a plain service, the platform and the weight store, and what the gateway adds is measured. Change: lovagegate-standin plays each of them on our HTTP layer and ends by itself after a time; lovagegate-bench sends streams directly and through the gateway at once, and prints JSON lines; status asks a running instance. tools/run_site.sh and tools/bench_gateway.sh start a site on free ports and end what they started.

--- /dev/null
+++ b/bench/load_source.hpp
@@ -0,0 +1,78 @@
+#ifndef LOVAGEGATE_BENCH_LOAD_SOURCE_HPP
+#define LOVAGEGATE_BENCH_LOAD_SOURCE_HPP
+
+#include "bench/samples.hpp"
+#include "lovagegate/net/event_loop.hpp"
+#include "lovagegate/net/http_client.hpp"
+#include "lovagegate/settings/endpoint.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace lovagegate::bench {
+
+/// A steady load of streamed completions.
+struct load_options
+{
+    settings::endpoint target;
+    std::string model;
+    std::size_t streams = 1;  ///< open at once
+    std::size_t requests = 1; ///< over all streams
+    std::size_t tokens = 16;  ///< of each answer
+    /// Time over which the first requests are spread.
+    duration ramp = 0s;
+};
+
+/// What a load has seen.
+struct load_result
+{
+    std::size_t completed = 0;
+    std::size_t failed = 0;
+    std::size_t tokens = 0;
+    samples first_token; ///< from sending to the first token
+    samples token_gap;   ///< between two tokens of one stream
+    /// HTTP status or failure to count, of requests that did not complete.
+    std::map<std::string, std::size_t> failures;
+};
+
+/// Keeps a number of streams open until all requests have ended.
+class load_source
+{
+public:
+    /// @param loop outlives the source
+    /// @param options the load
+    /// @param on_end runs once when the last request has ended
+    load_source(net::event_loop& loop, load_options options,
+                std::function<void()> on_end);
+
+    void start();
+    /// Sends nothing more; what is open ends by itself.
+    void stop_sending() { stopped_ = true; }
+    [[nodiscard]] const load_result& result() const noexcept { return result_; }
+    [[nodiscard]] std::size_t open() const noexcept { return open_; }
+
+private:
+    struct stream;
+
+    void send();
+    void take(stream& s, std::string_view data);
+    void take_event(stream& s, std::string_view event, time_point now);
+    void end(stream& s, const std::string& failure);
+    [[nodiscard]] net::client_request request() const;
+
+    net::event_loop& loop_;
+    net::http_client client_;
+    load_options options_;
+    std::function<void()> on_end_;
+    load_result result_;
+    std::size_t sent_ = 0;
+    std::size_t open_ = 0;
+    bool stopped_ = false;
+};
+
+} // namespace lovagegate::bench
+
+#endif
--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,116 @@
+#include "bench/runs.hpp"
+#include "lovagegate/core/error.hpp"
+#include "lovagegate/settings/units.hpp"
+
+#include <docopt/docopt.h>
+#include <iostream>
+
+namespace {
+
+using namespace lovagegate;
+using namespace lovagegate::bench;
+
+constexpr const char* usage =
+    R"(lovagegate-bench: measures what the gateway adds. Prints JSON lines.
+
+Usage:
+  lovagegate-bench streams --gateway=ADDRESS --direct=ADDRESS --model=NAME
+      [--streams=N] [--requests=N] [--tokens=N] [--ramp=TIME]
+  lovagegate-bench throughput --gateway=ADDRESS --model=NAME --pid=N
+      [--streams=N] [--tokens=N] [--length=TIME]
+  lovagegate-bench memory --gateway=ADDRESS --model=NAME --pid=N
+      [--streams=N] [--tokens=N]
+  lovagegate-bench garbage --gateway=ADDRESS --model=NAME --pid=N
+      [--streams=N] [--tokens=N] [--connects=N]
+  lovagegate-bench --help
+
+Options:
+  --gateway=ADDRESS  Instance of lovagegate, IP:PORT.
+  --direct=ADDRESS   Engine to compare with, IP:PORT.
+  --model=NAME       ADAPTER@VERSION to ask for.
+  --pid=N            Process of the instance, for its memory and time.
+  --streams=N        Streams open at once, on each side [default: 32].
+  --requests=N       Requests on each side [default: 200].
+  --tokens=N         Tokens of each answer [default: 32].
+  --ramp=TIME        Time over which the first streams begin [default: 1s].
+  --length=TIME      How long to send [default: 5s].
+  --connects=N       Bad connections [default: 10000].
+)";
+
+/// An option is not of its type.
+class option_error : public error
+{
+public:
+    using error::error;
+};
+
+using options = std::map<std::string, docopt::value>;
+
+template <typename Value>
+Value parsed(const options& o, const std::string& name,
+             std::optional<Value> (*parse)(std::string_view))
+{
+    const auto value = parse(o.at(name).asString());
+    if (!value) {
+        throw option_error(name + ": not understood: " + o.at(name).asString());
+    }
+    return *value;
+}
+
+load_options load_of(const options& o)
+{
+    load_options load;
+    load.target = parsed(o, "--gateway", settings::parse_endpoint);
+    load.model = o.at("--model").asString();
+    load.streams = parsed(o, "--streams", settings::parse_count);
+    load.requests = parsed(o, "--requests", settings::parse_count);
+    load.tokens = parsed(o, "--tokens", settings::parse_count);
+    load.ramp = parsed(o, "--ramp", settings::parse_duration);
+    return load;
+}
+
+nlohmann::json run(const options& o)
+{
+    const load_options load = load_of(o);
+    if (o.at("streams").asBool()) {
+        return run_streams(load,
+                           parsed(o, "--direct", settings::parse_endpoint));
+    }
+    const int pid = static_cast<int>(parsed(o, "--pid", settings::parse_count));
+    if (o.at("throughput").asBool()) {
+        return run_throughput(load, pid,
+                              parsed(o, "--length", settings::parse_duration));
+    }
+    if (o.at("memory").asBool()) {
+        return run_memory(load, pid);
+    }
+    garbage_options garbage;
+    garbage.target = load.target;
+    garbage.connects = parsed(o, "--connects", settings::parse_count);
+    return run_garbage(load, garbage, pid);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    constexpr int failure = 1;
+    constexpr int wrong_usage = 2;
+    try {
+        std::cout << run(docopt::docopt_parse(usage, {argv + 1, argv + argc}))
+                  << '\n';
+        return 0;
+    } catch (const docopt::DocoptExitHelp&) {
+        std::cout << usage;
+        return 0;
+    } catch (const docopt::DocoptArgumentError&) {
+        std::cerr << usage;
+        return wrong_usage;
+    } catch (const option_error& e) {
+        std::cerr << e.what() << '\n';
+        return wrong_usage;
+    } catch (const std::exception& e) {
+        std::cerr << "lovagegate-bench: " << e.what() << '\n';
+        return failure;
+    }
+}
--- /dev/null
+++ b/bench/process_usage.cpp
@@ -0,0 +1,45 @@
+#include "bench/process_usage.hpp"
+
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <unistd.h>
+
+namespace lovagegate::bench {
+
+namespace {
+
+/// Fields between the command's name and utime in /proc/PID/stat.
+constexpr int fields_before_utime = 11;
+
+constexpr std::uint64_t kibibyte = 1024;
+
+} // namespace
+
+process_usage usage_of(int pid)
+{
+    const std::string folder = "/proc/" + std::to_string(pid);
+    std::ifstream stat(folder + "/stat");
+    std::string line;
+    if (!std::getline(stat, line)) {
+        throw process_error("no process " + std::to_string(pid));
+    }
+    // The command's name may hold spaces, it ends with the last ')'.
+    std::istringstream fields(line.substr(line.rfind(')') + 1));
+    std::string skipped;
+    for (int i = 0; i < fields_before_utime; ++i) {
+        fields >> skipped;
+    }
+    std::int64_t user = 0;
+    std::int64_t system = 0;
+    fields >> user >> system;
+    std::uint64_t pages = 0;
+    std::ifstream(folder + "/statm") >> skipped >> pages;
+    const std::int64_t ticks = sysconf(_SC_CLK_TCK);
+    const auto page =
+        static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE)) / kibibyte;
+    return {std::chrono::duration_cast<duration>(1s) * (user + system) / ticks,
+            pages * page};
+}
+
+} // namespace lovagegate::bench
--- /dev/null
+++ b/bench/runs.cpp
@@ -0,0 +1,168 @@
+#include "bench/runs.hpp"
+
+#include "bench/process_usage.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace lovagegate::bench {
+
+namespace {
+
+using nlohmann::json;
+
+json side(const load_result& r)
+{
+    return {{"completed", r.completed},
+            {"failed", r.failed},
+            {"failures", r.failures},
+            {"first_token", r.first_token.summary()},
+            {"token_gap", r.token_gap.summary()}};
+}
+
+json difference(const samples& direct, const samples& gateway)
+{
+    return {{"p50_ms", gateway.quantile(0.5) - direct.quantile(0.5)},
+            {"p99_ms", gateway.quantile(0.99) - direct.quantile(0.99)}};
+}
+
+/// Runs one load to its end.
+load_result run_load(const load_options& options)
+{
+    net::event_loop loop;
+    load_source source(loop, options, [&loop] { loop.stop(); });
+    source.start();
+    loop.run();
+    return source.result();
+}
+
+/// Resident memory while the streams are open.
+std::uint64_t memory_with(load_options options, std::size_t streams, int pid)
+{
+    // Answers are long enough to outlast the look, and then cut off.
+    constexpr duration settle = 1500ms;
+    options.streams = streams;
+    options.requests = streams;
+    net::event_loop loop;
+    std::uint64_t resident = 0;
+    load_source source(loop, options, [&loop] { loop.stop(); });
+    source.start();
+    loop.call_later(settle, [&] {
+        resident = usage_of(pid).resident_kib;
+        loop.stop();
+    });
+    loop.run();
+    return resident;
+}
+
+} // namespace
+
+json run_streams(const load_options& load, const settings::endpoint& direct)
+{
+    load_options direct_load = load;
+    direct_load.target = direct;
+    net::event_loop loop;
+    int running = 2;
+    const auto on_end = [&] {
+        if (--running == 0) {
+            loop.stop();
+        }
+    };
+    load_source by_gateway(loop, load, on_end);
+    load_source by_engine(loop, direct_load, on_end);
+    by_gateway.start();
+    by_engine.start();
+    loop.run();
+    const load_result& g = by_gateway.result();
+    const load_result& d = by_engine.result();
+    return {{"bench", "streams"},
+            {"streams", load.streams},
+            {"tokens", load.tokens},
+            {"direct", side(d)},
+            {"gateway", side(g)},
+            {"added",
+             {{"first_token", difference(d.first_token, g.first_token)},
+              {"token_gap", difference(d.token_gap, g.token_gap)}}}};
+}
+
+json run_throughput(load_options load, int pid, duration length)
+{
+    load.requests = std::numeric_limits<std::size_t>::max();
+    net::event_loop loop;
+    load_source source(loop, load, [&loop] { loop.stop(); });
+    const process_usage before = usage_of(pid);
+    const time_point began = net::event_loop::now().mono;
+    source.start();
+    loop.call_later(length, [&source] { source.stop_sending(); });
+    loop.run();
+    const double took = to_seconds(net::event_loop::now().mono - began);
+    const double processor =
+        to_seconds(usage_of(pid).processor_time - before.processor_time);
+    const load_result& r = source.result();
+    const auto completed = static_cast<double>(r.completed);
+    const auto tokens = static_cast<double>(r.tokens);
+    return {{"bench", "throughput"},
+            {"streams", load.streams},
+            {"tokens_each", load.tokens},
+            {"completed", r.completed},
+            {"failed", r.failed},
+            {"failures", r.failures},
+            {"requests_per_s", completed / took},
+            {"tokens_per_s", tokens / took},
+            {"gateway_core_share", processor / took},
+            {"requests_per_core_s", completed / std::max(processor, 0.01)},
+            {"tokens_per_core_s", tokens / std::max(processor, 0.01)}};
+}
+
+json run_memory(const load_options& load, int pid)
+{
+    const std::uint64_t idle = usage_of(pid).resident_kib;
+    json sizes = json::array();
+    std::uint64_t last = idle;
+    for (const std::size_t divisor : {8U, 4U, 2U, 1U}) {
+        const std::size_t streams = load.streams / divisor;
+        last = memory_with(load, streams, pid);
+        sizes.push_back({{"streams", streams}, {"resident_kib", last}});
+    }
+    const auto first = sizes.front();
+    const double grown =
+        static_cast<double>(last) - first["resident_kib"].get<double>();
+    const double streams =
+        static_cast<double>(load.streams) - first["streams"].get<double>();
+    return {{"bench", "memory"},
+            {"idle_resident_kib", idle},
+            {"sizes", sizes},
+            {"kib_per_stream", grown / streams}};
+}
+
+json run_garbage(load_options load, const garbage_options& garbage, int pid)
+{
+    load.requests = std::numeric_limits<std::size_t>::max();
+    const auto connects_took =
+        garbage.spacing * static_cast<duration::rep>(garbage.connects);
+    const std::uint64_t before = usage_of(pid).resident_kib;
+    garbage_source bad(garbage);
+    net::event_loop loop;
+    load_source good(loop, load, [&loop] { loop.stop(); });
+    std::uint64_t during = 0;
+    good.start();
+    loop.call_later(connects_took, [&] {
+        during = usage_of(pid).resident_kib;
+        good.stop_sending();
+    });
+    loop.run();
+    bad.join();
+    load.requests = 1;
+    const load_result after = run_load(load);
+    return {{"bench", "garbage"},
+            {"connects", garbage.connects},
+            {"connected", bad.connected()},
+            {"good_completed", good.result().completed + after.completed},
+            {"good_failed", good.result().failed + after.failed},
+            {"failures", good.result().failures},
+            {"resident_kib_before", before},
+            {"resident_kib_during", during},
+            {"resident_kib_after", usage_of(pid).resident_kib}};
+}
+
+} // namespace lovagegate::bench
--- a/src/lovagegate/main.cpp
+++ b/src/lovagegate/main.cpp
@@ -1,5 +1,6 @@
 #include "lovagegate/cli/check.hpp"
 #include "lovagegate/cli/command.hpp"
+#include "lovagegate/cli/status.hpp"
 #include "lovagegate/settings/load.hpp"
 #include "lovagegate/settings/problem.hpp"
 
@@ -27,8 +28,7 @@
 
 int run(const cli::status_command& c)
 {
-    std::cerr << to_string(c.instance) << ": status is not built in yet\n";
-    return failure;
+    return cli::status(c, std::cout, std::cerr) ? success : failure;
 }
 
 int run(const cli::print_command& c)
