Let a home's tenure end when its list went unread, and test at most once

Excluded: late answers, doubled messages, restarts. Change: a gap of more than list_fresh between two confirmed lists ends every tenure; a new home waits 2 (lag + fresh + skew), since a list of a shorter life may go by unseen; a home gives ids away only while its list is fresh.

--- a/src/lovagegate/idempotency/claim_home.cpp
+++ b/src/lovagegate/idempotency/claim_home.cpp
@@ -48,9 +48,7 @@
         answer(from, claim.id, claim_verdict::stale, out);
         return;
     }
-    // A list seen only after this process started says nothing of before.
-    const time_point since = std::max(tenure->since, view.started());
-    if (!issued_within_tenure(claim.issued, since, now, bounds)) {
+    if (!issued_within_tenure(claim.issued, tenure->since, now, bounds)) {
         ask_previous(from, claim, now, view, out);
         return;
     }
--- a/src/lovagegate/idempotency/claim_transfers.cpp
+++ b/src/lovagegate/idempotency/claim_transfers.cpp
@@ -99,7 +99,8 @@
                                const membership::view& view) const
 {
     const auto& bounds = view.settings();
-    if (now.wall - t.issued >= settings_.horizon ||
+    if (!view.list_is_fresh(now.mono) ||
+        now.wall - t.issued >= settings_.horizon ||
         t.issued <= forgotten_until_ ||
         records_.size() >= settings_.max_records)
         return false;
@@ -107,8 +108,7 @@
         view.history().tenure_besides(home_key(t.request), self_, to.instance);
     if (!mine)
         return false;
-    const time_point since = std::max(mine->since, view.started());
-    if (!issued_within_tenure(t.issued, since, now, bounds))
+    if (!issued_within_tenure(t.issued, mine->since, now, bounds))
         return false;
     // An earlier process of the same name could have answered `go` only after
     // takeover_wait as home: the present one must have been there by then.
--- a/src/lovagegate/idempotency/tenure_rule.hpp
+++ b/src/lovagegate/idempotency/tenure_rule.hpp
@@ -6,15 +6,16 @@
 
 namespace lovagegate::idempotency {
 
-/// The longest time after a list change in which the earlier home of an id may
-/// still answer: it learns of the change a lag later, and acts on what it read
-/// before for as long as that counts as fresh.
+/// How long a new home waits. After a list change, the earlier home may answer
+/// until it learns of it, a lag later, and as long as what it read before
+/// counts as fresh. Besides, a list that was in effect for less than list_fresh
+/// and a lag may have gone by unseen, and its home may have answered likewise.
 /// @param s the bounds
-/// @return how long a new home waits
+/// @return the least age of a tenure at the time when an id is issued
 [[nodiscard]] inline duration
 takeover_wait(const membership::membership_settings& s)
 {
-    return s.list_lag + s.list_fresh + 2 * s.clock_skew;
+    return 2 * (s.list_lag + s.list_fresh + s.clock_skew);
 }
 
 /// @param issued when the caller made the request id
--- a/src/lovagegate/membership/list_history.cpp
+++ b/src/lovagegate/membership/list_history.cpp
@@ -13,19 +13,20 @@
 }
 
 bool list_history::add(std::span<const node::listed_instance> instances,
-                       time_point now)
+                       time_point now, bool after_gap)
 {
-    list next{now, {}};
+    list next{now, after_gap, {}};
     for (const node::listed_instance& i : instances)
         next.members.push_back({i.id, stable_hash(i.id.str()), i.leaving});
     std::sort(next.members.begin(), next.members.end(),
               [](const member& a, const member& b) { return a.id < b.id; });
-    if (!lists_.empty() && lists_.back().members == next.members)
+    const bool same = !lists_.empty() && lists_.back().members == next.members;
+    if (same && !after_gap)
         return false;
     lists_.push_back(std::move(next));
     if (lists_.size() > max_lists)
         lists_.pop_front();
-    return true;
+    return !same;
 }
 
 void list_history::forget_before(time_point t)
@@ -88,6 +89,8 @@
             return result;
         }
         result = tenure{it->from, std::nullopt};
+        if (it->after_gap)
+            return result;
     }
     return result;
 }
@@ -115,6 +118,8 @@
             result = tenure{it->from, std::nullopt};
         else if (!newest_part || m == nullptr || m->id != successor)
             break;
+        if (it->after_gap)
+            break;
     }
     return result;
 }
--- a/src/lovagegate/membership/list_history.hpp
+++ b/src/lovagegate/membership/list_history.hpp
@@ -31,8 +31,11 @@
 public:
     /// @param list to be in effect from now on
     /// @param now when it was received
+    /// @param after_gap the list was not confirmed for so long before that
+    /// other lists may have come and gone unseen: every tenure starts anew
     /// @return whether it differs from the list before
-    bool add(std::span<const node::listed_instance> list, time_point now);
+    bool add(std::span<const node::listed_instance> list, time_point now,
+             bool after_gap = false);
 
     /// Forgets lists that ceased to be in effect before a time.
     void forget_before(time_point t);
@@ -79,6 +82,7 @@
     struct list
     {
         time_point from{};
+        bool after_gap = false;
         std::vector<member> members; ///< sorted by id
     };
 
--- a/src/lovagegate/membership/view.cpp
+++ b/src/lovagegate/membership/view.cpp
@@ -52,6 +52,9 @@
         list.asked.mono != time_point{} ? list.asked : earliest_asked(now);
     if (asked.mono < last_asked_ || !accepts_index(list, now.mono))
         return;
+    const bool gap =
+        list_index_ != 0 && (asked.mono - read_at_ > settings_.list_fresh ||
+                             list.index < list_index_);
     last_asked_ = asked.mono;
     read_at_ =
         list.index == list_index_ ? std::max(read_at_, asked.mono) : asked.mono;
@@ -59,7 +62,7 @@
                                            : asked.wall;
     list_index_ = list.index;
     counters_.add("instance_list_reads");
-    replace_list(list, now);
+    replace_list(list, now, gap);
 }
 
 instant view::earliest_asked(instant now) const
@@ -73,9 +76,9 @@
                 std::chrono::duration_cast<std::chrono::milliseconds>(paused)};
 }
 
-void view::replace_list(const node::instance_list& list, instant now)
+void view::replace_list(const node::instance_list& list, instant now, bool gap)
 {
-    if (!history_.add(list.instances, now.mono))
+    if (!history_.add(list.instances, now.mono, gap))
         return;
     history_.forget_before(now.mono - settings_.history);
     listed_ = list.instances;
@@ -87,7 +90,7 @@
         peer p = old != nullptr ? *old : peer{};
         p.hash = stable_hash(i.id.str());
         p.listed_leaving = i.leaving;
-        next.emplace(i.id, std::move(p));
+        next.emplace(i.id, p);
     }
     peers_ = std::move(next);
     by_hash_.clear();
--- a/src/lovagegate/membership/view.hpp
+++ b/src/lovagegate/membership/view.hpp
@@ -124,7 +124,7 @@
 
     peer* find(const instance_id& i);
     [[nodiscard]] const peer* find(const instance_id& i) const;
-    void replace_list(const node::instance_list& list, instant now);
+    void replace_list(const node::instance_list& list, instant now, bool gap);
     [[nodiscard]] instant earliest_asked(instant now) const;
     bool accepts_index(const node::instance_list& list, time_point now);
     [[nodiscard]] bool compute_usable(const instance_id& i,
--- a/src/lovagegate/propagation/ticket_gossip.hpp
+++ b/src/lovagegate/propagation/ticket_gossip.hpp
@@ -20,9 +20,9 @@
 
 struct gossip_settings
 {
-    std::size_t push_fanout = 3;           ///< peers told of a new ticket
-    std::size_t push_bytes = 16 * 1024;    ///< larger ones are only announced
-    std::size_t answer_bytes = 256 * 1024; ///< of tickets in one answer
+    std::size_t push_fanout = 3;        ///< peers told of a new ticket
+    std::size_t push_bytes = 16'384;    ///< larger ones are only announced
+    std::size_t answer_bytes = 262'144; ///< of tickets in one answer
     std::size_t recent = 64; ///< tickets named in the first pull for a repair
     duration pull_interval = 500ms; ///< at most one pull in this time
     std::size_t readers = 16;       ///< instances that watch the service
--- a/src/lovagegate/ticket/ticket_parser.hpp
+++ b/src/lovagegate/ticket/ticket_parser.hpp
@@ -13,7 +13,7 @@
 namespace lovagegate::ticket {
 
 /// Largest ticket in bytes, which is the largest value of the platform.
-inline constexpr std::size_t max_ticket_bytes = 1024 * 1024;
+inline constexpr std::size_t max_ticket_bytes = std::size_t(1024) * 1024;
 
 /// Why a ticket was refused whole.
 enum class parse_failure : std::uint8_t
--- a/src/lovagegate/wire/codec.hpp
+++ b/src/lovagegate/wire/codec.hpp
@@ -13,7 +13,7 @@
 namespace lovagegate::wire {
 
 /// Largest text of one message in bytes: a ticket of 1 MB, escaped.
-inline constexpr std::size_t max_message_bytes = 4 * 1024 * 1024;
+inline constexpr std::size_t max_message_bytes = std::size_t(4) * 1024 * 1024;
 
 enum class decode_failure : std::uint8_t
 {
--- /dev/null
+++ b/tests/idempotency/claim_home_test.cpp
@@ -0,0 +1,318 @@
+#include "claim_world.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace lovagegate;
+using namespace lovagegate::idempotency;
+using protocol::claim_verdict;
+
+namespace {
+
+/// @return the index of the home of a request as everybody sees it
+std::size_t home_of(const claim_world& w, const std::string& request)
+{
+    return w.index_of(
+        *w.nodes[0].view->first_listed(home_key(request_id(request))));
+}
+
+/// @return a request whose home is one instance, and then another without it
+std::string request_with_home(const claim_world& w, std::size_t home)
+{
+    for (int i = 0;; ++i)
+        if (home_of(w, "r" + std::to_string(i)) == home)
+            return "r" + std::to_string(i);
+}
+
+void send_and_wait(claim_world& w, std::size_t entry, const std::string& r,
+                   time_point issued)
+{
+    w.last_verdict.reset();
+    w.send(entry, r, issued, {});
+    w.deliver();
+}
+
+} // namespace
+
+TEST_CASE("a request runs once whoever receives its repeats", "[idempotency]")
+{
+    claim_world w;
+    const time_point issued = w.now;
+    send_and_wait(w, 0, "r", issued);
+    CHECK(w.last_verdict == claim_verdict::go);
+    for (std::size_t entry = 0; entry < w.size; ++entry) {
+        send_and_wait(w, entry, "r", issued);
+        CHECK(w.last_verdict == claim_verdict::done);
+    }
+    CHECK(w.ran["r"] == 1);
+}
+
+TEST_CASE("an id is free again when its run provably did not happen",
+          "[idempotency]")
+{
+    claim_world w;
+    w.next_end = request_outcome::not_run;
+    const time_point issued = w.now;
+    send_and_wait(w, 0, "r", issued);
+    w.next_end = request_outcome::completed;
+    send_and_wait(w, 1, "r", issued);
+    CHECK(w.last_verdict == claim_verdict::go);
+    CHECK(w.ran["r"] == 1);
+}
+
+TEST_CASE("a late result of an earlier claim does not free the id",
+          "[idempotency]")
+{
+    claim_world w;
+    const std::size_t home = home_of(w, "r");
+    w.next_end = request_outcome::not_run;
+    send_and_wait(w, 0, "r", w.now);
+    const local_id first = w.claims;
+    w.report = false; // the second claim's run has not ended
+    w.next_end = request_outcome::completed;
+    send_and_wait(w, 0, "r", w.now);
+    w.nodes[home].home->on_result(
+        {w.id_of(0), w.nodes[0].run},
+        {first, request_id("r"), request_outcome::not_run, {}},
+        w.clock_of(home));
+    send_and_wait(w, 1, "r", w.now);
+    CHECK(w.last_verdict == claim_verdict::running);
+    CHECK(w.ran["r"] == 1);
+}
+
+TEST_CASE("what a lost instance ran may have run", "[idempotency]")
+{
+    claim_world w;
+    const std::string r = request_with_home(w, 1);
+    w.report = false;
+    send_and_wait(w, 0, r, w.now);
+    w.nodes[1].home->on_peer_gone(w.id_of(0));
+    send_and_wait(w, 2, r, w.now);
+    CHECK(w.last_verdict == claim_verdict::unknown);
+}
+
+TEST_CASE("a home that lost its memory does not run old ids", "[idempotency]")
+{
+    claim_world w;
+    const time_point issued = w.now;
+    const std::string r = request_with_home(w, 1);
+    send_and_wait(w, 0, r, issued);
+    w.start(1);
+    w.advance(2s);
+    send_and_wait(w, 0, r, issued);
+    w.advance(2s);
+    CHECK(w.last_verdict == claim_verdict::stale);
+    CHECK(w.ran[r] == 1);
+}
+
+TEST_CASE("a home whose list is not fresh says nothing", "[idempotency]")
+{
+    claim_world w;
+    const std::string r = request_with_home(w, 1);
+    w.nodes[1].platform_cut = true;
+    w.advance(20s);
+    send_and_wait(w, 0, r, w.now);
+    CHECK(w.last_verdict == claim_verdict::not_home);
+}
+
+TEST_CASE("a new home takes ids over from a leaving one", "[idempotency]")
+{
+    claim_world w;
+    const time_point issued = w.now;
+    const std::string ran = request_with_home(w, 1);
+    send_and_wait(w, 0, ran, issued);
+    w.leaving.insert(1);
+    w.publish();
+    w.advance(2s);
+    REQUIRE(home_of(w, ran) != 1);
+    SECTION("that ran")
+    {
+        send_and_wait(w, 2, ran, issued);
+        CHECK(w.last_verdict == claim_verdict::done);
+    }
+    SECTION("that did not run, although they are older than its tenure")
+    {
+        std::string other;
+        for (int i = 0; other.empty(); ++i) {
+            const std::string r = "x" + std::to_string(i);
+            const auto tenure = w.nodes[0].view->history().tenure_of(
+                home_key(request_id(r)), w.id_of(home_of(w, r)));
+            if (tenure->previous == w.id_of(1))
+                other = r;
+        }
+        send_and_wait(w, 2, other, issued);
+        CHECK(w.last_verdict == claim_verdict::go);
+        send_and_wait(w, 3, other, issued);
+        CHECK(w.ran[other] == 1);
+    }
+}
+
+TEST_CASE("the memory is bounded and says so", "[idempotency]")
+{
+    counters c;
+    claim_settings s;
+    s.max_records = 10;
+    s.max_answers_bytes = 100;
+    claim_home home(claim_world::id_of(0), s, c);
+    membership::view view(claim_world::id_of(0), {}, c, 1, time_point(0s));
+    node::instance_list list{
+        1, {}, {{claim_world::id_of(0), "", 1, {}, false}}};
+    instant now;
+    for (int t = 1; t <= 100; t += 9) {
+        now = {time_point(t * 1s), claim_world::wall(time_point(t * 1s))};
+        list.asked = now;
+        view.on_list(list, now);
+    }
+    node::outbox out;
+    const protocol::sender from{claim_world::id_of(0), 1};
+    for (local_id i = 1; i <= 20; ++i) {
+        const request_id r("r" + std::to_string(i));
+        home.on_claim(from, {i, r, now.wall, 7}, now, view, out);
+        home.on_result(from,
+                       {i, r, request_outcome::completed,
+                        protocol::stored_answer{200, "", std::string(30, 'x')}},
+                       now);
+    }
+    CHECK(home.size() == 10);
+    CHECK(home.answer_bytes() <= 100);
+    CHECK(c.count("home_verdicts{verdict=\"full\"}") == 10);
+    home.tick({now.mono + 3700s, now.wall + std::chrono::seconds(3700)}, out);
+    CHECK(home.size() == 0);
+    const instant later{now.mono + 3700s,
+                        now.wall + std::chrono::seconds(3700)};
+    home.on_claim(from, {99, request_id("r1"), now.wall, 7}, later, view, out);
+    CHECK(c.count("home_verdicts{verdict=\"go\"}") == 10);
+}
+
+TEST_CASE("an instance that joined and started anew runs nothing again",
+          "[idempotency]")
+{
+    claim_world w;
+    const std::string r = request_with_home(w, 3);
+    w.listed.erase(3);
+    w.publish();
+    w.advance(120s);
+    const time_point before = w.now;
+    w.listed.insert(3);
+    w.start(3);
+    w.publish();
+    w.advance(5s);
+    time_point issued = before;
+    SECTION("what it took over from the home before it") {}
+    SECTION("what it ran in its own tenure")
+    {
+        w.advance(100s);
+        issued = w.now;
+    }
+    send_and_wait(w, 0, r, issued);
+    REQUIRE(w.last_verdict == claim_verdict::go);
+    w.start(3);
+    w.advance(2s);
+    send_and_wait(w, 0, r, issued);
+    w.advance(2s);
+    CHECK(w.last_verdict == claim_verdict::stale);
+    CHECK(w.ran[r] == 1);
+}
+
+TEST_CASE("a list that was missed during a pause ends the tenure",
+          "[idempotency]")
+{
+    claim_world w;
+    const std::string r = request_with_home(w, 2);
+    w.nodes[2].paused = true;
+    w.leaving.insert(2); // for a while another is the home
+    w.publish();
+    w.advance(100s);
+    const time_point issued = w.now;
+    w.send(0, r, issued, {});
+    w.deliver();
+    REQUIRE(w.ran[r] == 1);
+    w.leaving.erase(2);
+    w.publish();
+    w.nodes[2].paused = false;
+    w.advance(2s);
+    send_and_wait(w, 0, r, issued);
+    CHECK(w.last_verdict == claim_verdict::done);
+    CHECK(w.ran[r] == 1);
+}
+
+namespace {
+
+void change_list(claim_world& w, int what, std::size_t i)
+{
+    if (what == 0 && w.listed.size() > 1)
+        w.listed.erase(i);
+    else if (what == 1)
+        w.listed.insert(i);
+    else if (what == 2 && !w.leaving.erase(i))
+        w.leaving.insert(i);
+    w.publish();
+}
+
+/// One random event: a fault, a change of the list or the passing of time.
+void disturb(claim_world& w)
+{
+    const auto i = *rc::gen::inRange<std::size_t>(0, w.size);
+    const auto j = *rc::gen::inRange<std::size_t>(0, w.size);
+    switch (*rc::gen::inRange(0, 10)) {
+    case 0:
+        w.nodes[i].paused = !w.nodes[i].paused;
+        break;
+    case 1:
+        w.start(i);
+        break;
+    case 2:
+        change_list(w, *rc::gen::inRange(0, 3), i);
+        break;
+    case 3:
+        if (i < j && !w.cut.erase({i, j}))
+            w.cut.insert({i, j});
+        break;
+    case 4:
+        w.nodes[i].platform_cut = !w.nodes[i].platform_cut;
+        break;
+    case 5:
+        w.nodes[i].lag = *rc::gen::inRange(0, 10) * 1s;
+        break;
+    case 6:
+        w.doubling = !w.doubling;
+        break;
+    case 7:
+        w.next_end = *rc::gen::element(request_outcome::completed,
+                                       request_outcome::not_run,
+                                       request_outcome::unknown);
+        w.report = *rc::gen::arbitrary<bool>();
+        break;
+    default:
+        w.advance(*rc::gen::inRange(0, 20) * 1s);
+    }
+}
+
+} // namespace
+
+TEST_CASE("no history of faults makes a request run twice", "[idempotency]")
+{
+    CHECK(rc::check("at most once", [] {
+        claim_world w;
+        for (std::size_t i = 0; i < w.size; ++i)
+            w.nodes[i].skew =
+                std::chrono::milliseconds(*rc::gen::inRange(-250, 250));
+        std::map<std::string, time_point> issued;
+        const int steps = *rc::gen::inRange(20, 120);
+        for (int step = 0; step < steps; ++step) {
+            disturb(w);
+            const std::string r =
+                "r" + std::to_string(*rc::gen::inRange(0, 4) + step / 40 * 4);
+            issued.try_emplace(r, w.now);
+            w.send(*rc::gen::inRange<std::size_t>(0, w.size), r, issued[r],
+                   std::chrono::milliseconds(*rc::gen::inRange(-250, 250)));
+            if (*rc::gen::inRange(0, 4) != 0)
+                w.deliver();
+        }
+        for (auto& n : w.nodes)
+            n.paused = false;
+        w.deliver();
+        for (const auto& [r, times] : w.ran)
+            RC_ASSERT(times <= 1);
+    }));
+}
--- /dev/null
+++ b/tests/idempotency/claim_world.hpp
@@ -0,0 +1,224 @@
+#ifndef LOVAGEGATE_TESTS_IDEMPOTENCY_CLAIM_WORLD_HPP
+#define LOVAGEGATE_TESTS_IDEMPOTENCY_CLAIM_WORLD_HPP
+
+#include "lovagegate/idempotency/claim_home.hpp"
+#include "lovagegate/membership/view.hpp"
+
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lovagegate::idempotency {
+
+/// A few instances with a lagging list, lossy links and clocks that differ,
+/// stepped by a test. It counts how often each request id was run.
+class claim_world
+{
+public:
+    static constexpr std::size_t size = 5;
+
+    claim_world()
+    {
+        for (std::size_t i = 0; i < size; ++i) {
+            listed.insert(i);
+            start(i);
+        }
+        publish();
+        advance(120s); // all have been home for long
+    }
+
+    struct instance
+    {
+        counters count;
+        std::unique_ptr<membership::view> view;
+        std::unique_ptr<claim_home> home;
+        incarnation run = 0;
+        bool paused = false;
+        bool platform_cut = false;
+        duration lag{};
+        std::chrono::milliseconds skew{};
+        std::map<local_id, request_id> open; ///< claims without an answer
+        std::vector<protocol::envelope> inbox;
+    };
+
+    static instance_id id_of(std::size_t i)
+    {
+        return instance_id("i" + std::to_string(i));
+    }
+    static std::size_t index_of(const instance_id& i)
+    {
+        return std::size_t(i.str().back() - '0');
+    }
+    instant clock_of(std::size_t i) const
+    {
+        return {now, wall(now) + nodes[i].skew};
+    }
+    static wall_time wall(time_point t)
+    {
+        return wall_time(std::chrono::duration_cast<std::chrono::milliseconds>(
+            t.time_since_epoch() + 1'000'000s));
+    }
+
+    /// The process starts anew and knows nothing.
+    void start(std::size_t i)
+    {
+        instance& n = nodes[i];
+        n.run = ++runs;
+        n.open.clear();
+        n.inbox.clear();
+        n.paused = false;
+        n.view = std::make_unique<membership::view>(
+            id_of(i), membership::membership_settings{}, n.count, i, now);
+        n.home =
+            std::make_unique<claim_home>(id_of(i), claim_settings{}, n.count);
+    }
+
+    /// The platform publishes the list as it is now.
+    void publish()
+    {
+        node::instance_list l;
+        l.index = lists.size() + 1;
+        for (const std::size_t i : listed)
+            l.instances.push_back({id_of(i), "127.0.0.1", 1,
+                                   failure_domain("d"), leaving.contains(i)});
+        lists.emplace_back(now, l);
+    }
+
+    void read_list(std::size_t i)
+    {
+        instance& n = nodes[i];
+        if (n.paused || n.platform_cut)
+            return;
+        const node::instance_list* seen = &lists.front().second;
+        for (const auto& [at, l] : lists)
+            if (at + n.lag <= now)
+                seen = &l;
+        node::instance_list copy = *seen;
+        copy.asked = clock_of(i);
+        n.view->on_list(copy, clock_of(i));
+    }
+
+    /// Time passes in steps; every instance reads the list in each.
+    void advance(duration d)
+    {
+        constexpr duration step = 1s;
+        for (const time_point end = now + d; now < end; now += step)
+            for (std::size_t i = 0; i < size; ++i) {
+                read_list(i);
+                if (nodes[i].paused)
+                    continue;
+                node::outbox out;
+                // Heartbeats are left out: the list is the only evidence here.
+                nodes[i].home->tick(clock_of(i), out);
+                post(i, out);
+            }
+        deliver();
+    }
+
+    /// A caller sends a request, or sends it again.
+    void send(std::size_t entry, const std::string& request, time_point issued,
+              std::chrono::milliseconds caller_skew)
+    {
+        instance& n = nodes[entry];
+        if (n.paused)
+            return;
+        const auto home = n.view->first_listed(home_key(request_id(request)));
+        if (!home)
+            return;
+        const local_id id = ++claims;
+        n.open.emplace(id, request);
+        node::outbox out;
+        out.push_back(node::send_message{
+            *home, protocol::claim_request{id, request_id(request),
+                                           wall(issued) + caller_skew, 7}});
+        post(entry, out);
+    }
+
+    void post(std::size_t from, const node::outbox& out)
+    {
+        for (const node::output& o : out) {
+            const auto& m = std::get<node::send_message>(o);
+            const std::size_t to = index_of(m.to);
+            if (cut.contains({std::min(from, to), std::max(from, to)}))
+                continue;
+            const protocol::envelope e{{id_of(from), nodes[from].run}, m.body};
+            nodes[to].inbox.push_back(e);
+            if (doubling)
+                nodes[to].inbox.push_back(e);
+        }
+    }
+
+    void deliver()
+    {
+        for (int round = 0; round < 8; ++round)
+            for (std::size_t i = 0; i < size; ++i) {
+                if (nodes[i].paused)
+                    continue;
+                const auto batch = std::move(nodes[i].inbox);
+                nodes[i].inbox.clear();
+                for (const protocol::envelope& e : batch)
+                    take(i, e);
+            }
+    }
+
+    void take(std::size_t i, const protocol::envelope& e)
+    {
+        instance& n = nodes[i];
+        node::outbox out;
+        const instant t = clock_of(i);
+        if (const auto* m = std::get_if<protocol::claim_request>(&e.body))
+            n.home->on_claim(e.from, *m, t, *n.view, out);
+        if (const auto* m = std::get_if<protocol::claim_result>(&e.body))
+            n.home->on_result(e.from, *m, t);
+        if (const auto* m = std::get_if<protocol::claim_transfer>(&e.body))
+            n.home->on_transfer(e.from, *m, t, *n.view, out);
+        if (const auto* m =
+                std::get_if<protocol::claim_transfer_answer>(&e.body))
+            n.home->on_transfer_answer(e.from, *m, t, *n.view, out);
+        if (const auto* m = std::get_if<protocol::claim_answer>(&e.body))
+            answered(i, e.from.instance, *m, out);
+        post(i, out);
+    }
+
+    /// The entry acts on the first answer to each claim, however late.
+    void answered(std::size_t i, const instance_id& home,
+                  const protocol::claim_answer& a, node::outbox& out)
+    {
+        instance& n = nodes[i];
+        const auto it = n.open.find(a.id);
+        if (it == n.open.end())
+            return;
+        const request_id request = it->second;
+        n.open.erase(it);
+        last_verdict = a.verdict;
+        if (a.verdict != protocol::claim_verdict::go)
+            return;
+        protocol::claim_result r{a.id, request, next_end, {}};
+        if (next_end != request_outcome::not_run)
+            ++ran[request.str()];
+        if (report)
+            out.push_back(node::send_message{home, r});
+    }
+
+    time_point now = time_point(1000s);
+    std::array<instance, size> nodes;
+    std::set<std::size_t> listed;
+    std::set<std::size_t> leaving;
+    std::vector<std::pair<time_point, node::instance_list>> lists;
+    std::set<std::pair<std::size_t, std::size_t>> cut;
+    bool doubling = false;
+    bool report = true;
+    request_outcome next_end = request_outcome::completed;
+    std::map<std::string, int> ran;
+    std::optional<protocol::claim_verdict> last_verdict;
+    incarnation runs = 0;
+    local_id claims = 0;
+};
+
+} // namespace lovagegate::idempotency
+
+#endif
