Test tickets, membership and quarantine over a fleet on a virtual clock

Cause: the failures that these rules are for were untested. Change: fleet/ steps membership, gossip and the crash register of many instances in one process, for tests and for the program lovagegate-fleet, which prints figures at several fleet sizes.

--- /dev/null
+++ b/fleet/cluster.cpp
@@ -0,0 +1,205 @@
+#include "fleet/cluster.hpp"
+
+#include "lovagegate/wire/codec.hpp"
+#include "lovagegate/wire/key.hpp"
+#include "lovagegate/wire/session.hpp"
+
+#include <algorithm>
+
+namespace lovagegate::fleet {
+
+namespace {
+
+const wire::shared_key& key()
+{
+    static const wire::shared_key k(std::string(32, 'k'));
+    return k;
+}
+
+} // namespace
+
+cluster::cluster(std::size_t n, bool encoded) : members_(n), encoded_(encoded)
+{
+    list_.index = 1;
+    for (std::size_t i = 0; i < n; ++i) {
+        node::listed_instance l;
+        l.id = id_of(i);
+        list_.instances.push_back(l);
+    }
+    for (std::size_t i = 0; i < n; ++i)
+        start(i);
+}
+
+instance_id cluster::id_of(std::size_t i)
+{
+    std::string number = std::to_string(i);
+    return instance_id("node-" + std::string(4 - number.size(), '0') + number);
+}
+
+instant cluster::now() const
+{
+    return {now_,
+            wall_time(std::chrono::duration_cast<std::chrono::milliseconds>(
+                now_.time_since_epoch() + 1'700'000'000s))};
+}
+
+void cluster::start(std::size_t i)
+{
+    member& m = members_[i];
+    m.run = ++runs_;
+    m.view = std::make_unique<membership::view>(
+        id_of(i), membership::membership_settings{}, m.count, m.run, now_);
+    m.book = std::make_unique<ticket::ticket_book>(m.count);
+    m.gossip = std::make_unique<propagation::ticket_gossip>(
+        propagation::gossip_settings{}, m.count, m.run);
+    m.crashes = std::make_unique<quarantine::crash_register>(
+        quarantine::quarantine_settings{}, m.count);
+    m.seen_version = 0;
+    m.asking = false;
+    m.next_list = now_ + step_time * std::int64_t(i % 100);
+}
+
+void cluster::set_service(std::size_t i, service_state s)
+{
+    members_[i].service = s;
+    members_[i].stale_version = published_.size();
+}
+
+void cluster::publish(std::string ticket)
+{
+    published_.push_back(std::move(ticket));
+}
+
+void cluster::run(duration d)
+{
+    for (const time_point end = now_ + d; now_ < end;) {
+        now_ += step_time;
+        step();
+    }
+}
+
+void cluster::step()
+{
+    const std::vector<parcel> arrived = std::move(wire_);
+    wire_.clear();
+    for (const parcel& p : arrived) {
+        protocol::envelope e = p.envelope;
+        if (encoded_) {
+            (void)key().sign(p.bytes);
+            e.body = *wire::decode(p.bytes);
+        }
+        node::outbox out;
+        take(p.to, e, out);
+        post(p.to, out);
+    }
+    for (std::size_t i = 0; i < members_.size(); ++i) {
+        read_platform(i);
+        node::outbox out;
+        tick(i, out);
+        post(i, out);
+    }
+}
+
+void cluster::read_platform(std::size_t i)
+{
+    member& m = members_[i];
+    if (now_ >= m.next_list) {
+        m.next_list = now_ + list_interval;
+        read_list(i);
+    }
+    read_tickets(m);
+}
+
+void cluster::read_list(std::size_t i)
+{
+    node::instance_list l = list_;
+    l.asked = now();
+    ++traffic_.service_calls;
+    members_[i].view->on_list(l, now());
+}
+
+void cluster::read_tickets(member& m)
+{
+    if (!m.asking) {
+        const bool wait = now_ - m.asked < 1s && m.asked != time_point{};
+        if (wait || !m.gossip->may_read(now()))
+            return;
+        m.asking = true;
+        m.asked = now_;
+        ++traffic_.service_calls;
+        m.gossip->on_read_started(now());
+        return; // the answer takes a step at least
+    }
+    answer_read(m);
+}
+
+void cluster::answer_read(member& m)
+{
+    if (m.service == service_state::down) {
+        m.asking = false;
+        m.gossip->on_service_unavailable(now());
+        return;
+    }
+    const std::size_t version =
+        m.service == service_state::stale ? m.stale_version : published_.size();
+    if (version <= m.seen_version && now_ - m.asked < m.gossip->watch_wait())
+        return;
+    m.asking = false;
+    m.asked = now_ - 1s; // a watch is opened again at once
+    m.seen_version = version;
+    m.gossip->on_published(
+        {published_.begin(), published_.begin() + std::ptrdiff_t(version)},
+        *m.book, now());
+}
+
+void cluster::take(std::size_t i, const protocol::envelope& e,
+                   node::outbox& out)
+{
+    member& m = members_[i];
+    m.view->on_heard(e.from, now());
+    if (const auto* h = std::get_if<protocol::heartbeat>(&e.body)) {
+        m.view->on_heartbeat(e.from, *h, now(), out);
+        m.gossip->on_digest(e.from, h->tickets, h->state, *m.book, now(), out);
+    }
+    if (const auto* d = std::get_if<protocol::ticket_digest>(&e.body))
+        m.gossip->on_digest(e.from, *d, std::nullopt, *m.book, now(), out);
+    if (const auto* p = std::get_if<protocol::ticket_push>(&e.body))
+        m.gossip->on_push(e.from, *p, *m.book, now());
+    if (const auto* p = std::get_if<protocol::ticket_pull>(&e.body))
+        m.gossip->on_pull(e.from, *p, *m.book, out);
+    if (const auto* s = std::get_if<protocol::suspicion_push>(&e.body))
+        m.crashes->on_push(e.from, *s, now_);
+}
+
+void cluster::tick(std::size_t i, node::outbox& out)
+{
+    member& m = members_[i];
+    m.gossip->tick(now(), *m.view, *m.book, out);
+    if (m.view->own_phase() == protocol::phase::starting &&
+        m.gossip->knows_enough(*m.view, *m.book))
+        m.view->set_phase(protocol::phase::ready);
+    m.view->tick(now(), m.gossip->digest(*m.book, now()), out);
+    m.crashes->tick(now_, *m.view, out);
+}
+
+void cluster::post(std::size_t from, const node::outbox& out)
+{
+    for (const node::output& o : out) {
+        const auto* m = std::get_if<node::send_message>(&o);
+        if (m == nullptr)
+            continue;
+        const std::size_t to = std::size_t(std::stoul(m->to.str().substr(5)));
+        if (cut.contains({std::min(from, to), std::max(from, to)}))
+            continue;
+        parcel p{to, {{id_of(from), members_[from].run}, m->body}, {}};
+        ++traffic_.messages;
+        if (encoded_) {
+            p.bytes = wire::encode(m->body);
+            (void)key().sign(p.bytes);
+            traffic_.bytes += p.bytes.size() + wire::frame_overhead;
+        }
+        wire_.push_back(std::move(p));
+    }
+}
+
+} // namespace lovagegate::fleet
--- /dev/null
+++ b/fleet/main.cpp
@@ -0,0 +1,150 @@
+// Steps the parts that instances share at several fleet sizes and prints one
+// JSON object a line for each.
+#include "fleet/cluster.hpp"
+
+#include <algorithm>
+#include <ctime>
+#include <iostream>
+#include <malloc.h>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace lovagegate;
+using fleet::cluster;
+using fleet::service_state;
+
+constexpr ticket_number first_number = 1;
+constexpr std::size_t adapters_in_state = 13'000;
+constexpr std::size_t adapters_per_ticket = 1'000;
+
+double cpu_seconds()
+{
+    timespec t{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+    return double(t.tv_sec) + double(t.tv_nsec) * 1e-9;
+}
+
+std::string adapters_ticket(ticket_number number, std::size_t first,
+                            std::size_t count)
+{
+    nlohmann::json adapters;
+    for (std::size_t i = first; i < first + count; ++i)
+        adapters["adapter-" + std::to_string(i)] = {
+            {"model", "base"},
+            {"versions", {std::to_string(number)}},
+            {"services", {"gate"}}};
+    return nlohmann::json{{"ticket", number}, {"adapters", adapters}}.dump();
+}
+
+/// Publishes the planned number of adapters and lets the fleet settle.
+ticket_number settle(cluster& c)
+{
+    ticket_number number = first_number;
+    for (std::size_t a = 0; a < adapters_in_state; a += adapters_per_ticket)
+        c.publish(adapters_ticket(number++, a, adapters_per_ticket));
+    c.run(60s);
+    return number;
+}
+
+std::size_t ready_count(cluster& c)
+{
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < c.size(); ++i)
+        n += c.at(i).view->own_phase() == protocol::phase::ready ? 1 : 0;
+    return n;
+}
+
+/// @return for each instance the seconds until the ticket was in force there
+std::vector<double> spread(cluster& c, ticket_number number, duration most)
+{
+    std::vector<double> times(c.size(), -1.0);
+    c.publish(adapters_ticket(number, 0, 10));
+    const time_point start = c.now().mono;
+    while (c.now().mono - start < most) {
+        c.run(cluster::step_time);
+        for (std::size_t i = 0; i < c.size(); ++i)
+            if (times[i] < 0 &&
+                c.at(i).book->number_of(ticket::object_kind::adapter,
+                                        "adapter-0") == number)
+                times[i] = to_seconds(c.now().mono - start);
+    }
+    std::sort(times.begin(), times.end());
+    return times;
+}
+
+nlohmann::json spread_figures(cluster& c, ticket_number number)
+{
+    const std::vector<double> t = spread(c, number, 30s);
+    return {{"p50_s", t[t.size() / 2]},
+            {"max_s", t.back()},
+            {"missing", std::count(t.begin(), t.end(), -1.0)}};
+}
+
+nlohmann::json steady_figures(cluster& c)
+{
+    constexpr duration time = 30s;
+    const fleet::traffic before = c.sent();
+    const double cpu = cpu_seconds();
+    c.run(time);
+    const double per = double(c.size()) * to_seconds(time);
+    const double messages = double(c.sent().messages - before.messages) / per;
+    const double bytes = double(c.sent().bytes - before.bytes) / per;
+    double heard = 1.0;
+    for (std::size_t i = 0; i < c.size(); ++i)
+        heard = std::min(heard, c.at(i).view->heard_share());
+    return {{"messages_sent_per_s", messages},
+            {"frame_bytes_sent_and_received_per_s", 2 * bytes},
+            {"cpu_percent_of_core", 100 * (cpu_seconds() - cpu) / per},
+            {"fleet_service_calls_per_s",
+             double(c.sent().service_calls - before.service_calls) /
+                 to_seconds(time)},
+            {"heard_share_min", heard}};
+}
+
+void measure(std::size_t n)
+{
+    const std::size_t heap = mallinfo2().uordblks;
+    cluster c(n, true);
+    ticket_number number = settle(c);
+    nlohmann::json line{{"instances", n}, {"ready", ready_count(c)}};
+    line["heap_kb_per_instance"] =
+        double(mallinfo2().uordblks - heap) / 1024.0 / double(n);
+    line["steady"] = steady_figures(c);
+    line["service_up"] = spread_figures(c, number++);
+    // Stale for all but one instance that watches.
+    std::size_t reader = 0;
+    while (!c.at(reader).gossip->is_reader())
+        ++reader;
+    for (std::size_t i = 0; i < n; ++i)
+        if (i != reader)
+            c.set_service(i, service_state::stale);
+    line["stale_but_one"] = spread_figures(c, number++);
+    // Down for all but one instance that does not watch, if there is one.
+    std::size_t other = 0;
+    while (other + 1 < n && c.at(other).gossip->is_reader())
+        ++other;
+    for (std::size_t i = 0; i < n; ++i)
+        c.set_service(i, i == other ? service_state::up : service_state::down);
+    const std::uint64_t calls = c.sent().service_calls;
+    line["down_but_one"] = spread_figures(c, number++);
+    line["down_but_one"]["fleet_service_calls_per_s"] =
+        double(c.sent().service_calls - calls) / 30.0;
+    std::cout << line.dump() << std::endl;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::vector<std::size_t> sizes;
+    for (int i = 1; i < argc; ++i)
+        sizes.push_back(std::stoul(argv[i]));
+    if (sizes.empty())
+        sizes = {9, 40, 120, 380};
+    for (const std::size_t n : sizes)
+        measure(n);
+    return 0;
+}
--- /dev/null
+++ b/tests/membership/view_test.cpp
@@ -0,0 +1,206 @@
+#include "lovagegate/membership/view.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagegate;
+using namespace lovagegate::membership;
+using protocol::phase;
+
+namespace {
+
+instance_id id_of(int i)
+{
+    return instance_id("i" + std::to_string(i));
+}
+
+wall_time wall(duration t)
+{
+    return wall_time(
+        std::chrono::duration_cast<std::chrono::milliseconds>(t + 1'000'000s));
+}
+
+struct fixture
+{
+    counters count;
+    view v{id_of(0), {}, count, 1};
+    node::outbox out;
+    instant now{time_point(100s), wall(100s)};
+    node::instance_list list;
+
+    fixture()
+    {
+        list.index = 5;
+        for (int i = 0; i < 9; ++i)
+            list.instances.push_back({id_of(i), "", 1, {}, false});
+        read();
+        v.set_phase(phase::ready);
+    }
+    void read()
+    {
+        list.asked = now;
+        v.on_list(list, now);
+    }
+    void pass(duration d)
+    {
+        now.mono += d;
+        now.wall += std::chrono::duration_cast<std::chrono::milliseconds>(d);
+        v.tick(now, {}, out);
+    }
+    void hear(int i, phase p, std::uint64_t index = 5, wall_time confirmed = {})
+    {
+        protocol::heartbeat h;
+        h.state = p;
+        h.list_index = index;
+        h.list_confirmed = confirmed;
+        v.on_heartbeat({id_of(i), 1}, h, now, out);
+    }
+};
+
+} // namespace
+
+TEST_CASE("direct evidence comes before the list", "[membership]")
+{
+    fixture f;
+    const instance_id owner = *f.v.owner_of("key");
+    const int i = owner.str().back() - '0';
+    SECTION("an instance that leaves gets nothing new")
+    {
+        if (i != 0)
+            f.hear(i, phase::leaving);
+        else
+            f.v.set_phase(phase::leaving);
+        CHECK(f.v.is_leaving(owner));
+    }
+    SECTION("one that cannot be reached is suspected")
+    {
+        if (i != 0)
+            f.v.on_peer_lost(owner, f.now);
+        else
+            f.v.set_phase(phase::leaving);
+    }
+    CHECK_FALSE(f.v.usable(owner));
+    CHECK(f.v.owner_of("key") != owner);
+    CHECK(f.v.first_listed("key") == owner);
+}
+
+TEST_CASE("a suspicion ends when the instance is heard again", "[membership]")
+{
+    fixture f;
+    f.v.on_unanswered(id_of(3), f.now);
+    REQUIRE_FALSE(f.v.usable(id_of(3)));
+    f.hear(3, phase::ready);
+    CHECK(f.v.usable(id_of(3)));
+}
+
+TEST_CASE("an instance that falls silent is no longer usable", "[membership]")
+{
+    fixture f;
+    f.hear(3, phase::ready);
+    for (int s = 0; s < 12; ++s)
+        f.pass(1s);
+    CHECK_FALSE(f.v.usable(id_of(3)));
+    CHECK(f.v.usable(id_of(4))); // never heard: the list is believed
+}
+
+TEST_CASE("a list is fresh for a bounded time", "[membership]")
+{
+    fixture f;
+    REQUIRE(f.v.list_is_fresh(f.now.mono));
+    f.pass(16s);
+    CHECK_FALSE(f.v.list_is_fresh(f.now.mono));
+    SECTION("a peer that read the same list lately makes it fresh")
+    {
+        f.hear(1, phase::ready, 5, f.now.wall - std::chrono::seconds(1));
+        CHECK(f.v.list_is_fresh(f.now.mono));
+    }
+    SECTION("a message that waited during a pause does not")
+    {
+        f.hear(1, phase::ready, 5, f.now.wall - std::chrono::seconds(16));
+        CHECK_FALSE(f.v.list_is_fresh(f.now.mono));
+    }
+    SECTION("nor does a stamp from the future")
+    {
+        f.hear(1, phase::ready, 5, f.now.wall + std::chrono::seconds(9));
+        CHECK_FALSE(f.v.list_is_fresh(f.now.mono));
+    }
+    SECTION("nor an answer to a question from before the pause")
+    {
+        f.v.on_list(f.list, f.now);
+        CHECK_FALSE(f.v.list_is_fresh(f.now.mono));
+    }
+}
+
+TEST_CASE("a list is not fresh while a peer has a newer one", "[membership]")
+{
+    fixture f;
+    f.hear(1, phase::ready, 6);
+    CHECK_FALSE(f.v.list_is_fresh(f.now.mono));
+    f.list.index = 6;
+    f.read();
+    CHECK(f.v.list_is_fresh(f.now.mono));
+}
+
+TEST_CASE("heartbeats a second do not depend on the fleet's size",
+          "[membership]")
+{
+    const int n = GENERATE(9, 400);
+    fixture f;
+    f.list.index = 6;
+    for (int i = 9; i < n; ++i)
+        f.list.instances.push_back({id_of(i), "", 1, {}, false});
+    f.read();
+    f.pass(1s); // announces that it is ready
+    f.out.clear();
+    for (int s = 0; s < 20; ++s)
+        f.pass(1s);
+    CHECK(f.out.size() <= 60);
+    CHECK(f.out.size() >= 20);
+}
+
+TEST_CASE("leaving is announced at once and not only by the next heartbeat",
+          "[membership]")
+{
+    fixture f;
+    f.pass(1s);
+    f.out.clear();
+    f.v.set_phase(phase::leaving);
+    f.pass(50ms);
+    CHECK(f.out.size() == 8);
+}
+
+TEST_CASE("another incarnation is noticed, an earlier one ignored",
+          "[membership]")
+{
+    fixture f;
+    CHECK_FALSE(f.v.on_heard({id_of(2), 7}, f.now));
+    CHECK(f.v.on_heard({id_of(2), 8}, f.now));
+    CHECK_FALSE(f.v.on_heard({id_of(2), 7}, f.now));
+    CHECK(f.v.incarnation_of(id_of(2)) == 8);
+}
+
+TEST_CASE("a home under every list keeps its tenure", "[membership]")
+{
+    list_history h;
+    std::vector<node::listed_instance> all;
+    for (int i = 0; i < 5; ++i)
+        all.push_back({id_of(i), "", 1, {}, false});
+    h.add(all, time_point(10s));
+    const instance_id first = *h.first("key");
+    auto fewer = all;
+    std::erase_if(fewer, [&](const auto& l) { return l.id != first; });
+    h.add(fewer, time_point(20s));
+    CHECK(h.tenure_of("key", first)->since == time_point(10s));
+    SECTION("but not across a gap in which lists may have been missed")
+    {
+        h.add(fewer, time_point(30s), true);
+        CHECK(h.tenure_of("key", first)->since == time_point(30s));
+    }
+    SECTION("and a successor knows whom it follows")
+    {
+        std::erase_if(all, [&](const auto& l) { return l.id == first; });
+        h.add(all, time_point(30s));
+        const instance_id next = *h.first("key");
+        CHECK(h.tenure_of("key", next)->previous == first);
+        CHECK(h.tenure_besides("key", first, next)->since == time_point(10s));
+    }
+}
