Copy an empty settings line without a null source

Cause: the undefined-behaviour sanitizer stopped the settings tests: memcpy with a null source for an empty line. Change: string_view::copy, which copies nothing for an empty view. Conclusion: no behaviour changes.

--- a/src/lovagegate/settings/internal/ini_document.cpp
+++ b/src/lovagegate/settings/internal/ini_document.cpp
@@ -1,7 +1,6 @@
 #include "lovagegate/settings/internal/ini_document.hpp"
 
 #include <algorithm>
-#include <cstring>
 #include <ini.h>
 
 namespace lovagegate::settings::internal {
@@ -75,7 +74,7 @@
         rest_.remove_prefix(std::min(line.size() + 1, rest_.size()));
         line = checked(line, size);
         current_ = trim(line);
-        std::memcpy(buffer, line.data(), line.size());
+        line.copy(buffer, line.size());
         buffer[line.size()] = '\0';
         return buffer;
     }
