Group batch work on engines that run; forget lost permits

Change: batch work joins engines that run at least join_at requests, an idle engine starts for a group or after the hold; packing is a weight; the permit node compares its outstanding permits with the owner's count.

--- a/measure/overrides.cpp
+++ b/measure/overrides.cpp
@@ -36,6 +36,10 @@
         {"batch_hold",
          [](auto& d, double v) { d.pool.queue.batch_hold = seconds(v); }},
         {"packing", [](auto& d, double v) { d.pool.load.packing = v; }},
+        {"join_at",
+         [](auto& d, double v) {
+             d.pool.load.join_at = static_cast<std::size_t>(v);
+         }},
         {"copy_at", [](auto& d, double v) { d.pool.load.copy_at = v; }},
         {"prefetch_gain",
          [](auto& d, double v) { d.pool.load.prefetch_gain = v; }},
--- a/measure/owner_policy.cpp
+++ b/measure/owner_policy.cpp
@@ -282,7 +282,7 @@
     if (e.granted && e.lease == g.id)
         return;
     const std::size_t engine = engine_index_.at(g.target);
-    leases_[g.id] = {i, e.pool, engine};
+    leases_[g.id] = {i, e.pool, engine, {}, {}};
     if (e.lease != g.id || site_.result(i).ended) {
         release(g.id, protocol::lease_end::not_sent, {});
         return;
@@ -298,6 +298,7 @@
 {
     const request& r = site_.what(i);
     ++site_.result(i).runs;
+    leases_.at(lease).sent = site_.clock().now();
     site_.engine(engine).submit(
         r.adapter, r.importance, r.tokens,
         [this, i, lease](run_event e) { ended(i, lease, e); });
@@ -306,22 +307,23 @@
 void owner_policy::ended(std::size_t i, local_id lease, run_event e)
 {
     if (e == run_event::first_token) {
+        held_lease& held = leases_.at(lease);
+        held.first_token = site_.clock().now() - held.sent;
         site_.first_token(i);
         return;
     }
-    const std::size_t engine = leases_.at(lease).engine;
-    site_.clock().after(site_.sizes().link, [this, i, lease, e, engine] {
+    const held_lease held = leases_.at(lease);
+    site_.clock().after(site_.sizes().link, [this, i, lease, e, held] {
         if (e == run_event::finished) {
             site_.completed(i);
-            release(lease, protocol::lease_end::finished,
-                    site_.result(i).first_token);
+            release(lease, protocol::lease_end::finished, held.first_token);
             return;
         }
         const bool missing = e == run_event::missing;
         if (missing)
             --site_.result(i).runs;
         else
-            entries_[i].excluded.emplace_back("e" + number(engine));
+            entries_[i].excluded.emplace_back("e" + number(held.engine));
         release(lease,
                 missing ? protocol::lease_end::missing
                         : protocol::lease_end::crashed,
--- a/measure/owner_policy.hpp
+++ b/measure/owner_policy.hpp
@@ -51,6 +51,8 @@
         std::size_t request = 0;
         std::size_t pool = 0;
         std::size_t engine = 0;
+        time_point sent{};
+        duration first_token{}; ///< since it was sent
     };
 
     void build_state();
--- a/src/lovagegate/permits/permit_node.cpp
+++ b/src/lovagegate/permits/permit_node.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace lovagegate::permits {
 
@@ -85,6 +86,7 @@
         seen.emplace(it->first.id, it->second.first_seen);
         it = wants_.erase(it);
     }
+    forget_lost(first, request.in_transit, now);
     for (const protocol::wanted_load& load : request.wants) {
         const want_key key{from.instance, from.start, request.pool, load.id};
         if (outstanding_.contains(key))
@@ -106,6 +108,29 @@
         hand_out(now, out);
 }
 
+/// The owner says how many loads it has in transit. Permits that are older
+/// than messages take and are not among them were lost, or their return was.
+void permit_node::forget_lost(const want_key& first, std::size_t in_transit,
+                              time_point now)
+{
+    std::vector<std::pair<time_point, want_key>> settled;
+    for (auto it = outstanding_.lower_bound(first);
+         it != outstanding_.end() && it->first.from == first.from &&
+         it->first.start == first.start && it->first.pool == first.pool;
+         ++it) {
+        if (now - it->second > settings_.settled)
+            settled.emplace_back(it->second, it->first);
+    }
+    // The count may stand for younger permits as well: never forget more.
+    if (settled.size() <= in_transit)
+        return;
+    std::ranges::sort(settled);
+    const std::size_t lost = settled.size() - in_transit;
+    for (std::size_t i = 0; i < lost; ++i)
+        outstanding_.erase(settled[i].second);
+    counts_.add("permits_lost", lost);
+}
+
 void permit_node::forget_old(time_point now)
 {
     std::erase_if(wants_, [&](const auto& entry) {
--- a/src/lovagegate/permits/permit_node.hpp
+++ b/src/lovagegate/permits/permit_node.hpp
@@ -25,6 +25,8 @@
     duration valid_for = 500ms;     ///< a permit is used within it
     duration want_lifetime = 1s;    ///< wants that are not repeated lapse
     duration permit_lifetime = 25s; ///< a permit not returned is forgotten
+    /// A permit is in the owner's own count of loads after it, or was lost.
+    duration settled = 1500ms;
     /// One permit in this many goes to the want that waits longest.
     std::uint32_t fair_every = 8;
     /// Share of the bucket that must be full for a prefetch.
@@ -90,6 +92,8 @@
     [[nodiscard]] std::size_t most_outstanding() const;
     void refill(time_point now);
     void forget_old(time_point now);
+    void forget_lost(const want_key& first, std::size_t in_transit,
+                     time_point now);
     [[nodiscard]] want_map::const_iterator next_want() const;
     void hand_out(time_point now, node::outbox& out);
 
--- a/src/lovagegate/pool/engine_chooser.cpp
+++ b/src/lovagegate/pool/engine_chooser.cpp
@@ -24,12 +24,30 @@
     return pool.leases.on_engine(i) < lease_limit(pool, e, r.importance, now);
 }
 
+/// With packing, batch work joins engines that run something; an idle engine
+/// starts for a group of it, or when it was held for long enough.
+bool held_back(const pool_state& pool, engine_index i, const waiting_request& r,
+               time_point now)
+{
+    const pool_settings& s = pool.settings;
+    if (s.load.packing <= 0.0 || r.importance != priority::batch ||
+        pool.leases.on_engine(i) >= s.load.join_at)
+        return false;
+    const duration hold = s.queue.batch_hold;
+    if (now - r.arrived >= hold || r.deadline - now <= hold)
+        return false;
+    std::size_t group = pool.queue.contains(r.key) ? 0 : 1;
+    for (const slot& held : pool.engines.at(i).holds.slots())
+        group += pool.queue.of(held.adapter).size();
+    return group < s.queue.batch_group;
+}
+
 bool can_run(const pool_state& pool, engine_index i, const waiting_request& r,
              time_point now)
 {
     const engine& e = pool.engines.at(i);
     return e.usable() && e.holds.holds(r.adapter) && !excluded(r, i) &&
-           has_room(pool, i, r, now);
+           has_room(pool, i, r, now) && !held_back(pool, i, r, now);
 }
 
 } // namespace
@@ -65,7 +83,7 @@
             double(pool.leases.on_engine(i)) /
             double(std::max<std::size_t>(1, e.declared.max_running));
         const bool probing = e.health.state() == health_state::probing;
-        const double cost = pool.settings.load.packing > 0.5 ? -fill : fill;
+        const double cost = pool.settings.load.packing > 0.0 ? -fill : fill;
         const std::tuple candidate{probing, cost,
                                    combine_hash(request.prefix, i)};
         if (best == no_engine || candidate < best_cost) {
--- a/src/lovagegate/pool/load_planner.cpp
+++ b/src/lovagegate/pool/load_planner.cpp
@@ -104,7 +104,7 @@
     const double fill =
         double(pool_.leases.on_engine(i)) /
         double(std::max<std::size_t>(1, e.declared.max_running));
-    double cost = fill_cost * fill * (1.0 - 2.0 * pool_.settings.load.packing);
+    double cost = (fill_cost - pool_.settings.load.packing) * fill;
     if (fill >= 1.0)
         cost += 1.0;
     for (engine_index k = 0; k < pool_.engines.size(); ++k) {
--- a/src/lovagegate/pool/pool_settings.hpp
+++ b/src/lovagegate/pool/pool_settings.hpp
@@ -56,8 +56,11 @@
     duration back_off = 500ms;     ///< after the first failed load
     duration longest_back_off = 30s;
     std::uint32_t most_failures = 5; ///< in a row, then waiters are refused
-    double packing = 0.0;  ///< 0: even load on the engines; 1: full batches
-    double copy_at = 0.75; ///< share of max_running that asks for a copy
+    /// 0: even load on the engines; above: loads go where more is running,
+    /// and batch work waits for company. The weight is in expected uses.
+    double packing = 0.0;
+    std::size_t join_at = 1; ///< running requests that batch work joins
+    double copy_at = 0.75;   ///< share of max_running that asks for a copy
     /// A prefetched adapter is worth this much more than its victim.
     double prefetch_gain = 3.0;
     std::size_t most_wants = 32;   ///< in one permit request
