--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -87,7 +87,7 @@
     if (name == "ours-no-grouping")
         d.pool.queue.batch_group = 1;
     if (name == "ours-no-shift-detection")
-        d.pool.demand.shift_sigmas = 1e9;
+        d.pool.demand.shift_evidence = 1e9;
     site place(d, s, requests, seed);
     if (name == "random")
         return run_baseline(place, baseline::random, seed);
--- a/src/lovagegate/pool/demand_estimator.cpp
+++ b/src/lovagegate/pool/demand_estimator.cpp
@@ -8,16 +8,18 @@
 
 namespace {
 
-/// The long average reaches over this many short windows.
-constexpr double slow_windows = 16.0;
-/// Short windows without detection after a shift or a loss.
-constexpr double quiet_windows = 6.0;
+/// Requests over which the hit share is averaged.
+constexpr double average_window = 1000.0;
+/// Requests without detection at the start and after a shift or a loss, so
+/// that the hit share has time to recover.
+constexpr std::uint64_t quiet_requests = 200;
+/// A hit share below it is too low for a drop to mean anything.
+constexpr double least_share = 0.05;
 
 } // namespace
 
 demand_estimator::demand_estimator(demand_settings settings)
-    : settings_(settings), quiet_until_(static_cast<std::uint64_t>(
-                               settings.shift_window * quiet_windows))
+    : settings_(settings), quiet_until_(quiet_requests)
 {
 }
 
@@ -66,27 +68,26 @@
 
 void demand_estimator::on_residency_lost() noexcept
 {
-    quiet_until_ = requests_ + static_cast<std::uint64_t>(
-                                   settings_.shift_window * quiet_windows);
+    quiet_until_ = requests_ + quiet_requests;
+    evidence_ = 0.0;
 }
 
-/// Compares a short with a long exponential average of the hit share; the
-/// short one of a steady share has a variance of p (1 - p) / (2 n - 1).
+/// Page's cumulative sum test (1954) of the usual hit share p against
+/// p / ratio: it finds a lasting drop in the fewest requests for a given rate
+/// of false alarms.
 bool demand_estimator::detect_shift(bool hit)
 {
-    const double n = settings_.shift_window;
-    const double value = hit ? 1.0 : 0.0;
-    fast_hits_ += (value - fast_hits_) / n;
-    const double slow_n = std::min(
-        n * slow_windows, double(std::max<std::uint64_t>(requests_, 1)));
-    slow_hits_ += (value - slow_hits_) / slow_n;
-    if (requests_ < quiet_until_)
+    const double n =
+        std::min(average_window, double(std::max<std::uint64_t>(1, requests_)));
+    const double p = hit_share_;
+    hit_share_ += ((hit ? 1.0 : 0.0) - hit_share_) / n;
+    if (requests_ < quiet_until_ || p < least_share || p > 1.0 - least_share)
         return false;
-    const double p = slow_hits_;
-    const double sigma = std::sqrt(p * (1.0 - p) / (2.0 * n - 1.0));
-    if (p - fast_hits_ <= settings_.shift_sigmas * sigma || p < 0.05)
+    const double low = p / settings_.shift_ratio;
+    evidence_ += hit ? std::log(low / p) : std::log((1.0 - low) / (1.0 - p));
+    evidence_ = std::max(0.0, evidence_);
+    if (evidence_ < settings_.shift_evidence)
         return false;
-    slow_hits_ = fast_hits_;
     on_residency_lost();
     return true;
 }
--- a/src/lovagegate/pool/demand_estimator.hpp
+++ b/src/lovagegate/pool/demand_estimator.hpp
@@ -14,7 +14,7 @@
 /// Estimates how often each adapter will be asked for: a count that halves
 /// with the number of the pool's requests, so that it does not fade while the
 /// pool is quiet. When the share of requests that find their adapter resident
-/// drops at once, popularity has shifted and the old counts are cut down.
+/// falls, popularity has shifted and the old counts are cut down.
 class demand_estimator
 {
 public:
@@ -60,8 +60,8 @@
     double half_life_ = 1000.0;
     std::uint64_t requests_ = 0;
     std::uint32_t shifts_ = 0;
-    double fast_hits_ = 0.0;
-    double slow_hits_ = 0.0;
+    double hit_share_ = 0.0;        ///< long exponential average
+    double evidence_ = 0.0;         ///< for a shift: log likelihood ratio
     std::uint64_t quiet_until_ = 0; ///< no detection before this request
     std::vector<record> records_;
 };
--- a/src/lovagegate/pool/pool_settings.hpp
+++ b/src/lovagegate/pool/pool_settings.hpp
@@ -29,11 +29,12 @@
     /// Requests of the pool after which a count has fallen to a half, for
     /// each slot of the pool.
     double half_life_per_slot = 40.0;
-    double shift_keep = 0.05; ///< share of the counts kept after a shift
-    /// Requests that a shift of popularity takes to be noticed, about.
-    double shift_window = 24.0;
-    double shift_sigmas = 4.0; ///< drop of the hit share that means a shift
-    priority_weights weight{2.0, 1.0, 0.5};
+    double shift_keep = 0.02; ///< share of the counts kept after a shift
+    /// A shift is looked for that divides the hit share by this.
+    double shift_ratio = 3.0;
+    /// Evidence for a shift, as a log likelihood ratio, that is acted upon.
+    double shift_evidence = 8.0;
+    priority_weights weight{1.0, 1.0, 1.0};
 };
 
 struct queue_settings
