Read the published completion API

Cause: requests and answers have to be checked before and after a target runs. Change: strict bodies with typed faults, event streams cut anywhere, the model and id checks of answers, error bodies and the model list; all pure. Conclusion: the daemon can be wired.

--- /dev/null
+++ b/src/lovagegate/openai/completion_request.hpp
@@ -0,0 +1,65 @@
+#ifndef LOVAGEGATE_OPENAI_COMPLETION_REQUEST_HPP
+#define LOVAGEGATE_OPENAI_COMPLETION_REQUEST_HPP
+
+#include "lovagegate/openai/request_error.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace lovagegate::openai {
+
+/// The two calls that engines serve.
+enum class completion_kind : std::uint8_t
+{
+    chat, ///< POST /v1/chat/completions
+    text, ///< POST /v1/completions
+};
+
+/// @return the path of the call
+[[nodiscard]] std::string_view path_of(completion_kind kind) noexcept;
+
+/// Deepest nesting of a body that is read.
+inline constexpr int max_nesting = 64;
+
+/// A checked body: what the decisions need of it, and the rest as it was.
+class completion_request
+{
+public:
+    /// @param kind which call
+    /// @param body JSON in UTF-8
+    /// @throws request_error if it is not a request of this kind
+    completion_request(completion_kind kind, std::string_view body);
+
+    [[nodiscard]] completion_kind kind() const noexcept { return kind_; }
+
+    /// @return the model field: ADAPTER or ADAPTER@VERSION
+    [[nodiscard]] const std::string& model() const noexcept { return model_; }
+
+    /// @return whether the answer is an event stream
+    [[nodiscard]] bool is_stream() const noexcept { return stream_; }
+
+    /// @return the body without the model, in a normal form: equal for bodies
+    ///         that differ only in white space and order of fields
+    [[nodiscard]] const std::string& rest() const noexcept { return rest_; }
+
+    /// @return hash of the start of the prompt, equal for prompts that share
+    ///         it
+    [[nodiscard]] std::uint64_t prefix() const noexcept { return prefix_; }
+
+    /// @param model what the engine knows the adapter by
+    /// @return the body to send
+    [[nodiscard]] std::string body_for(std::string_view model) const;
+
+private:
+    completion_kind kind_;
+    std::string model_;
+    bool stream_ = false;
+    std::string rest_;
+    std::uint64_t prefix_ = 0;
+};
+
+} // namespace lovagegate::openai
+
+#endif
--- /dev/null
+++ b/src/lovagegate/openai/event_parser.cpp
@@ -0,0 +1,56 @@
+#include "lovagegate/openai/event_parser.hpp"
+
+namespace lovagegate::openai {
+
+namespace {
+
+constexpr std::string_view data_field = "data:";
+
+std::string_view without_return(std::string_view line)
+{
+    if (line.ends_with('\r'))
+        line.remove_suffix(1);
+    return line;
+}
+
+void add_data(std::string& data, std::string_view line)
+{
+    if (!line.starts_with(data_field))
+        return;
+    line.remove_prefix(data_field.size());
+    if (line.starts_with(' '))
+        line.remove_prefix(1);
+    if (!data.empty())
+        data += '\n';
+    data += line;
+}
+
+} // namespace
+
+void event_parser::feed(std::string_view part, const handler& on_event)
+{
+    buffer_.append(part);
+    std::size_t begin = 0;
+    for (;;) {
+        const std::size_t end = buffer_.find('\n', scanned_);
+        if (end == std::string::npos)
+            break;
+        const auto line = without_return(
+            std::string_view(buffer_).substr(scanned_, end - scanned_));
+        scanned_ = end + 1;
+        if (!line.empty()) {
+            add_data(data_, line);
+            continue;
+        }
+        on_event(
+            {std::string_view(buffer_).substr(begin, scanned_ - begin), data_});
+        data_.clear();
+        begin = scanned_;
+    }
+    buffer_.erase(0, begin);
+    scanned_ -= begin;
+    if (buffer_.size() > max_bytes_)
+        throw event_too_large("an event of the stream is over the bound");
+}
+
+} // namespace lovagegate::openai
