Serve: the caller's side, targets and the daemon

Cause: the parts are there, nothing joins them to sockets. Change: request_reader checks HTTP requests, caller_front keeps open calls, attempt sends one request to one target, checks its answer and passes streams on with backpressure, drain ends a graceful shutdown, daemon wires the tasks to the decision core; /healthz, /readyz, /metrics, /admin/status. Paths and queries are percent-encoded again towards targets, so that no decoded line break becomes a second request.

--- a/src/lovagegate/main.cpp
+++ b/src/lovagegate/main.cpp
@@ -1,6 +1,9 @@
 #include "lovagegate/cli/check.hpp"
 #include "lovagegate/cli/command.hpp"
 #include "lovagegate/cli/status.hpp"
+#include "lovagegate/logging/log.hpp"
+#include "lovagegate/serve/daemon.hpp"
+#include "lovagegate/serve/signals.hpp"
 #include "lovagegate/settings/load.hpp"
 #include "lovagegate/settings/problem.hpp"
 
@@ -16,9 +19,11 @@
 
 int run(const cli::serve_command& c)
 {
-    const auto s = settings::load(c.settings_file);
-    std::cerr << s.instance.name.str() << ": serve is not built in yet\n";
-    return failure;
+    auto checked = settings::load(c.settings_file);
+    logging::configure(checked.log.level);
+    serve::daemon daemon(std::move(checked));
+    const serve::signals handler(daemon);
+    return daemon.run() ? success : failure;
 }
 
 int run(const cli::check_command& c)
--- a/src/lovagegate/net/http_exchange.cpp
+++ b/src/lovagegate/net/http_exchange.cpp
@@ -88,6 +88,15 @@
     connection_->kill();
 }
 
+void exchange::cut()
+{
+    if (!connection_ || state_ != state::streaming)
+        return;
+    state_ = state::finished;
+    connection_->close_after_answer();
+    connection_->answer_ended();
+}
+
 std::size_t exchange::buffered() const noexcept
 {
     return connection_ ? connection_->buffered() : 0;
--- a/src/lovagegate/net/http_exchange.hpp
+++ b/src/lovagegate/net/http_exchange.hpp
@@ -44,10 +44,13 @@
     /// Ends the answer begun by start().
     void finish();
 
-    /// Closes the connection without the end of the answer, so that the
-    /// caller can tell that it is not whole.
+    /// Closes the connection at once.
     void abort();
 
+    /// Sends what was written and closes the connection without the end of
+    /// the answer, so that the caller can tell that it is not whole.
+    void cut();
+
     /// @return whether the caller is there and the answer is not at its end
     [[nodiscard]] bool is_open() const noexcept
     {
--- a/src/lovagegate/net/http_server.cpp
+++ b/src/lovagegate/net/http_server.cpp
@@ -4,6 +4,7 @@
 #include "lovagegate/net/internal/server_connection.hpp"
 #include "lovagegate/net/internal/server_slot.hpp"
 
+#include <algorithm>
 #include <poll.h>
 #include <utility>
 
@@ -77,6 +78,14 @@
     return false;
 }
 
+std::size_t http_server::answering() const noexcept
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(connections_, [](const auto* connection) {
+            return connection->is_answering();
+        }));
+}
+
 void http_server::schedule_check()
 {
     check_timer_ =
--- a/src/lovagegate/net/http_server.hpp
+++ b/src/lovagegate/net/http_server.hpp
@@ -87,6 +87,9 @@
         return connections_.size();
     }
 
+    /// @return requests whose answer is not yet wholly given to the library
+    [[nodiscard]] std::size_t answering() const noexcept;
+
     /// @return what was seen so far
     [[nodiscard]] const http_server_counts& counts() const noexcept
     {
--- a/src/lovagegate/net/http_types.cpp
+++ b/src/lovagegate/net/http_types.cpp
@@ -34,6 +34,27 @@
     return {};
 }
 
+std::string percent_encode(std::string_view text)
+{
+    constexpr std::string_view kept = "-._~/:=,@";
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string out;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        const bool plain = (byte >= '0' && byte <= '9') ||
+                           (byte >= 'A' && byte <= 'Z') ||
+                           (byte >= 'a' && byte <= 'z');
+        if (plain || kept.find(c) != std::string_view::npos) {
+            out += c;
+            continue;
+        }
+        out += '%';
+        out += digits[byte >> 4U];
+        out += digits[byte & 15U];
+    }
+    return out;
+}
+
 std::string_view response_head::header(std::string_view name) const
 {
     return find(headers, name);
--- a/src/lovagegate/net/http_types.hpp
+++ b/src/lovagegate/net/http_types.hpp
@@ -42,7 +42,7 @@
 {
     std::string method; ///< upper case
     std::string path;   ///< without the query, percent-decoded
-    std::string query;  ///< arguments joined by '&', percent-decoded
+    std::string query;  ///< arguments joined by '&', percent-encoded
     header_map headers; ///< see extension_headers
     std::string body;
     std::string peer; ///< IP address of the sender
@@ -56,6 +56,11 @@
     [[nodiscard]] std::string_view argument(std::string_view name) const;
 };
 
+/// @param text path or query argument
+/// @return the text with all but harmless characters percent-encoded; '/',
+///         ':' and '=' stay as they are
+[[nodiscard]] std::string percent_encode(std::string_view text);
+
 /// Status and headers of a response, as received.
 struct response_head
 {
--- a/src/lovagegate/net/internal/client_slot.cpp
+++ b/src/lovagegate/net/internal/client_slot.cpp
@@ -11,6 +11,10 @@
     if (!call)
         return 0;
     const auto guard = call->shared_from_this();
+    const auto* slot =
+        static_cast<const client_slot*>(lws_get_vhost_user(lws_get_vhost(wsi)));
+    if (slot && !slot->alive)
+        call->cancel();
     return call_event(*call, wsi, reason, in, size);
 }
 
--- a/src/lovagegate/net/internal/headers.cpp
+++ b/src/lovagegate/net/internal/headers.cpp
@@ -90,7 +90,7 @@
             return query;
         if (!query.empty())
             query += '&';
-        query.append(part.data(), static_cast<std::size_t>(n));
+        query += percent_encode({part.data(), static_cast<std::size_t>(n)});
     }
 }
 
--- a/src/lovagegate/net/peer_link.cpp
+++ b/src/lovagegate/net/peer_link.cpp
@@ -105,7 +105,7 @@
     std::vector<unsigned char> buffer(LWS_PRE + message.size());
     std::memcpy(buffer.data() + LWS_PRE, message.data(), message.size());
     if (lws_write(wsi_, buffer.data() + LWS_PRE, message.size(),
-                  LWS_WRITE_TEXT) < 0)
+                  LWS_WRITE_BINARY) < 0)
         return -1;
     if (!queue_.empty())
         lws_callback_on_writable(wsi_);
--- /dev/null
+++ b/src/lovagegate/serve/attempt.hpp
@@ -0,0 +1,88 @@
+#ifndef LOVAGEGATE_SERVE_ATTEMPT_HPP
+#define LOVAGEGATE_SERVE_ATTEMPT_HPP
+
+#include "lovagegate/net/http_client.hpp"
+#include "lovagegate/node/outputs.hpp"
+#include "lovagegate/openai/event_parser.hpp"
+#include "lovagegate/serve/caller_call.hpp"
+#include "lovagegate/settings/settings.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace lovagegate::serve {
+
+/// What an attempt tells about itself.
+struct attempt_observer
+{
+    /// Part of the answer is about to be passed to the caller.
+    std::function<void()> on_answering;
+    std::function<void(node::attempt_ended)> on_ended;
+    /// Time between two parts of a stream.
+    std::function<void(duration)> on_gap;
+};
+
+/// One sending of a request to one target: checks the answer and passes it to
+/// the caller, as fast as the caller takes it.
+class attempt : public std::enable_shared_from_this<attempt>
+{
+public:
+    attempt(net::event_loop& loop, const settings::limit_settings& limits,
+            node::start_attempt order, std::shared_ptr<caller_call> caller,
+            attempt_observer observer);
+    ~attempt();
+    attempt(const attempt&) = delete;
+    attempt& operator=(const attempt&) = delete;
+
+    void start(net::http_client& client);
+
+    /// Closes the connection to the target; the observer hears nothing.
+    void cancel();
+
+    [[nodiscard]] std::uint32_t number() const noexcept
+    {
+        return order_.attempt;
+    }
+
+private:
+    [[nodiscard]] net::client_request make_request() const;
+    [[nodiscard]] net::call_events make_events();
+    void on_connected();
+    void on_response(const net::response_head& head);
+    void on_data(std::string_view data);
+    void on_event(const openai::stream_event& event);
+    void on_complete();
+    void on_failed(net::call_failure failure);
+    void pass_event(const openai::stream_event& event);
+    void pass_whole_answer();
+    [[nodiscard]] node::attempt_end judge_whole_answer() const;
+    [[nodiscard]] net::header_list answer_headers() const;
+    void note_first_part();
+    void end(node::attempt_end how);
+    void stop();
+
+    net::event_loop& loop_;
+    const settings::limit_settings& limits_;
+    node::start_attempt order_;
+    std::shared_ptr<caller_call> caller_;
+    attempt_observer observer_;
+    net::http_call_ptr call_;
+    net::timer_id deadline_timer_ = 0;
+    net::response_head head_;
+    std::string model_;
+    std::string body_;
+    openai::event_parser parser_;
+    time_point started_{};
+    time_point last_part_{};
+    duration first_token_{};
+    bool streaming_ = false;
+    bool passed_ = false;     ///< the caller has part of the answer
+    bool end_marker_ = false; ///< the stream named its end
+    bool ended_ = false;
+};
+
+} // namespace lovagegate::serve
+
+#endif
--- /dev/null
+++ b/src/lovagegate/serve/caller_call.hpp
@@ -0,0 +1,24 @@
+#ifndef LOVAGEGATE_SERVE_CALLER_CALL_HPP
+#define LOVAGEGATE_SERVE_CALLER_CALL_HPP
+
+#include "lovagegate/net/http_exchange.hpp"
+#include "lovagegate/serve/request_reader.hpp"
+
+#include <string>
+
+namespace lovagegate::serve {
+
+/// One open request of a caller.
+struct caller_call
+{
+    local_id id = 0;
+    net::exchange_ptr exchange;
+    checked_request request;
+    std::string name; ///< the caller's X-Request-Id, or one made here
+    time_point received{};
+    priority importance = priority::normal;
+};
+
+} // namespace lovagegate::serve
+
+#endif
--- /dev/null
+++ b/src/lovagegate/serve/caller_front.cpp
@@ -0,0 +1,155 @@
+#include "lovagegate/serve/caller_front.hpp"
+
+#include "lovagegate/openai/pages.hpp"
+#include "lovagegate/serve/refusal_page.hpp"
+
+#include <utility>
+#include <vector>
+
+namespace lovagegate::serve {
+
+namespace {
+
+net::http_server_settings server_settings(const settings::settings& checked)
+{
+    net::http_server_settings s;
+    s.address = checked.instance.listen.address;
+    s.port = checked.instance.listen.port;
+    s.max_body_bytes = checked.limits.body_bytes;
+    s.max_connections = checked.limits.connections;
+    s.head_timeout = checked.limits.request_timeout;
+    s.body_timeout = checked.limits.request_timeout;
+    return s;
+}
+
+void respond(net::exchange& exchange, const net::http_answer& answer)
+{
+    exchange.respond(answer.status, answer.headers, answer.body);
+}
+
+} // namespace
+
+caller_front::caller_front(net::event_loop& loop,
+                           const settings::settings& checked, decisions& core,
+                           metrics::registry& metrics, page_handler pages)
+    : settings_(checked), core_(core), metrics_(metrics),
+      pages_(std::move(pages)),
+      server_(
+          loop, server_settings(checked),
+          [this](const net::exchange_ptr& e) { on_request(e); },
+          [this](net::bad_request reason) {
+              counts_.add("requests_unreadable");
+              return bad_request_page(reason);
+          })
+{
+}
+
+std::shared_ptr<caller_call> caller_front::find(local_id id) const
+{
+    const auto it = calls_.find(id);
+    return it == calls_.end() ? nullptr : it->second;
+}
+
+void caller_front::on_request(const net::exchange_ptr& exchange)
+{
+    const net::http_request& request = exchange->request();
+    if (pages_(exchange))
+        return;
+    const auto address = read_address(request);
+    if (request.method == "GET" && address.path == "/v1/models") {
+        list_models(exchange, address.service);
+        return;
+    }
+    auto read = read_request(request);
+    if (const auto* fault = std::get_if<request_fault>(&read))
+        refuse(exchange, *fault);
+    else
+        open_call(exchange, std::move(std::get<checked_request>(read)));
+}
+
+void caller_front::refuse(const net::exchange_ptr& exchange,
+                          const request_fault& fault)
+{
+    counts_.add("refusals", "reason", to_string(fault.reason));
+    respond(*exchange, refusal_page({.reason = fault.reason,
+                                     .message = fault.message,
+                                     .param = fault.param}));
+}
+
+void caller_front::open_call(const net::exchange_ptr& exchange,
+                             checked_request request)
+{
+    auto call = std::make_shared<caller_call>();
+    call->id = ++last_id_;
+    call->exchange = exchange;
+    call->received = net::event_loop::now().mono;
+    node::caller_request decision = request.decision;
+    decision.id = call->id;
+    call->importance = decision.importance.value_or(priority::normal);
+    // Made here, it names the request on this path only: the decision core
+    // sees a request id only when the caller chose it.
+    call->name = decision.request ? decision.request->str()
+                                  : settings_.instance.name.str() + '-' +
+                                        std::to_string(core_.core().start()) +
+                                        '-' + std::to_string(call->id);
+    call->request = std::move(request);
+    const local_id id = call->id;
+    calls_.emplace(id, std::move(call));
+    exchange->on_closed([this, id] { core_.submit(node::caller_gone{id}); });
+    core_.submit(std::move(decision));
+}
+
+void caller_front::finish(const node::finish_request& end)
+{
+    const auto it = calls_.find(end.id);
+    if (it == calls_.end())
+        return;
+    const auto call = std::move(it->second);
+    calls_.erase(it);
+    call->exchange->on_closed({});
+    const auto now = net::event_loop::now().mono;
+    if (end.outcome == request_outcome::completed)
+        metrics_.observe(metrics::timing::latency, call->importance,
+                         now - call->received, now);
+    if (end.answer) {
+        call->exchange->respond(end.answer->status,
+                                {{"content-type", end.answer->content_type},
+                                 {"x-request-id", call->name},
+                                 {"x-lovagegate-outcome", "completed"}},
+                                end.answer->body);
+        return;
+    }
+    if (end.outcome == request_outcome::completed &&
+        call->exchange->is_started())
+        return;
+    if (call->exchange->is_started()) {
+        call->exchange->cut();
+        return;
+    }
+    // A completed request without an answer is a repeat whose answer was too
+    // large to keep: it has run, and what it answered is not known.
+    const auto outcome = end.outcome == request_outcome::completed
+                             ? request_outcome::unknown
+                             : end.outcome;
+    respond(*call->exchange, refusal_page({.outcome = outcome,
+                                           .reason = end.reason,
+                                           .retry_after = end.retry_after,
+                                           .request = call->name}));
+}
+
+void caller_front::list_models(const net::exchange_ptr& exchange,
+                               const service_id& service) const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, adapter] :
+         core_.core().tickets().state().adapters) {
+        if (!service.empty() && !adapter.services.contains(service))
+            continue;
+        for (const std::string& version : adapter.versions)
+            names.push_back(to_string(adapter_version{name, version}));
+    }
+    exchange->respond(200, {{"content-type", "application/json"}},
+                      openai::model_list(names));
+}
+
+} // namespace lovagegate::serve
--- /dev/null
+++ b/src/lovagegate/serve/caller_front.hpp
@@ -0,0 +1,65 @@
+#ifndef LOVAGEGATE_SERVE_CALLER_FRONT_HPP
+#define LOVAGEGATE_SERVE_CALLER_FRONT_HPP
+
+#include "lovagegate/metrics/registry.hpp"
+#include "lovagegate/net/http_server.hpp"
+#include "lovagegate/serve/caller_call.hpp"
+#include "lovagegate/serve/decisions.hpp"
+#include "lovagegate/settings/settings.hpp"
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace lovagegate::serve {
+
+/// Takes requests from callers, hands them to the decision core, and answers
+/// those that no target has answered.
+class caller_front
+{
+public:
+    /// Answers a page for operators; returns false if the path is none.
+    using page_handler = std::function<bool(const net::exchange_ptr&)>;
+
+    /// The referenced objects outlive this one.
+    /// @throws net::bind_error
+    caller_front(net::event_loop& loop, const settings::settings& checked,
+                 decisions& core, metrics::registry& metrics,
+                 page_handler pages);
+
+    /// @return the call, or null once it has ended
+    [[nodiscard]] std::shared_ptr<caller_call> find(local_id id) const;
+
+    /// Ends a call as the decision core says.
+    void finish(const node::finish_request& end);
+
+    /// @return requests without an outcome
+    [[nodiscard]] std::size_t open() const noexcept { return calls_.size(); }
+
+    [[nodiscard]] const net::http_server& server() const noexcept
+    {
+        return server_;
+    }
+
+    [[nodiscard]] const counters& counts() const noexcept { return counts_; }
+
+private:
+    void on_request(const net::exchange_ptr& exchange);
+    void open_call(const net::exchange_ptr& exchange, checked_request request);
+    void refuse(const net::exchange_ptr& exchange, const request_fault& fault);
+    void list_models(const net::exchange_ptr& exchange,
+                     const service_id& service) const;
+
+    const settings::settings& settings_;
+    decisions& core_;
+    metrics::registry& metrics_;
+    page_handler pages_;
+    counters counts_;
+    local_id last_id_ = 0;
+    std::unordered_map<local_id, std::shared_ptr<caller_call>> calls_;
+    net::http_server server_;
+};
+
+} // namespace lovagegate::serve
+
+#endif
--- /dev/null
+++ b/src/lovagegate/serve/drain.cpp
@@ -0,0 +1,69 @@
+#include "lovagegate/serve/drain.hpp"
+
+#include "lovagegate/logging/log.hpp"
+
+namespace lovagegate::serve {
+
+namespace {
+
+/// How often a request for the shutdown and its progress are looked at.
+constexpr duration check_interval = 20ms;
+
+} // namespace
+
+drain::drain(net::event_loop& loop, decisions& core, const caller_front& front,
+             duration deadline)
+    : loop_(loop), core_(core), front_(front), deadline_(deadline)
+{
+    timer_ = loop_.call_later(check_interval, [this] { check(); });
+}
+
+drain::~drain()
+{
+    loop_.cancel(timer_);
+}
+
+void drain::request() noexcept
+{
+    ++requests_;
+    loop_.wake();
+}
+
+void drain::on_drained()
+{
+    drained_ = true;
+}
+
+void drain::check()
+{
+    timer_ = loop_.call_later(check_interval, [this] { check(); });
+    const int requests = requests_;
+    if (requests == 0)
+        return;
+    const auto now = net::event_loop::now().mono;
+    if (!begun_) {
+        begun_ = true;
+        begun_at_ = now;
+        core_.submit(node::stop_requested{});
+    }
+    // Answers may still be on their way out when their requests have ended.
+    if (drained_ && front_.server().answering() == 0) {
+        logging::write(logging::level::info, "stopped");
+        loop_.stop();
+    } else if (requests > 1) {
+        cut("second_signal");
+    } else if (now - begun_at_ > deadline_) {
+        cut("deadline");
+    }
+}
+
+void drain::cut(const char* reason)
+{
+    cut_off_ = front_.server().answering();
+    logging::write(
+        logging::level::warning, "stopped_early",
+        {{"reason", reason}, {"requests_cut_off", std::uint64_t{cut_off_}}});
+    loop_.stop();
+}
+
+} // namespace lovagegate::serve
--- /dev/null
+++ b/src/lovagegate/serve/drain.hpp
@@ -0,0 +1,52 @@
+#ifndef LOVAGEGATE_SERVE_DRAIN_HPP
+#define LOVAGEGATE_SERVE_DRAIN_HPP
+
+#include "lovagegate/net/event_loop.hpp"
+#include "lovagegate/serve/caller_front.hpp"
+#include "lovagegate/serve/decisions.hpp"
+
+#include <atomic>
+
+namespace lovagegate::serve {
+
+/// The graceful shutdown: requests in flight end, then the loop stops. A
+/// second request for it, or its deadline, ends it at once.
+class drain
+{
+public:
+    /// The referenced objects outlive this one.
+    /// @param deadline longest time from the first request to the end
+    drain(net::event_loop& loop, decisions& core, const caller_front& front,
+          duration deadline);
+    ~drain();
+    drain(const drain&) = delete;
+    drain& operator=(const drain&) = delete;
+
+    /// Asks for the shutdown. May be called from a signal handler.
+    void request() noexcept;
+
+    /// The decision core has no open request left.
+    void on_drained();
+
+    /// @return requests that were cut off at the end
+    [[nodiscard]] std::size_t cut_off() const noexcept { return cut_off_; }
+
+private:
+    void check();
+    void cut(const char* reason);
+
+    net::event_loop& loop_;
+    decisions& core_;
+    const caller_front& front_;
+    duration deadline_;
+    std::atomic<int> requests_{0};
+    bool begun_ = false;
+    bool drained_ = false;
+    time_point begun_at_{};
+    std::size_t cut_off_ = 0;
+    net::timer_id timer_ = 0;
+};
+
+} // namespace lovagegate::serve
+
+#endif
