Fuzz a small fleet of the decision code against an oracle

Cause: the decision core had no test in which failures come together, and no parser had met damaged bytes. "Not run" is now checked for each call by what that call sent: another call under the same request id has an outcome of its own.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,9 @@
 test: build asan lint
 	@cd $(ASAN) && ctest --output-on-failure -j 4
 
+fuzz: build
+	@tools/fuzz.sh $(BUILD) $(or $(SEED),1) $(or $(SECONDS),60)
+
 format:
 	@git ls-files -co --exclude-standard '*.cpp' '*.hpp' \
 	    | xargs clang-format -i
--- a/src/lovagegate/history/internal/answer_rules.hpp
+++ b/src/lovagegate/history/internal/answer_rules.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <tuple>
+#include <vector>
 
 /// Rules over what callers were told.
 namespace lovagegate::history::internal {
@@ -31,28 +32,30 @@
     std::set<request_id> ran_;
 };
 
-/// A caller is told "not run" only if no target began the request: for
-/// idempotent ones between receipt and answer of the call, for others ever.
-/// After it nothing starts unless another call with the id is open.
+/// A call is told "not run" only if no target began what that call sent, and
+/// nothing that it sent begins later. Other calls with the same request id
+/// have outcomes of their own. A run that no known call sent counts against
+/// every call with its id.
 class truthful_not_run
 {
 public:
     static constexpr rule broken = rule::truthful_not_run;
 
     verdict on(const received& e, duration at);
+    verdict on(const sent& e, duration at);
     verdict on(const started& e, duration at);
     verdict on(const answered& e, duration at);
 
 private:
-    struct record
+    struct call_record
     {
-        bool idempotent = true;
-        std::size_t starts = 0;
-        std::map<call_key, std::size_t> open; ///< starts at receipt
-        std::size_t may_run = 0; ///< calls ended other than as not run
+        call_key key;
+        target_id sent_to; ///< empty: nothing is under way
+        bool began = false;
+        bool not_run = false; ///< it was told so
     };
 
-    std::map<request_id, record> requests_;
+    std::map<request_id, std::vector<call_record>> calls_;
 };
 
 /// A non-idempotent request is begun by at most one target, once.
--- a/src/lovagegate/pool/pool_owner.cpp
+++ b/src/lovagegate/pool/pool_owner.cpp
@@ -38,11 +38,10 @@
 {
 }
 
-bool pool_owner::quarantined(const protocol::lease_request& r) const
+bool pool_owner::quarantined(fingerprint print) const
 {
-    return r.suspicions >= quarantine_crashes ||
-           crashes_.crashes(r.print) >= quarantine_crashes ||
-           oracle_.is_quarantined(r.print);
+    return crashes_.crashes(print) >= quarantine_crashes ||
+           oracle_.is_quarantined(print);
 }
 
 waiting_request pool_owner::to_waiting(const protocol::sender& from,
@@ -51,7 +50,6 @@
 {
     waiting_request w;
     w.key = make_key(from, request.id);
-    w.repeat = request.repeat;
     w.adapter = pool_.adapters.key(request.adapter);
     w.importance = request.importance;
     w.arrived = now;
@@ -79,16 +77,14 @@
         out.push_back(node::send_message{from.instance, open->grant});
         return;
     }
-    if (pool_.queue.note_repeat(key, request.repeat)) {
-        out.push_back(node::send_message{
-            from.instance, protocol::lease_queued{request.id, pool_.id}});
+    if (pool_.queue.contains(key))
         return;
-    }
     if (!pool_.role.owner) {
         refuse(key, refusal::owner_unreachable, {}, out);
         return;
     }
-    if (quarantined(request)) {
+    if (request.suspicions >= quarantine_crashes ||
+        quarantined(request.print)) {
         refuse(key, refusal::quarantined, {}, out);
         return;
     }
@@ -147,11 +143,10 @@
     const engine& e = pool_.engines.at(index);
     protocol::lease_grant message;
     message.id = request.key.id;
-    message.repeat = request.repeat;
     message.pool = pool_.id;
-    message.target_start = e.start;
     message.target = e.id;
     message.token = e.token;
+    message.target_start = e.start;
     message.send_window = pool_.settings.lease.send_window;
     message.ttl = pool_.settings.lease.ttl;
     message.width = width_of(request.adapter);
@@ -213,6 +208,13 @@
     while (more) {
         more = false;
         for (const waiting_request& r : pool_.queue.of(adapter)) {
+            // It may have been quarantined while it waited.
+            if (quarantined(r.print)) {
+                const auto taken = pool_.queue.remove(lease_key(r.key));
+                refuse(taken->key, refusal::quarantined, {}, out);
+                more = true;
+                break;
+            }
             const engine_index index = choose_engine(pool_, r, now);
             if (index == no_engine)
                 continue;
--- a/src/lovagegate/pool/pool_owner.hpp
+++ b/src/lovagegate/pool/pool_owner.hpp
@@ -121,7 +121,7 @@
 private:
     [[nodiscard]] refusal admit(const waiting_request& request, time_point now,
                                 node::outbox& out, duration& retry_after);
-    [[nodiscard]] bool quarantined(const protocol::lease_request& r) const;
+    [[nodiscard]] bool quarantined(fingerprint print) const;
     [[nodiscard]] waiting_request
     to_waiting(const protocol::sender& from,
                const protocol::lease_request& request, time_point now);
--- a/src/lovagegate/routing/router.cpp
+++ b/src/lovagegate/routing/router.cpp
@@ -222,6 +222,12 @@
     if (!usable)
         return;
     open_request& r = requests_.at(usable->request);
+    // It may have been quarantined while it waited for the lease.
+    if (env_.quarantined(r.call.print)) {
+        leases_.end(r.call.id, protocol::lease_end::not_sent, {}, out);
+        give_up(r, refusal::quarantined, out);
+        return;
+    }
     r.target_start = usable->target_start;
     start(r, usable->target, usable->send_by, now, out);
 }
--- a/tests/pool/eviction_safety_test.cpp
+++ b/tests/pool/eviction_safety_test.cpp
@@ -265,3 +265,11 @@
     f.obey();
     CHECK(f.granted(again));
 }
+
+TEST_CASE("a grant names the run of the engine that it means", "[pool]")
+{
+    one_slot f;
+    const auto grants = f.sent<protocol::lease_grant>();
+    REQUIRE(grants.size() == 1);
+    CHECK(grants[0].target_start == 1);
+}
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -192,6 +192,23 @@
     CHECK(again[0].id != asked[0].id);
 }
 
+TEST_CASE("a request quarantined while it waits is not sent", "[routing]")
+{
+    fixture f;
+    f.completion(1, "crew");
+    const auto asked = f.taken_messages<protocol::lease_request>();
+    ALLOW_CALL(f.env, quarantined(_)).RETURN(true);
+    f.grant(asked.at(0));
+    const auto ended = f.taken<node::finish_request>();
+    REQUIRE(ended.size() == 1);
+    CHECK(ended[0].outcome == request_outcome::not_run);
+    CHECK(ended[0].reason == refusal::quarantined);
+    f.pass(50ms);
+    const auto given_back = f.taken_messages<protocol::lease_release>();
+    REQUIRE(given_back.size() == 1);
+    CHECK(given_back[0].leases[0].end == protocol::lease_end::not_sent);
+}
+
 TEST_CASE("a grant that nobody waits for is given back", "[routing]")
 {
     fixture f;
