--- a/bench/runs.cpp
+++ b/bench/runs.cpp
@@ -22,8 +22,9 @@
 
 json difference(const samples& direct, const samples& gateway)
 {
-    return {{"p50_ms", gateway.quantile(0.5) - direct.quantile(0.5)},
-            {"p99_ms", gateway.quantile(0.99) - direct.quantile(0.99)}};
+    return {
+        {"p50_ms", rounded(gateway.quantile(0.5) - direct.quantile(0.5))},
+        {"p99_ms", rounded(gateway.quantile(0.99) - direct.quantile(0.99))}};
 }
 
 /// Runs one load to its end.
@@ -101,17 +102,18 @@
     const load_result& r = source.result();
     const auto completed = static_cast<double>(r.completed);
     const auto tokens = static_cast<double>(r.tokens);
-    return {{"bench", "throughput"},
-            {"streams", load.streams},
-            {"tokens_each", load.tokens},
-            {"completed", r.completed},
-            {"failed", r.failed},
-            {"failures", r.failures},
-            {"requests_per_s", completed / took},
-            {"tokens_per_s", tokens / took},
-            {"gateway_core_share", processor / took},
-            {"requests_per_core_s", completed / std::max(processor, 0.01)},
-            {"tokens_per_core_s", tokens / std::max(processor, 0.01)}};
+    return {
+        {"bench", "throughput"},
+        {"streams", load.streams},
+        {"tokens_each", load.tokens},
+        {"completed", r.completed},
+        {"failed", r.failed},
+        {"failures", r.failures},
+        {"requests_per_s", rounded(completed / took)},
+        {"tokens_per_s", rounded(tokens / took)},
+        {"gateway_core_share", rounded(processor / took)},
+        {"requests_per_core_s", rounded(completed / std::max(processor, 0.01))},
+        {"tokens_per_core_s", rounded(tokens / std::max(processor, 0.01))}};
 }
 
 json run_memory(const load_options& load, int pid)
@@ -132,7 +134,7 @@
     return {{"bench", "memory"},
             {"idle_resident_kib", idle},
             {"sizes", sizes},
-            {"kib_per_stream", grown / streams}};
+            {"kib_per_stream", rounded(grown / streams)}};
 }
 
 json run_garbage(load_options load, const garbage_options& garbage, int pid)
--- a/bench/samples.cpp
+++ b/bench/samples.cpp
@@ -16,11 +16,17 @@
     return sorted[static_cast<std::size_t>(std::max(rank, 1.0)) - 1];
 }
 
+double rounded(double value)
+{
+    constexpr double thousandths = 1000;
+    return std::round(value * thousandths) / thousandths;
+}
+
 nlohmann::json samples::summary() const
 {
     return {{"count", count()},
-            {"p50_ms", quantile(0.5)},
-            {"p99_ms", quantile(0.99)}};
+            {"p50_ms", rounded(quantile(0.5))},
+            {"p99_ms", rounded(quantile(0.99))}};
 }
 
 } // namespace lovagegate::bench
--- a/bench/samples.hpp
+++ b/bench/samples.hpp
@@ -10,6 +10,9 @@
 /// Load tool that measures what the gateway adds.
 namespace lovagegate::bench {
 
+/// @return the value to three decimals, for people
+[[nodiscard]] double rounded(double value);
+
 /// Durations of one kind; quantiles are exact.
 class samples
 {
--- a/src/lovagegate/node/from_settings.cpp
+++ b/src/lovagegate/node/from_settings.cpp
@@ -7,6 +7,9 @@
 
 /// Renewals within one ttl, so that two of them may be lost.
 constexpr int renewals_per_ttl = 3;
+/// Repeats of a lease request within the send window, so that a grant is never
+/// older than the window when it comes.
+constexpr int repeats_per_window = 3;
 /// List reads within the time for which a list counts as fresh.
 constexpr int reads_per_fresh = 4;
 
@@ -21,6 +24,8 @@
     to.pool.queue.batch_hold = from.batch_hold;
     const double weights = from.stall_weight + from.batch_weight;
     to.pool.load.packing = weights > 0.0 ? from.batch_weight / weights : 0.0;
+    to.routing.lease_repeat = std::min(to.routing.lease_repeat,
+                                       from.send_window / repeats_per_window);
     to.routing.renewal_interval = from.lease_ttl / renewals_per_ttl;
 }
 
--- a/src/lovagegate/pool/pool_owner.cpp
+++ b/src/lovagegate/pool/pool_owner.cpp
@@ -50,6 +50,7 @@
 {
     waiting_request w;
     w.key = make_key(from, request.id);
+    w.repeat = request.repeat;
     w.adapter = pool_.adapters.key(request.adapter);
     w.importance = request.importance;
     w.arrived = now;
@@ -77,8 +78,11 @@
         out.push_back(node::send_message{from.instance, open->grant});
         return;
     }
-    if (pool_.queue.contains(key))
+    if (pool_.queue.note_repeat(key, request.repeat)) {
+        out.push_back(node::send_message{
+            from.instance, protocol::lease_queued{request.id, pool_.id}});
         return;
+    }
     if (!pool_.role.owner) {
         refuse(key, refusal::owner_unreachable, {}, out);
         return;
@@ -143,7 +147,9 @@
     const engine& e = pool_.engines.at(index);
     protocol::lease_grant message;
     message.id = request.key.id;
+    message.repeat = request.repeat;
     message.pool = pool_.id;
+    message.target_start = e.start;
     message.target = e.id;
     message.token = e.token;
     message.target_start = e.start;
--- a/src/lovagegate/pool/waiting_queue.cpp
+++ b/src/lovagegate/pool/waiting_queue.cpp
@@ -24,6 +24,17 @@
     adapter_of_.erase(request.key);
 }
 
+bool waiting_queue::note_repeat(const lease_key& key, std::uint32_t repeat)
+{
+    const auto it = adapter_of_.find(key);
+    if (it == adapter_of_.end())
+        return false;
+    for (waiting_request& w : waiting_.at(it->second))
+        if (w.key == key)
+            w.repeat = std::max(w.repeat, repeat);
+    return true;
+}
+
 std::optional<waiting_request> waiting_queue::remove(const lease_key& key)
 {
     const auto found = adapter_of_.find(key);
--- a/src/lovagegate/pool/waiting_queue.hpp
+++ b/src/lovagegate/pool/waiting_queue.hpp
@@ -22,6 +22,7 @@
 struct waiting_request
 {
     lease_key key;
+    std::uint32_t repeat = 0; ///< highest repeat of the question received
     adapter_key adapter = no_adapter;
     priority importance = priority::normal;
     time_point arrived{};
@@ -42,10 +43,14 @@
     void push(waiting_request request);
     /// @return the request if it was waiting
     std::optional<waiting_request> remove(const lease_key& key);
+
     [[nodiscard]] bool contains(const lease_key& key) const
     {
         return adapter_of_.contains(key);
     }
+    /// Notes a repeat of the question.
+    /// @return whether the request is waiting
+    bool note_repeat(const lease_key& key, std::uint32_t repeat);
 
     /// @return the requests that wait for an adapter
     [[nodiscard]] std::span<const waiting_request>
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -51,3 +51,31 @@
     CHECK(site.finished.back().outcome == request_outcome::completed);
     CHECK(site.at("i0").open_requests() == 0);
 }
+
+TEST_CASE("an owner with a long queue is not taken for a silent one", "[node]")
+{
+    small_site site(1);
+    site.pass(1s);
+    // The new permit node waits a window before it lets anything load.
+    site.feed(instance_id{"i0"}, completion(1));
+    site.pass(9s);
+    CHECK(site.attempts.empty());
+    CHECK(site.finished.empty());
+    CHECK(site.at("i0").counts().count("peers_silent") == 0);
+    CHECK(site.at("i0").counts().count("retries{reason=\"owner_timeout\"}") ==
+          0);
+}
+
+TEST_CASE("a grant after a long wait is used at once", "[node]")
+{
+    small_site site(1);
+    site.pass(1s);
+    node::caller_request patient = completion(1);
+    patient.deadline = 60s;
+    site.feed(instance_id{"i0"}, patient);
+    site.pass(30s);
+    CHECK(site.attempts.size() == 1);
+    CHECK(site.at("i0").counts().count("lease_grants_unwanted") == 0);
+    CHECK(site.at("i0").counts().count("retries{reason=\"lease_expired\"}") ==
+          0);
+}
--- a/tools/bench_gateway.sh
+++ b/tools/bench_gateway.sh
@@ -59,24 +59,30 @@
 warm_up() {
     local name
     for name in "$model" quick@1; do
-        curl -sf -m 20 "http://127.0.0.1:${port[entry-1]}/v1/completions" \
+        curl -sf -m 30 "http://127.0.0.1:${port[entry-1]}/v1/completions" \
+            -H 'X-Deadline-Ms: 30000' \
             -d "{\"model\":\"$name\",\"prompt\":\"a\",\"max_tokens\":1}" \
             >/dev/null || fail "no answer for $name"
     done
 }
 
+# streams_run STREAMS REQUESTS TOKENS
+streams_run() {
+    bench streams --direct="127.0.0.1:${port[engine-1]}" --model="$model" \
+        --streams="$1" --requests="$2" --tokens="$3" --ramp=1s
+}
+
 measure() {
-    local pid=${pid_of[entry-1]} streams
+    local pid=${pid_of[entry-1]}
     case $1 in
     memory)
         bench memory --model="$model" --pid="$pid" --streams=256 --tokens=200
         ;;
     latency)
-        for streams in 1 32 256; do
-            bench streams --direct="127.0.0.1:${port[engine-1]}" \
-                --model="$model" --streams="$streams" \
-                --requests=$((streams * 2 + 40)) --tokens=40 --ramp=2s
-        done
+        # Few tokens for one stream, so that first tokens are many too.
+        streams_run 1 100 8
+        streams_run 32 320 20
+        streams_run 256 1024 20
         ;;
     throughput)
         bench throughput --model=quick@1 --pid="$pid" --streams=64 \
--- a/tools/run_site.sh
+++ b/tools/run_site.sh
@@ -49,7 +49,8 @@
     shift 2
     echo
     echo "== $title"
-    curl -sS -N -m 30 -D "$answer.head" "$@" | tee "$answer"
+    curl -sS -N -m 30 -D "$answer.head" "$@" | tee "$answer" \
+        || fail "no answer: $title"
     echo
     grep -iE '^x-(lovagegate-outcome|request-id|served-by)' "$answer.head" || true
 }
@@ -62,7 +63,9 @@
 requests() {
     local a=http://127.0.0.1:${port[entry-1]}
     local b=http://127.0.0.1:${port[entry-2]}
+    # A new fleet loads nothing in its first seconds: this one may wait.
     ask "a streamed summary" summary "$a/v1/chat/completions" \
+        -H 'X-Deadline-Ms: 25000' \
         -H 'X-Lovagegate-Service: summaries' -d '{"model":"dock-rijeka@3",
         "stream":true,"max_tokens":6,"messages":[{"role":"user",
         "content":"two cranes idle, one whistle late"}]}'
@@ -74,6 +77,9 @@
             -H 'X-Lovagegate-Service: desk'
         expect roster 'GET /roster/crew-7'
     done
+    # A request id is only taken for new by a home that has seen all of its
+    # time: 2 (list-lag + list-fresh + clock-skew) after it became home.
+    sleep 4.5
     local id=signoff-$$ issued
     issued=$(date +%s%3N)
     local call=(-H 'X-Lovagegate-Service: desk' -H "X-Request-Id: $id"
@@ -89,7 +95,7 @@
     expect digest 'mill-zadar@7'
     ask "an adapter that no ticket permits is refused" refused \
         "$a/v1/chat/completions" -H 'X-Lovagegate-Service: summaries' \
-        -d '{"model":"mill-zadar@7","messages":[]}'
+        -d '{"model":"mill-zadar@7","messages":[{"role":"user","content":"not ours"}]}'
     expect refused '"type":"(not_run|invalid_request_error)"'
 }
 
@@ -132,6 +138,7 @@
 The site keeps serving until Ctrl-C. To try:
 
 curl -N http://127.0.0.1:${port[entry-1]}/v1/chat/completions \\
+    -H 'X-Lovagegate-Service: summaries' \\
     -d '{"model":"quarry-brac@1","stream":true,"messages":[{"role":"user","content":"hello quarry"}]}'
 curl http://127.0.0.1:${port[entry-2]}/roster/crew-9 -H 'X-Lovagegate-Service: desk'
 curl http://127.0.0.1:${port[entry-1]}/v1/models
--- a/tools/site_lib.sh
+++ b/tools/site_lib.sh
@@ -8,7 +8,13 @@
 fail() {
     echo "$(basename "$0"): $*" >&2
     for log in "$dir"/entry-*.log; do
-        [ -s "$log" ] && { echo "--- last lines of $log" >&2; tail -5 "$log" >&2; }
+        [ ! -s "$log" ] || { echo "--- last lines of $log" >&2; tail -5 "$log" >&2; }
+    done
+    local name
+    for name in "${!pid_of[@]}"; do
+        [[ $name == entry-* ]] || continue
+        echo "--- status of $name" >&2
+        "$build/lovagegate" status "127.0.0.1:${port[$name]}" >&2 || true
     done
     exit 1
 }
@@ -50,7 +56,7 @@
     pids+=($!)
     pid_of[$name]=$!
     for round in $(seq 50); do
-        port[$name]=$(grep -oE '[0-9]+$' "$dir/$name.log" || true)
+        port[$name]=$(grep -oE "[0-9]+$" "$dir/$name.log" 2>/dev/null || true)
         [ -n "${port[$name]}" ] && return
         sleep 0.1
     done
@@ -79,12 +85,14 @@
 [platform]
 config-address = 127.0.0.1:${port[platform]}
 list-address = 127.0.0.1:${port[platform]}
-list-lag = 1s
+list-lag = 500ms
+list-fresh = 1500ms
+clock-skew = 100ms
 [peers]
 key-file = $dir/peer.key
 [pool]
 lease-ttl = 3s
-send-window = 1s
+send-window = 1500ms
 report-interval = 200ms
 batch-hold = 2s
 [limits]
@@ -141,8 +149,8 @@
     shift
     for name in "$@"; do
         for round in $(seq 130); do
-            "$build/lovagegate" status --json "127.0.0.1:${port[$name]}" \
-                2>/dev/null | grep -qE "\"highest\": ?$number\b" && continue 2
+            curl -sf -m 2 "http://127.0.0.1:${port[$name]}/admin/status" \
+                | grep -qE "\"highest\": ?$number\b" && continue 2
             sleep 0.1
         done
         fail "ticket $number is not in force on $name after 13 s"
