--- a/src/lovagegate/node/permit_set.cpp
+++ b/src/lovagegate/node/permit_set.cpp
@@ -6,6 +6,11 @@
 #include <utility>
 
 namespace lovagegate::node {
+namespace {
+
+constexpr duration share_check_interval = 500ms;
+
+} // namespace
 
 permit_set::permit_set(instance_id self,
                        const permits::permit_settings& settings,
@@ -18,8 +23,12 @@
                          std::uint64_t revision, const membership::view& view,
                          time_point now)
 {
-    if (revision == revision_ && view.revision() == view_revision_)
+    const bool changed =
+        revision != revision_ || view.revision() != view_revision_;
+    if (!changed && now < next_share_check_)
         return;
+    // The share of the rate follows who was heard, also between changes.
+    next_share_check_ = now + share_check_interval;
     revision_ = revision;
     view_revision_ = view.revision();
     std::erase_if(stores_, [&](const auto& entry) {
--- a/src/lovagegate/node/permit_set.hpp
+++ b/src/lovagegate/node/permit_set.hpp
@@ -49,6 +49,7 @@
     counters& counters_;
     std::uint64_t revision_ = 0;
     std::uint64_t view_revision_ = 0;
+    time_point next_share_check_{};
     std::map<std::string, store, std::less<>> stores_;
 };
 
--- a/src/lovagegate/node/pool_set.cpp
+++ b/src/lovagegate/node/pool_set.cpp
@@ -29,10 +29,14 @@
     if (pools_changed || view.revision() != view_revision_) {
         view_revision_ = view.revision();
         refresh_roles(view, now, out);
-    } else {
-        // The age of the list decides about evictions between changes.
+    } else if (now >= next_role_check_) {
+        // The age of the list and who was heard decide about evictions
+        // between changes.
+        next_role_check_ = now + tick_interval;
+        const bool all_heard = view.heard_share() >= 1.0;
         for (auto& [pool, p] : owned_) {
             p.role.list_read = view.list_read_at();
+            p.role.all_heard = all_heard;
             p.owner->set_ownership(p.role, now, out);
         }
     }
--- a/src/lovagegate/node/pool_set.hpp
+++ b/src/lovagegate/node/pool_set.hpp
@@ -106,6 +106,7 @@
     const ticket::declared_state* state_ = nullptr;
     std::uint64_t revision_ = 0;
     std::uint64_t view_revision_ = 0;
+    time_point next_role_check_{};
     std::map<pool_id, instance_id> owners_;
     std::map<pool_id, owned_pool> owned_;
 };
--- a/src/lovagegate/pool/engine.hpp
+++ b/src/lovagegate/pool/engine.hpp
@@ -25,6 +25,10 @@
     fencing_token token = 0; ///< of our orders; 0: none taken yet
     /// Another owner holds a higher token and comes before us in the list.
     bool superseded = false;
+    /// It has taken an order with our token: earlier owners are refused.
+    bool fenced = false;
+    local_id fence_order = 0; ///< the open order that fences it; 0: none
+    time_point fence_sent = never;
     /// Before it, leases that we do not know of may be open.
     time_point tenure_end = never;
 
--- a/src/lovagegate/pool/engine_chooser.cpp
+++ b/src/lovagegate/pool/engine_chooser.cpp
@@ -1,6 +1,7 @@
 #include "lovagegate/pool/engine_chooser.hpp"
 
 #include "lovagegate/core/hash.hpp"
+#include "lovagegate/pool/grant_guard.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -46,7 +47,10 @@
              time_point now)
 {
     const engine& e = pool.engines.at(i);
-    return e.usable() && e.holds.holds(r.adapter) && !excluded(r, i) &&
+    return e.usable() &&
+           check_grant(e, pool.role, pool.settings.lease, now) ==
+               grant_block::none &&
+           e.holds.holds(r.adapter) && !excluded(r, i) &&
            has_room(pool, i, r, now) && !held_back(pool, i, r, now);
 }
 
--- a/src/lovagegate/pool/eviction_guard.cpp
+++ b/src/lovagegate/pool/eviction_guard.cpp
@@ -38,6 +38,10 @@
             return eviction_block::not_first_listed;
         if (now - role.list_read > settings.list_fresh)
             return eviction_block::list_stale;
+        // Another owner may have taken over by evidence and granted leases
+        // that we do not know of; the engine cannot tell the two of us apart.
+        if (!role.all_heard)
+            return eviction_block::not_all_heard;
     }
     return now < e.tenure_end ? eviction_block::tenure : eviction_block::none;
 }
@@ -94,6 +98,8 @@
         return "not_first_listed";
     case eviction_block::list_stale:
         return "list_stale";
+    case eviction_block::not_all_heard:
+        return "not_all_heard";
     }
     return "invalid";
 }
--- a/src/lovagegate/pool/eviction_guard.hpp
+++ b/src/lovagegate/pool/eviction_guard.hpp
@@ -25,6 +25,7 @@
     superseded,       ///< another owner holds a higher fencing token
     not_first_listed, ///< the engine checks nothing and the list names another
     list_stale,       ///< the same, and the list is too old
+    not_all_heard,    ///< the same, and a partition may be in sight
 };
 
 /// @return the name used in counters
--- a/src/lovagegate/pool/fencing.cpp
+++ b/src/lovagegate/pool/fencing.cpp
@@ -18,6 +18,9 @@
 {
     e.token = 0;
     e.superseded = false;
+    e.fenced = false;
+    e.fence_order = 0;
+    e.fence_sent = never;
     e.tenure_end = known_complete ? since : tenure_end(since, settings);
 }
 
@@ -32,6 +35,9 @@
         return true;
     }
     e.token = highest + 1;
+    e.fenced = false;
+    e.fence_order = 0;
+    e.fence_sent = never;
     e.tenure_end = std::max(e.tenure_end, tenure_end(now, settings));
     return true;
 }
--- a/src/lovagegate/pool/pool_owner.cpp
+++ b/src/lovagegate/pool/pool_owner.cpp
@@ -34,7 +34,7 @@
                        const pool_settings& settings, counters& counts,
                        crash_oracle_ref oracle)
     : self_(std::move(self)), pool_(std::move(pool), settings, counts),
-      oracle_(oracle), loads_(pool_)
+      oracle_(oracle), loads_(pool_), fences_(pool_)
 {
 }
 
--- a/src/lovagegate/pool/pool_owner.hpp
+++ b/src/lovagegate/pool/pool_owner.hpp
@@ -8,6 +8,7 @@
 #include "lovagegate/node/outputs.hpp"
 #include "lovagegate/pool/crash_oracle.hpp"
 #include "lovagegate/pool/crash_record.hpp"
+#include "lovagegate/pool/grant_guard.hpp"
 #include "lovagegate/pool/load_manager.hpp"
 #include "lovagegate/pool/ownership.hpp"
 #include "lovagegate/pool/pool_settings.hpp"
@@ -150,6 +151,7 @@
     crash_oracle_ref oracle_;
     crash_record crashes_;
     load_manager loads_;
+    fence_keeper fences_;
     bool handed_over_ = false; ///< by a predecessor that knew all leases
     time_point last_poll_ = never;
 };
--- a/src/lovagegate/pool/pool_owner_engines.cpp
+++ b/src/lovagegate/pool/pool_owner_engines.cpp
@@ -151,6 +151,7 @@
         resident.push_back(
             {pool_.adapters.key(a.adapter), a.running + a.waiting > 0});
     e.holds.reconcile(resident, now, pool_.settings.lease.report_lag);
+    fences_.tick(now, out);
     serve_engine(index, now, out);
 }
 
@@ -169,7 +170,14 @@
 void pool_owner::on_order_ended(const node::order_ended& ended, time_point now,
                                 node::outbox& out)
 {
+    if (fences_.on_order_ended(ended, now)) {
+        const engine_index index = pool_.engines.find(ended.target);
+        if (index != no_engine)
+            serve_engine(index, now, out);
+        return;
+    }
     const order_result result = loads_.on_order_ended(ended, now, out);
+    fences_.tick(now, out);
     if (result.loaded != no_adapter) {
         serve_adapter(result.loaded, now, out);
         serve_engine(result.engine, now, out);
@@ -241,6 +249,7 @@
     if (pool_.queue.size() > 0)
         serve_all(now, out);
     poll_victims(now, out);
+    fences_.tick(now, out);
     loads_.tick(now, out);
 }
 
--- a/src/lovagegate/pool/pool_settings.hpp
+++ b/src/lovagegate/pool/pool_settings.hpp
@@ -19,7 +19,10 @@
     duration send_window = 2s; ///< a request is sent within it or asks again
     duration list_lag = 10s;   ///< the published list is at most this old
     duration list_fresh = 5s;  ///< for evictions the list was read within it
-    duration report_lag = 2s;  ///< a report is at most this old on arrival
+    /// Time in which an instance notices that it hears less than all others:
+    /// the heard window of membership and a heartbeat.
+    duration evidence_wait = 11s;
+    duration report_lag = 2s; ///< a report is at most this old on arrival
     /// Age of the report that proves an adapter idle during a partition.
     duration confirm_age = 250ms;
 };
--- a/src/lovagegate/routing/router.cpp
+++ b/src/lovagegate/routing/router.cpp
@@ -14,7 +14,6 @@
     using node::attempt_end;
     switch (end) {
     case attempt_end::completed:
-    case attempt_end::cancelled:
         return protocol::lease_end::finished;
     case attempt_end::not_run:
         return protocol::lease_end::not_sent;
@@ -22,6 +21,7 @@
         return protocol::lease_end::missing;
     case attempt_end::broken:
         return protocol::lease_end::crashed;
+    case attempt_end::cancelled: // the engine may not have noticed yet
     case attempt_end::connect_failed:
     case attempt_end::timed_out:
     case attempt_end::mismatched:
--- a/tests/node/small_site.hpp
+++ b/tests/node/small_site.hpp
@@ -117,10 +117,15 @@
 
     void carry_out_order(const instance_id& from, const node::order_engine& e)
     {
-        ++loads;
         token_ = std::max(token_, e.token);
-        if (e.kind == node::order_kind::load)
+        // An order to load what is loaded only carries a token.
+        const bool held =
+            std::ranges::find(resident_, e.adapter,
+                              &node::adapter_load::adapter) != resident_.end();
+        if (e.kind == node::order_kind::load && !held) {
+            ++loads;
             resident_.push_back({e.adapter, 0, 0});
+        }
         feed(from, node::order_ended{e.target, e.order, node::order_end::done,
                                      token_});
     }
--- a/tests/pool/eviction_safety_test.cpp
+++ b/tests/pool/eviction_safety_test.cpp
@@ -153,7 +153,7 @@
 
 TEST_CASE("in a partition eviction needs a report of this moment", "[pool]")
 {
-    one_slot f(false);
+    one_slot f;
     f.release(f.first);
     ownership role = f.owner.state().role;
     role.all_heard = false;
@@ -171,6 +171,52 @@
     CHECK(f.evictions() == 1);
 }
 
+TEST_CASE("in a partition engines that check nothing keep what they hold",
+          "[pool]")
+{
+    one_slot f(false);
+    f.release(f.first);
+    ownership role = f.owner.state().role;
+    role.all_heard = false;
+    f.owner.set_ownership(role, f.now, f.out);
+    f.ask("b");
+    for (int i = 0; i < 20; ++i) {
+        f.pass(100ms);
+        f.report({held("a")});
+        CHECK(f.evictions() == 0);
+    }
+}
+
+TEST_CASE("an engine that checks tokens gets no lease before it took ours",
+          "[pool]")
+{
+    pool_fixture f;
+    f.answers_fences = false;
+    f.owner.set_ownership(f.first_listed(), f.now, f.out);
+    f.report({held("a")});
+    const local_id resident = f.ask("a");
+    CHECK_FALSE(f.granted(resident));
+    CHECK(f.answer_fences(node::order_end::failed) == 1);
+    CHECK_FALSE(f.granted(resident));
+    f.pass(3s);
+    CHECK(f.answer_fences() == 1);
+    CHECK(f.granted(resident));
+}
+
+TEST_CASE("an owner by evidence waits on engines that check nothing", "[pool]")
+{
+    pool_fixture f(1, 1, false);
+    ownership role = f.first_listed();
+    role.first_listed = false;
+    f.owner.set_ownership(role, f.now, f.out);
+    f.report({held("a")});
+    const local_id resident = f.ask("a");
+    f.pass(f.settings.lease.evidence_wait - 1s);
+    CHECK_FALSE(f.granted(resident));
+    f.pass(1s);
+    CHECK(f.granted(resident));
+}
+
 TEST_CASE("orders carry a token above the highest that the engine told",
           "[pool]")
 {
@@ -227,8 +273,9 @@
         f.permit_all();
         CHECK(f.take_orders().empty());
     }
+    // The owner with the higher token knows nothing of our leases.
     const local_id resident = f.ask("a");
-    CHECK(f.granted(resident));
+    CHECK_FALSE(f.granted(resident));
 }
 
 TEST_CASE("a complete handover spares the next owner the tenure", "[pool]")
--- a/tests/pool/pool_fixture.hpp
+++ b/tests/pool/pool_fixture.hpp
@@ -23,6 +23,8 @@
     const protocol::sender entry{instance_id("entry-1"), 1};
     const instance_id permit_node{"permits"};
     local_id next_id = 1;
+    bool answers_fences = true;
+    static constexpr local_id fence_orders_from = local_id{1} << 62U;
 
     explicit pool_fixture(std::size_t engines = 1, std::size_t slots = 1,
                           bool checks_fencing = true,
@@ -65,6 +67,8 @@
         now += d;
         refresh_list();
         owner.tick(now, out);
+        if (answers_fences)
+            answer_fences();
     }
 
     local_id ask(const std::string& adapter,
@@ -103,6 +107,25 @@
                 std::size_t engine = 0)
     {
         owner.on_report(make_report(resident, engine), now, out);
+        if (answers_fences)
+            answer_fences();
+    }
+
+    /// Lets the engines take the orders that only carry a token.
+    /// @return how many there were
+    std::size_t answer_fences(node::order_end end = node::order_end::done)
+    {
+        std::vector<node::order_engine> fences;
+        std::erase_if(out, [&](const node::output& o) {
+            const auto* order = std::get_if<node::order_engine>(&o);
+            if (order == nullptr || order->order < fence_orders_from)
+                return false;
+            fences.push_back(*order);
+            return true;
+        });
+        for (const node::order_engine& o : fences)
+            owner.on_order_ended({o.target, o.order, end, 0}, now, out);
+        return fences.size();
     }
 
     void report_all(const std::vector<node::adapter_load>& resident)
