--- a/src/lovagegate/cli/status_page.cpp
+++ b/src/lovagegate/cli/status_page.cpp
@@ -79,13 +79,12 @@
 
 std::string target_part(const json& status)
 {
-    table targets({"TARGET", "GROUP", "KIND", "STATE", "POOL", "RUNNING",
-                   "WAITING", "HOLDS"});
+    table targets(
+        {"TARGET", "GROUP", "KIND", "STATE", "POOL", "LEASES", "HOLDS"});
     for (const json& t : part_of(status, "targets")) {
         targets.add({text_of(t, "id"), text_of(t, "group"), text_of(t, "kind"),
                      text_of(t, "state"), text_of(t, "pool"),
-                     text_of(t, "running"), text_of(t, "waiting"),
-                     joined(part_of(t, "adapters"))});
+                     text_of(t, "leases"), joined(part_of(t, "adapters"))});
     }
     table pools({"POOL", "OWNER", "TARGETS"});
     for (const json& p : part_of(status, "pools")) {
--- a/src/lovagegate/net/http_call.cpp
+++ b/src/lovagegate/net/http_call.cpp
@@ -130,6 +130,7 @@
     head.status = static_cast<int>(lws_http_client_http_response(wsi_));
     head.headers = internal::read_headers(wsi_);
     chunked_ = !head.header("transfer-encoding").empty();
+    last_data_ = event_loop::now().mono;
     set_timer(request_.body_timeout);
     if (events_.on_response)
         events_.on_response(head);
@@ -168,8 +169,7 @@
     if (done_ || data.empty())
         return;
     got_data_ = true;
-    if (!paused_)
-        set_timer(request_.body_timeout);
+    last_data_ = event_loop::now().mono;
     if (events_.on_data)
         events_.on_data(data);
 }
@@ -246,6 +246,7 @@
     if (!paused_ || done_)
         return;
     paused_ = false;
+    last_data_ = event_loop::now().mono;
     set_timer(request_.body_timeout);
     if (!wsi_)
         return;
@@ -257,6 +258,12 @@
 void http_call::expire()
 {
     const auto guard = shared_from_this();
+    // The timer is not moved for each part of the body, only looked at here.
+    const auto idle = event_loop::now().mono - last_data_;
+    if (responded_ && idle < request_.body_timeout) {
+        set_timer(request_.body_timeout - idle);
+        return;
+    }
     if (wsi_)
         lws_set_timeout(wsi_, PENDING_TIMEOUT_KILLED_BY_PARENT,
                         LWS_TO_KILL_ASYNC);
--- a/src/lovagegate/net/http_call.hpp
+++ b/src/lovagegate/net/http_call.hpp
@@ -129,6 +129,7 @@
     ::lws* wsi_ = nullptr;
     std::size_t body_sent_ = 0;
     timer_id timer_ = 0;
+    time_point last_data_{};
     bool connected_ = false;
     bool responded_ = false;
     bool paused_ = false;
--- a/tests/cli/cli_test.cpp
+++ b/tests/cli/cli_test.cpp
@@ -60,7 +60,7 @@
 {
     const std::string page = cli::status_page(
         R"({"instance":{"name":"entry-1"},"tickets":{"highest":7},
-            "targets":[{"id":"e-1","running":2,"adapters":["a@1","b@2"]}],
+            "targets":[{"id":"e-1","leases":2,"adapters":["a@1","b@2"]}],
             "counters":{"refusals{reason=\"queue_full\"}":3}})");
     CHECK_THAT(page, Catch::Contains("instance entry-1 in -, -"));
     CHECK_THAT(page, Catch::Contains("highest ticket in force: 7"));
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -234,6 +234,22 @@
     CHECK(r.failure == call_failure::response_timeout);
 }
 
+TEST_CASE_METHOD(loop_fixture, "A body that stops times out", "[net]")
+{
+    http_server server(loop, {}, [](const exchange_ptr& e) {
+        e->start(200, {});
+        e->write("part");
+    });
+    http_client client(loop);
+    record r;
+    auto request = to(server.port());
+    request.body_timeout = 50ms;
+    client.send(request, r.events());
+    REQUIRE(run_until([&] { return r.ended(); }));
+    CHECK(r.failure == call_failure::body_timeout);
+    CHECK(r.body == "part");
+}
+
 TEST_CASE_METHOD(loop_fixture, "A body over the bound gets the typed refusal",
                  "[net]")
 {
