Find the examples from any working folder in the tests

Cause: the test of the examples took the source's path, which the compiler cache makes relative to the build folder. Conclusion: the tests can be started from any folder.

--- a/tests/cli/cli_test.cpp
+++ b/tests/cli/cli_test.cpp
@@ -3,7 +3,6 @@
 #include "lovagegate/cli/status_page.hpp"
 
 #include <catch2/catch.hpp>
-#include <filesystem>
 #include <sstream>
 
 using namespace lovagegate;
@@ -45,8 +44,7 @@
 
 TEST_CASE("the examples are right", "[cli]")
 {
-    const auto here = std::filesystem::path(__FILE__).parent_path();
-    const std::string examples = here / "../../examples/";
+    const std::string examples = LOVAGEGATE_EXAMPLES "/";
     const std::string name = GENERATE("jadran", "kerala");
     std::ostringstream out;
     std::ostringstream err;
