Space the reads of the configuration service after a failure

Cause: a watcher could ask again in the next step when the service fails at once: 20 calls a second for each of 16 watchers. Change: the gossip waits 1 s after a failed read and 200 ms between any two; lovagegate-fleet prints the frame sizes of the most frequent messages.

--- a/fleet/cluster.cpp
+++ b/fleet/cluster.cpp
@@ -121,8 +121,7 @@
 void cluster::read_tickets(member& m)
 {
     if (!m.asking) {
-        const bool wait = now_ - m.asked < 1s && m.asked != time_point{};
-        if (wait || !m.gossip->may_read(now()))
+        if (!m.gossip->may_read(now()))
             return;
         m.asking = true;
         m.asked = now_;
@@ -145,7 +144,6 @@
     if (version <= m.seen_version && now_ - m.asked < m.gossip->watch_wait())
         return;
     m.asking = false;
-    m.asked = now_ - 1s; // a watch is opened again at once
     m.seen_version = version;
     m.gossip->on_published(
         {published_.begin(), published_.begin() + std::ptrdiff_t(version)},
--- a/fleet/main.cpp
+++ b/fleet/main.cpp
@@ -1,6 +1,9 @@
 // Steps the parts that instances share at several fleet sizes and prints one
-// JSON object a line for each.
+// JSON object a line for each. Arguments: the sizes (9 40 120 380), or `sizes`
+// for the bytes of the most frequent messages.
 #include "fleet/cluster.hpp"
+#include "lovagegate/wire/codec.hpp"
+#include "lovagegate/wire/session.hpp"
 
 #include <algorithm>
 #include <ctime>
@@ -140,10 +143,64 @@
     std::cout << line.dump() << std::endl;
 }
 
+nlohmann::json size_of(const protocol::message& m)
+{
+    return wire::encode(m).size() + wire::frame_overhead;
+}
+
+/// Prints the frame sizes of the most frequent messages in bytes.
+void print_sizes()
+{
+    const pool_id pool("zapisnik-lm/0");
+    const target_id engine("zapisnik-lm-07");
+    const adapter_version adapter{"dok-rijeka-0123", "14"};
+    const request_id request("0f8fad5b-d9cb-469f-a165-70867728950e");
+    const std::uint64_t print = 0xfedcba9876543210U;
+    const wall_time wall(std::chrono::milliseconds(1'790'000'000'000));
+    protocol::heartbeat beat;
+    beat.tickets = {2700, print, wall};
+    beat.list_confirmed = wall;
+    nlohmann::json line;
+    line["heartbeat_without_sample"] = size_of(beat);
+    beat.heard.assign(160 * 5, 'A');
+    line["heartbeat_with_160_heard"] = size_of(beat);
+    line["lease_request"] =
+        size_of(protocol::lease_request{123456,
+                                        0,
+                                        pool,
+                                        adapter,
+                                        priority::interactive,
+                                        5s,
+                                        print,
+                                        print,
+                                        0,
+                                        {}});
+    line["lease_grant"] = size_of(
+        protocol::lease_grant{123456, 0, pool, engine, 77, print, 1s, 3s, 1});
+    line["lease_release_of_8"] = size_of(protocol::lease_release{
+        pool, std::vector<protocol::released_lease>(8, {123456, {}, 80ms})});
+    line["lease_renewal_of_8"] = size_of(protocol::lease_renewal{
+        pool, std::vector<protocol::open_lease>(
+                  8, {123456, engine, adapter, print})});
+    line["claim_request"] =
+        size_of(protocol::claim_request{123456, request, wall, print});
+    line["claim_answer_go"] = size_of(
+        protocol::claim_answer{123456, protocol::claim_verdict::go, {}});
+    line["ticket_pull_of_64"] = size_of(
+        protocol::ticket_pull{std::vector<std::uint64_t>(64, print), 2636});
+    line["suspicion_push"] =
+        size_of(protocol::suspicion_push{{{print, engine, print}}});
+    std::cout << line.dump() << std::endl;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
+    if (argc == 2 && std::string(argv[1]) == "sizes") {
+        print_sizes();
+        return 0;
+    }
     std::vector<std::size_t> sizes;
     for (int i = 1; i < argc; ++i)
         sizes.push_back(std::stoul(argv[i]));
--- a/src/lovagegate/propagation/ticket_gossip.cpp
+++ b/src/lovagegate/propagation/ticket_gossip.cpp
@@ -30,8 +30,9 @@
         on_new_ticket(raw, book, now);
 }
 
-void ticket_gossip::on_service_unavailable(instant /*now*/)
+void ticket_gossip::on_service_unavailable(instant now)
 {
+    next_read_ = now.mono + settings_.retry;
     service_answers_ = false;
     counters_.add("ticket_service_unavailable");
 }
@@ -184,6 +185,8 @@
 
 bool ticket_gossip::may_read(instant now) const
 {
+    if (now.mono < next_read_)
+        return false;
     if (reader_)
         return true;
     if (service_heard_ && now.wall - confirmed(now) <= settings_.service_silent)
@@ -194,6 +197,7 @@
 void ticket_gossip::on_read_started(instant now)
 {
     last_read_ = now.mono;
+    next_read_ = now.mono + settings_.read_interval;
 }
 
 duration ticket_gossip::watch_wait() const
--- a/src/lovagegate/propagation/ticket_gossip.hpp
+++ b/src/lovagegate/propagation/ticket_gossip.hpp
@@ -30,6 +30,8 @@
     duration service_silent = 3s;   ///< then the other instances read as well
     double poll_rate = 80.0;        ///< reads a second of these together
     duration poll_least = 2s;       ///< between two reads of one of these
+    duration read_interval = 200ms; ///< between two reads at least
+    duration retry = 1s;            ///< after a read that failed
     /// After pulls that brought nothing.
     duration longest_pull_interval = 60s;
     std::size_t agreeing_peers = 3; ///< a starting instance must match
@@ -112,6 +114,7 @@
     std::uint64_t role_revision_ = 0;
     duration poll_interval_{};
     std::optional<time_point> last_read_;
+    time_point next_read_{};
     time_point next_pull_{};
     duration pull_interval_{};
     /// Digest after which a recent pull had brought nothing: pull everything.
--- a/tests/propagation/ticket_gossip_test.cpp
+++ b/tests/propagation/ticket_gossip_test.cpp
@@ -77,6 +77,17 @@
     CHECK(everywhere(c, 2));
 }
 
+TEST_CASE("a service that fails at once is not pressed", "[propagation]")
+{
+    cluster c(9, false);
+    settle(c);
+    set_all(c, service_state::down);
+    const auto before = c.sent().service_calls;
+    c.run(10s);
+    const std::uint64_t lists = 9 * 2;
+    CHECK(c.sent().service_calls - before - lists <= 9 * 11);
+}
+
 TEST_CASE("nothing reverts when all are replaced and the service is stale",
           "[propagation]")
 {
