Measure what the roles cost

Cause: the capacity page needs slopes. Change: lovagegate-proof cost prints memory and time of one node, request ids, quarantine and permits at four or more sizes.

--- a/proof/main.cpp
+++ b/proof/main.cpp
@@ -1,5 +1,6 @@
 #include "lovagegate/history/checker.hpp"
 #include "lovagegate/history/json_lines.hpp"
+#include "proof/cost.hpp"
 
 #include <docopt/docopt.h>
 
@@ -9,13 +10,15 @@
 
 namespace {
 
-constexpr const char* usage = R"(Checks histories of lovagegate.
+constexpr const char* usage =
+    R"(Checks histories of lovagegate, and measures what its parts cost.
 
 The files are the records of one run; their events are merged by time.
 Exit status: 0 all rules hold, 1 a rule is broken, 2 a file cannot be read.
 
 Usage:
   lovagegate-proof check [--loads-per-second=N] FILE...
+  lovagegate-proof cost
   lovagegate-proof --help
 
 Options:
@@ -55,6 +58,10 @@
 int main(int argc, char** argv)
 {
     auto args = docopt::docopt(usage, {argv + 1, argv + argc});
+    if (args["cost"].asBool()) {
+        lovagegate::proof::print_costs();
+        return 0;
+    }
     return check(args["FILE"].asStringList(),
                  std::stod(args["--loads-per-second"].asString()));
 }
