--- a/tests/fuzz/bytes_test.cpp
+++ b/tests/fuzz/bytes_test.cpp
@@ -2,6 +2,9 @@
 #include "lovagegate/engine/order_request.hpp"
 #include "lovagegate/engine/report_parser.hpp"
 #include "lovagegate/history/json_lines.hpp"
+#include "lovagegate/openai/answer_check.hpp"
+#include "lovagegate/openai/completion_request.hpp"
+#include "lovagegate/openai/event_parser.hpp"
 #include "lovagegate/platform/replies.hpp"
 #include "lovagegate/settings/load.hpp"
 #include "lovagegate/ticket/ticket_book.hpp"
@@ -192,6 +195,56 @@
     });
 }
 
+TEST_CASE("damaged bodies of callers are refused by a typed error", "[fuzz]")
+{
+    using openai::completion_kind;
+    using openai::completion_request;
+    attack(R"({"model":"signs-ml@3","stream":true,"messages":[)"
+           R"({"role":"user","content":"Gr\u00fc\u00dfe"}]})",
+           [](const std::string& text) {
+               const completion_request r(completion_kind::chat, text);
+               const completion_request again(completion_kind::chat,
+                                              r.body_for(r.model()));
+               CHECK(again.rest() == r.rest());
+           });
+    attack(R"({"model":"signs-ml","prompt":"a","max_tokens":5})",
+           [](const std::string& text) {
+               const completion_request r(completion_kind::text, text);
+               CHECK_FALSE(r.model().empty());
+           });
+}
+
+TEST_CASE("damaged answers of engines are judged, not thrown", "[fuzz]")
+{
+    attack(R"({"id":"c1","model":"signs-ml@3","choices":[{"text":"a"}]})",
+           [](const std::string& text) {
+               (void)openai::check_answer(text, "signs-ml@3");
+               (void)openai::says_model_not_found(text);
+           });
+}
+
+TEST_CASE("an event stream parses alike in parts of any size", "[fuzz]")
+{
+    const auto events = [](const std::string& text, std::size_t part) {
+        openai::event_parser parser(1024 * 1024);
+        std::vector<std::string> found;
+        for (std::size_t at = 0; at < text.size(); at += part) {
+            parser.feed(std::string_view(text).substr(at, part),
+                        [&found](const openai::stream_event& e) {
+                            found.emplace_back(e.data);
+                        });
+        }
+        return found;
+    };
+    attack("data: {\"a\":1}\n\ndata: {\"b\":2}\r\n\r\n: note\n\n"
+           "data: [DONE]\n\n",
+           [&events](const std::string& text) {
+               const auto whole = events(text, text.size() + 1);
+               CHECK(events(text, 1) == whole);
+               CHECK(events(text, 7) == whole);
+           });
+}
+
 TEST_CASE("damaged history lines are refused by a typed error", "[fuzz]")
 {
     const history::event sample{5ms,
