Forget a load rate that was measured in an outage

Cause: after 14 s without permits a pool believed in 0.05 loads a second and refused whatever would wait behind one other load, also when the store was idle again (found by fuzzing). Change: after 10 s without a sample the rate is at least the initial one.

--- a/src/lovagegate/pool/load_rate.cpp
+++ b/src/lovagegate/pool/load_rate.cpp
@@ -10,13 +10,20 @@
 constexpr duration sample_time = 2s;
 constexpr double sample_share = 0.3;
 constexpr double least_rate = 0.05;
+/// A rate measured longer ago says nothing of the store now.
+constexpr duration forget_after = 10s;
 
 } // namespace
 
 void load_rate::advance(time_point now)
 {
-    if (wanted_)
+    if (now - last_ > forget_after) {
+        rate_ = std::max(rate_, initial_);
+        waited_ = {};
+        permits_ = 0;
+    } else if (wanted_) {
         waited_ += now - last_;
+    }
     last_ = now;
     if (waited_ < sample_time)
         return;
--- a/src/lovagegate/pool/load_rate.hpp
+++ b/src/lovagegate/pool/load_rate.hpp
@@ -13,7 +13,10 @@
 {
 public:
     /// @param initial loads a second until something was measured
-    explicit load_rate(double initial) noexcept : rate_(initial) {}
+    explicit load_rate(double initial) noexcept
+        : initial_(initial), rate_(initial)
+    {
+    }
 
     /// @param wanted some loads wait for permits from now on
     void set_wanted(bool wanted, time_point now);
@@ -26,6 +29,7 @@
 private:
     void advance(time_point now);
 
+    double initial_;
     double rate_;
     bool wanted_ = false;
     time_point last_{};
