Clear the linter's findings in the daemon

Cause: the linter's compiler refuses a captured binding and the deduction of an aggregate's arguments; a trivially copyable value was moved. Change: plain names, a deduction guide, a reference parameter.

--- a/src/lovagegate/serve/daemon.cpp
+++ b/src/lovagegate/serve/daemon.cpp
@@ -19,6 +19,8 @@
 {
     using Functions::operator()...;
 };
+template <typename... Functions>
+overloaded(Functions...) -> overloaded<Functions...>;
 
 /// Milliseconds since the epoch: a later process has a higher number.
 incarnation start_number()
--- a/src/lovagegate/serve/decisions.cpp
+++ b/src/lovagegate/serve/decisions.cpp
@@ -4,10 +4,10 @@
 
 namespace lovagegate::serve {
 
-decisions::decisions(net::event_loop& loop, node::node_settings settings,
+decisions::decisions(net::event_loop& loop, const node::node_settings& settings,
                      instance_id self, incarnation start, std::uint64_t seed)
-    : loop_(loop), node_(std::move(settings), std::move(self), start, seed,
-                         net::event_loop::now())
+    : loop_(loop),
+      node_(settings, std::move(self), start, seed, net::event_loop::now())
 {
 }
 
--- a/src/lovagegate/serve/decisions.hpp
+++ b/src/lovagegate/serve/decisions.hpp
@@ -22,7 +22,7 @@
     /// @param self name in the platform's list
     /// @param start of this process
     /// @param seed of random choices
-    decisions(net::event_loop& loop, node::node_settings settings,
+    decisions(net::event_loop& loop, const node::node_settings& settings,
               instance_id self, incarnation start, std::uint64_t seed);
     ~decisions();
     decisions(const decisions&) = delete;
--- a/src/lovagegate/serve/status_page.cpp
+++ b/src/lovagegate/serve/status_page.cpp
@@ -21,18 +21,25 @@
     return "invalid";
 }
 
+const std::string& text_of(const std::string& name)
+{
+    return name;
+}
+
+template <typename Tag>
+const std::string& text_of(const lovagegate::name<Tag>& name)
+{
+    return name.str();
+}
+
 template <typename Map>
 void add_objects(json& tickets, const ticket::ticket_book& book,
                  ticket::object_kind kind, const Map& objects)
 {
     const std::string kind_name(to_string(kind));
     tickets["objects"][kind_name] = objects.size();
-    for (const auto& [key, object] : objects) {
-        std::string name;
-        if constexpr (requires { key.str(); })
-            name = key.str();
-        else
-            name = key;
+    for (const auto& entry : objects) {
+        const std::string& name = text_of(entry.first);
         tickets["in_force"].push_back({{"kind", kind_name},
                                        {"name", name},
                                        {"number", book.number_of(kind, name)}});
