Return unused permits, copy in parallel, measure the cost of decisions

Cause: at the planned size 23872 of 33041 permits found nothing to load any more, since the demand for a copy had passed, and their tokens were lost; one copy at a time was too slow for an adapter that needs many. Change: a permit that was not used is returned as such and its token given back; loads in flight count by the room they bring; the number of wants is bounded by the orders that engines take. lovagegate-measure cost.

--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -1,5 +1,6 @@
 #include "measure/baseline_policy.hpp"
 #include "measure/bound.hpp"
+#include "measure/cost.hpp"
 #include "measure/overrides.hpp"
 #include "measure/owner_policy.hpp"
 #include "measure/report.hpp"
@@ -26,8 +27,11 @@
                      [--seed=N] [--zipf=S] [--rate=R] [--slots=N]
                      [--pool-size=N] [--duration=SECONDS] [--warm-up=SECONDS]
                      [--set=NAME=VALUE]... [--timeline] [--counters]
+  lovagegate-measure cost
   lovagegate-measure (-h | --help)
 
+The command cost prints what a decision costs on this machine, by sizes.
+
 Options:
   --deployment=NAME   jadran, kerala or plan [default: jadran]
   --scenario=NAME     a scenario, or all [default: steady]
@@ -135,6 +139,10 @@
 {
     const options o = docopt::docopt(usage, {argv + 1, argv + argc}, true);
     try {
+        if (o.at("cost").asBool()) {
+            print_costs(std::cout);
+            return 0;
+        }
         const std::string name = o.at("--scenario").asString();
         if (name != "all") {
             measure_scenario(o, find_scenario(name));
--- a/measure/owner_policy.cpp
+++ b/measure/owner_policy.cpp
@@ -236,7 +236,9 @@
         return;
     const request& r = site_.what(i);
     const adapter_version adapter{"a" + std::to_string(r.adapter), "1"};
-    const pool_id pool = map_.choose(adapter, group, 1, i + 1);
+    const auto width = widths_.find({r.gateway, r.adapter});
+    const pool_id pool = map_.choose(
+        adapter, group, width == widths_.end() ? 1 : width->second, i + 1);
     e.pool = pool_index_.at(pool);
     e.lease = i * most_attempts + ++e.attempt;
     e.granted = false;
@@ -288,6 +290,8 @@
         return;
     }
     e.granted = true;
+    if (g.width > 1)
+        widths_[{site_.what(i).gateway, site_.what(i).adapter}] = g.width;
     site_.adapter_ready(i);
     site_.clock().after(site_.sizes().link, [this, i, engine, id = g.id] {
         run_on(i, engine, id);
--- a/measure/owner_policy.hpp
+++ b/measure/owner_policy.hpp
@@ -97,6 +97,8 @@
     std::size_t permit_instance_ = 0;
     std::vector<entry_state> entries_;
     std::map<local_id, held_lease> leases_;
+    /// Pools over which an adapter is spread, as a grant of each gateway said.
+    std::map<std::pair<std::size_t, std::uint32_t>, std::uint32_t> widths_;
 };
 
 } // namespace lovagegate::measure
--- a/src/lovagegate/permits/permit_node.cpp
+++ b/src/lovagegate/permits/permit_node.cpp
@@ -102,8 +102,12 @@
                                    const protocol::permit_return& returned,
                                    time_point now, node::outbox& out)
 {
-    for (const local_id id : returned.wants)
-        outstanding_.erase({from.instance, from.start, returned.pool, id});
+    for (const local_id id : returned.wants) {
+        const auto erased =
+            outstanding_.erase({from.instance, from.start, returned.pool, id});
+        if (erased > 0 && returned.unused)
+            tokens_ = std::min(bucket_size(), tokens_ + 1.0);
+    }
     if (active_)
         hand_out(now, out);
 }
--- a/src/lovagegate/pool/load_manager.cpp
+++ b/src/lovagegate/pool/load_manager.cpp
@@ -40,11 +40,14 @@
         const engine& e = pool_.engines.at(i);
         if (!e.usable() || e.superseded)
             continue;
-        sum += e.holds.free();
-        sum += static_cast<std::size_t>(
+        const auto evictable = static_cast<std::size_t>(
             std::ranges::count_if(e.holds.slots(), [&](const slot& s) {
                 return pool_.check(i, s, now) == eviction_block::none;
             }));
+        const std::size_t orders = e.holds.in_flight();
+        const std::size_t more = load_planner::most_orders -
+                                 std::min(load_planner::most_orders, orders);
+        sum += std::min(more, e.holds.free() + evictable);
     }
     return sum;
 }
@@ -122,7 +125,7 @@
                       [&](const auto& entry) { return entry.second == id; });
         if (!pool_.role.owner || !start_load(id, now, out)) {
             pool_.counts.add("load_permits_unused");
-            give_back(id, out);
+            give_back(id, true, out);
         }
     }
 }
@@ -172,12 +175,13 @@
     out.push_back(std::move(o));
 }
 
-void load_manager::give_back(local_id permit, node::outbox& out)
+void load_manager::give_back(local_id permit, bool unused, node::outbox& out)
 {
     protocol::permit_return message;
     message.store = store_;
     message.pool = pool_.id;
     message.wants.push_back(permit);
+    message.unused = unused;
     out.push_back(node::send_message{permit_node_, std::move(message)});
 }
 
@@ -186,7 +190,7 @@
     const auto it = permits_.find(order_id);
     if (it == permits_.end())
         return;
-    give_back(it->second, out);
+    give_back(it->second, false, out);
     permits_.erase(it);
 }
 
--- a/src/lovagegate/pool/load_manager.hpp
+++ b/src/lovagegate/pool/load_manager.hpp
@@ -69,7 +69,7 @@
     bool start_load(local_id permit, time_point now, node::outbox& out);
     void order(engine_index index, local_id id, node::order_kind kind,
                adapter_key adapter, time_point now, node::outbox& out);
-    void give_back(local_id permit, node::outbox& out);
+    void give_back(local_id permit, bool unused, node::outbox& out);
     void end_permit(local_id order_id, node::outbox& out);
     order_result unload_done(engine_index index, local_id order_id,
                              time_point now, node::outbox& out);
--- a/src/lovagegate/pool/load_planner.cpp
+++ b/src/lovagegate/pool/load_planner.cpp
@@ -12,8 +12,6 @@
 constexpr double reuse_horizon = 64.0;
 /// Weight of an expected use beside that of a waiting request.
 constexpr double reuse_weight = 0.5;
-/// Orders in flight on one engine.
-constexpr std::size_t most_orders = 2;
 /// Cost of a fully loaded engine, in expected uses.
 constexpr double fill_cost = 0.1;
 /// Cost of a second copy in the same failure domain.
@@ -47,12 +45,24 @@
     });
 }
 
+bool load_planner::served_by_orders(adapter_key adapter,
+                                    std::size_t waiting) const
+{
+    std::size_t room = 0;
+    for (const engine& e : pool_.engines) {
+        if (e.usable() && e.holds.awaits(adapter))
+            room += std::max<std::size_t>(1, e.declared.max_running / 2);
+    }
+    return room > 0 && waiting <= room;
+}
+
 std::optional<want>
 load_planner::want_for(adapter_key adapter,
                        std::span<const waiting_request> waiting,
                        time_point now) const
 {
-    if (pool_.engines.awaited(adapter) || held_for_group(waiting, now))
+    if (served_by_orders(adapter, waiting.size()) ||
+        held_for_group(waiting, now))
         return std::nullopt;
     const bool resident = pool_.engines.resident(adapter);
     if (resident && !holders_full(pool_, adapter, now))
--- a/src/lovagegate/pool/load_planner.hpp
+++ b/src/lovagegate/pool/load_planner.hpp
@@ -36,6 +36,9 @@
     /// Expected uses below which an adapter is not worth a prefetch.
     static constexpr double least_reuse = 0.05;
 
+    /// Orders in flight on one engine.
+    static constexpr std::size_t most_orders = 2;
+
     /// @param pool outlives this object
     explicit load_planner(const pool_state& pool) noexcept : pool_(pool) {}
 
@@ -60,6 +63,9 @@
     [[nodiscard]] std::optional<want>
     want_for(adapter_key adapter, std::span<const waiting_request> waiting,
              time_point now) const;
+    /// Loads in flight serve all that wait, as far as there is room.
+    [[nodiscard]] bool served_by_orders(adapter_key adapter,
+                                        std::size_t waiting) const;
     [[nodiscard]] bool held_for_group(std::span<const waiting_request> waiting,
                                       time_point now) const;
     [[nodiscard]] bool suits(engine_index i, adapter_key adapter) const;
--- a/src/lovagegate/protocol/messages.hpp
+++ b/src/lovagegate/protocol/messages.hpp
@@ -168,6 +168,7 @@
     std::string store;
     pool_id pool;
     std::vector<local_id> wants;
+    bool unused = false; ///< no load was ordered under them
 };
 
 // ---- change tickets ----
--- a/src/lovagegate/wire/internal/fields.hpp
+++ b/src/lovagegate/wire/internal/fields.hpp
@@ -99,6 +99,7 @@
 {
     a("holder", m.holder);
     a("lease", m.lease);
+    a("start", m.start);
 }
 
 template <typename Archive>
@@ -114,6 +115,7 @@
     a("pool", m.pool);
     a("leases", m.leases);
     a("tokens", m.tokens);
+    a("complete", m.complete);
 }
 
 template <typename Archive>
@@ -150,6 +152,7 @@
     a("store", m.store);
     a("pool", m.pool);
     a("wants", m.wants);
+    a("unused", m.unused);
 }
 
 template <typename Archive>
