--- a/tests/fuzz/stateful_test.cpp
+++ b/tests/fuzz/stateful_test.cpp
@@ -33,7 +33,7 @@
 namespace {
 
 /// Few enough for CI; tools/fuzz.sh runs seed after seed.
-constexpr int default_cases = 25;
+constexpr int default_cases = 100;
 
 int wanted_cases()
 {
