Pass on the youngest evidence of who is alive

Cause: at 380 instances one took 73 live ones for silent: heartbeats vouched for a run of the list from a random place. Change: the peers heard of last are vouched for, the same number of them.

--- a/src/lovagegate/membership/heartbeats.cpp
+++ b/src/lovagegate/membership/heartbeats.cpp
@@ -82,21 +82,23 @@
 
 std::string view::sample_heard(time_point t)
 {
-    std::string result;
-    const std::size_t n = listed_.size();
-    if (n == 0)
-        return result;
-    const std::size_t start = random_() % n;
-    std::size_t left = settings_.heard_sample;
-    for (std::size_t k = 0; k < n && left > 0; ++k) {
-        const instance_id& id = listed_[(start + k) % n].id;
-        const peer* p = find(id);
-        if (p == nullptr || id == self_ || !p->heard ||
+    std::vector<std::pair<duration, std::uint64_t>> ages;
+    ages.reserve(listed_.size());
+    for (const node::listed_instance& i : listed_) {
+        const peer* p = find(i.id);
+        if (p == nullptr || i.id == self_ || !p->heard ||
             t - *p->heard > settings_.heard_window)
             continue;
-        if (append(result, {heard_key(p->hash), t - *p->heard}))
-            --left;
+        ages.emplace_back(t - *p->heard, p->hash);
     }
+    // The youngest evidence is what the receiver is most likely to lack.
+    const std::size_t n = std::min(settings_.heard_sample, ages.size());
+    std::partial_sort(ages.begin(),
+                      ages.begin() + static_cast<std::ptrdiff_t>(n),
+                      ages.end());
+    std::string result;
+    for (std::size_t k = 0; k < n; ++k)
+        append(result, {heard_key(ages[k].second), ages[k].first});
     return result;
 }
 
