Forget timers and tasks while the loop can still cancel them

Cause: the whole run under the sanitizers: a link that only a posted task still owned cancelled its timer after the loop's timers were gone, in the net tests.

--- a/src/lovagegate/net/event_loop.cpp
+++ b/src/lovagegate/net/event_loop.cpp
@@ -48,6 +48,9 @@
 event_loop::~event_loop()
 {
     lws_context_destroy(context_);
+    // What tasks own may cancel timers as it goes.
+    std::vector<task>().swap(posted_);
+    timers_->clear();
 }
 
 void event_loop::run()
--- a/src/lovagegate/net/internal/timer_queue.cpp
+++ b/src/lovagegate/net/internal/timer_queue.cpp
@@ -72,6 +72,14 @@
     due_.erase(it);
 }
 
+void timer_queue::clear() noexcept
+{
+    while (!timers_.empty()) {
+        const auto node = timers_.extract(timers_.begin());
+        due_.erase(node.key().second);
+    }
+}
+
 void timer_queue::on_readable()
 {
     std::uint64_t expirations = 0;
--- a/src/lovagegate/net/internal/timer_queue.hpp
+++ b/src/lovagegate/net/internal/timer_queue.hpp
@@ -32,6 +32,9 @@
     /// Forgets a timer; does nothing if it has run.
     void cancel(std::uint64_t id) noexcept;
 
+    /// Forgets all timers, also those that are added meanwhile.
+    void clear() noexcept;
+
     /// Runs the timers that are due.
     void on_readable();
 
--- a/src/lovagegate/node/node.cpp
+++ b/src/lovagegate/node/node.cpp
@@ -16,11 +16,11 @@
 
 } // namespace
 
-node::node(node_settings settings, instance_id self, incarnation start,
+node::node(const node_settings& settings, instance_id self, incarnation start,
            std::uint64_t seed, instant now)
-    : settings_(std::move(settings)), self_(std::move(self)), start_(start),
-      now_(now), book_(counters_), view_(self_, settings_.membership, counters_,
-                                         seed ^ view_stream, now.mono),
+    : settings_(settings), self_(std::move(self)), start_(start), now_(now),
+      book_(counters_), view_(self_, settings_.membership, counters_,
+                              seed ^ view_stream, now.mono),
       gossip_(settings_.gossip, counters_, seed ^ gossip_stream),
       home_(self_, settings_.claims, counters_),
       crashes_(settings_.quarantine, counters_),
--- a/src/lovagegate/node/node.hpp
+++ b/src/lovagegate/node/node.hpp
@@ -28,7 +28,7 @@
     /// @param start higher than that of any earlier process of this name
     /// @param seed of all random choices
     /// @param now when the process started
-    node(node_settings settings, instance_id self, incarnation start,
+    node(const node_settings& settings, instance_id self, incarnation start,
          std::uint64_t seed, instant now = {});
     node(const node&) = delete;
     node& operator=(const node&) = delete;
