--- a/src/lovagegate/pool/load_rate.cpp
+++ b/src/lovagegate/pool/load_rate.cpp
@@ -25,7 +25,10 @@
         waited_ += now - last_;
     }
     last_ = now;
-    if (waited_ < sample_time)
+    // Without a single permit the wait measures an outage, not the store.
+    if (permits_ == 0 && waited_ >= forget_after)
+        waited_ = {};
+    if (waited_ < sample_time || permits_ == 0)
         return;
     const double sample = double(permits_) / to_seconds(waited_);
     rate_ = std::max(least_rate, rate_ + sample_share * (sample - rate_));
