Read the store over the gateway's own connections

Each call also cost a connection. Change: the store, peers, orders and reports share short_call on target_pool.

--- a/src/lovagegate/gateway/adapter_desk.cpp
+++ b/src/lovagegate/gateway/adapter_desk.cpp
@@ -16,6 +16,8 @@
 constexpr duration eager_report_interval = 50ms;
 /// Orders and reports are answered in milliseconds.
 constexpr duration call_limit = 700ms;
+/// Reports of engines are a few kilobytes.
+constexpr std::size_t longest_report = std::size_t{256} * 1024;
 /// A datagram may be lost: a question is repeated.
 constexpr duration ask_again = 150ms;
 /// A question without answer: the owner is gone or cut off.
@@ -300,6 +302,7 @@
     state_.counts.add("engine_reports_asked");
     e.report = std::make_unique<short_call>(
         loop_, pool_, request, connection_limit(t->entry.service), call_limit,
+        longest_report,
         [this, id](const short_call::result& r) { on_report(id, r); });
 }
 
@@ -368,6 +371,7 @@
     state_.ownership.on_ordered(id, net::event_loop::now().mono);
     e.orders[number] = std::make_unique<short_call>(
         loop_, pool_, request, connection_limit(t->entry.service), call_limit,
+        longest_report,
         [this, id, number, order](const short_call::result& r) {
             on_order_done(id, number, order, r);
         });
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -33,6 +33,8 @@
 constexpr duration vanish_window = 1s;
 constexpr double vanish_part = 0.25;
 constexpr std::size_t least_vanished = 2;
+constexpr duration pull_limit = 900ms;
+constexpr std::size_t longest_peer_state = std::size_t{8} * 1024 * 1024;
 constexpr const char* state_page = "/peer/state";
 
 /// Time that goes on while the machine is suspended.
@@ -87,8 +89,8 @@
 gateway_daemon::gateway_daemon(boot_settings boot,
                                std::function<boot_settings()> reload)
     : read_settings_(std::move(reload)), random_(std::random_device{}()),
-      state_(make_state(std::move(boot), random_)), client_(loop_),
-      pool_(loop_),
+      state_(make_state(std::move(boot), random_)),
+      pool_(loop_), control_pool_(loop_),
       peers_(loop_, {state_.boot.address, state_.boot.peer_port},
              [this](const settings::endpoint& from, std::string_view data) {
                  on_datagram(from, data);
@@ -148,14 +150,14 @@
                           state_.counts.add("bad_requests", "reason", reason);
                       }},
       operator_reader_(
-          loop_, client_, state_.boot.store,
+          loop_, control_pool_, state_.boot.store,
           std::string(platform_wire::store_key::operator_prefix),
           state_.counts,
           [this](const platform_wire::store_item& item, bool) {
               take_operator_item(item);
           }),
       target_reader_(
-          loop_, client_, state_.boot.store,
+          loop_, control_pool_, state_.boot.store,
           std::string(platform_wire::store_key::targets), state_.counts,
           [this](const platform_wire::store_item& item, bool in_doubt) {
               take_target(item, in_doubt);
@@ -465,6 +467,7 @@
     for (const auto& c : all)
         c->check(now);
     pool_.close_idle(now);
+    control_pool_.close_idle(now);
     state_.targets.expire(now);
     state_.suspects.expire(now);
 }
@@ -486,26 +489,23 @@
     if (best == nullptr)
         return;
     last_pull_ = now;
-    net::client_request request;
-    request.address = best->record.address;
-    request.port = state_.boot.control.port;
-    request.path = state_page;
-    request.connect_timeout = 400ms;
-    request.response_timeout = 800ms;
-    request.body_timeout = 800ms;
-    pulled_.clear();
+    const settings::endpoint peer{best->record.address,
+                                  state_.boot.control.port};
+    target_request request;
+    request.target = "peer " + peer.address;
+    request.address = peer;
+    request.head = platform_wire::write_get_head(to_string(peer), state_page);
     state_.counts.add("peer_state_pulls");
-    net::call_events events;
-    events.on_data = [this](std::string_view data) { pulled_.append(data); };
-    events.on_complete = [this] {
-        pull_.reset();
-        take_peer_state(pulled_);
-    };
-    events.on_failed = [this](net::call_failure) {
-        pull_.reset();
-        state_.counts.add("peer_state_pulls_failed");
-    };
-    pull_ = client_.send(std::move(request), std::move(events));
+    pull_ = std::make_unique<short_call>(
+        loop_, control_pool_, request, 2, pull_limit, longest_peer_state,
+        [this](const short_call::result& r) {
+            loop_.call_later(duration::zero(), [this] { pull_.reset(); });
+            constexpr int ok = 200;
+            if (r.status == ok)
+                take_peer_state(r.body);
+            else
+                state_.counts.add("peer_state_pulls_failed");
+        });
 }
 
 std::string gateway_daemon::peer_state() const
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -7,7 +7,6 @@
 #include "lovagegate/gateway/gateway_state.hpp"
 #include "lovagegate/gateway/store_reader.hpp"
 #include "lovagegate/metrics/registry.hpp"
-#include "lovagegate/net/http_client.hpp"
 #include "lovagegate/net/http_server.hpp"
 #include "lovagegate/net/tcp_stream.hpp"
 
@@ -71,8 +70,8 @@
     std::function<boot_settings()> read_settings_;
     std::mt19937_64 random_;
     gateway_state state_;
-    net::http_client client_;
     target_pool pool_;
+    target_pool control_pool_; ///< to the store and to other instances
     net::datagram_socket peers_;
     adapter_desk adapters_;
     metrics::registry metrics_;
@@ -88,8 +87,7 @@
     std::unique_ptr<net::http_server> metrics_server_;
     store_reader operator_reader_;
     store_reader target_reader_;
-    net::http_call_ptr pull_;
-    std::string pulled_;
+    std::unique_ptr<short_call> pull_;
     time_point last_pull_{};
     time_point last_tick_{};
     time_point stop_since_{};
--- a/src/lovagegate/gateway/short_call.cpp
+++ b/src/lovagegate/gateway/short_call.cpp
@@ -2,17 +2,11 @@
 
 namespace lovagegate::gateway {
 
-namespace {
-
-/// Reports of engines are a few kilobytes.
-constexpr std::size_t longest_answer = std::size_t{256} * 1024;
-
-} // namespace
-
 short_call::short_call(net::event_loop& loop, target_pool& pool,
                        const target_request& request, std::size_t limit,
-                       duration time_limit, done_handler done)
-    : loop_(loop), done_(std::move(done))
+                       duration time_limit, std::size_t size_limit,
+                       done_handler done)
+    : loop_(loop), done_(std::move(done)), size_limit_(size_limit)
 {
     call_ = pool.send(request, limit, *this);
     if (!call_) {
@@ -39,8 +33,13 @@
 
 bool short_call::on_answer_body(std::string_view part)
 {
-    if (result_.body.size() + part.size() <= longest_answer)
-        result_.body.append(part);
+    if (result_.body.size() + part.size() > size_limit_) {
+        result_.status = 0;
+        result_.failure = call_failure::not_an_answer;
+        finish();
+        return false;
+    }
+    result_.body.append(part);
     return true;
 }
 
--- a/src/lovagegate/gateway/short_call.hpp
+++ b/src/lovagegate/gateway/short_call.hpp
@@ -25,10 +25,11 @@
 
     /// @param limit most connections to the target
     /// @param time_limit to the whole answer
+    /// @param size_limit longer answers are cut and count as failed
     /// @param done runs once, later, unless the call is destroyed before
     short_call(net::event_loop& loop, target_pool& pool,
                const target_request& request, std::size_t limit,
-               duration time_limit, done_handler done);
+               duration time_limit, std::size_t size_limit, done_handler done);
     ~short_call();
     short_call(const short_call&) = delete;
     short_call& operator=(const short_call&) = delete;
@@ -43,6 +44,7 @@
     net::event_loop& loop_;
     done_handler done_;
     result result_;
+    std::size_t size_limit_;
     net::timer_id timer_ = 0;
     std::unique_ptr<target_call> call_;
 };
--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -1,6 +1,7 @@
 #include "lovagegate/gateway/store_reader.hpp"
 
 #include "lovagegate/logging/log.hpp"
+#include "platform/http_fields.hpp"
 
 #include <algorithm>
 
@@ -12,15 +13,18 @@
 constexpr int gone_status = 410;
 /// The store answers a read in milliseconds; slow ones take seconds.
 constexpr duration read_limit = 2500ms;
-constexpr duration connect_limit = 500ms;
+/// A page holds at most a megabyte of values, in base64.
+constexpr std::size_t longest_answer = std::size_t{4} * 1024 * 1024;
+/// One for each prefix, and one that is being given up.
+constexpr std::size_t connections = 8;
 
 } // namespace
 
-store_reader::store_reader(net::event_loop& loop, net::http_client& client,
+store_reader::store_reader(net::event_loop& loop, target_pool& pool,
                            settings::endpoint store, std::string prefix,
                            counters& counts, item_handler on_item,
                            store_settings settings)
-    : loop_(loop), client_(client), store_(std::move(store)),
+    : loop_(loop), pool_(pool), store_(std::move(store)),
       prefix_(std::move(prefix)), counts_(counts),
       on_item_(std::move(on_item)), settings_(settings)
 {
@@ -30,8 +34,6 @@
 {
     if (timer_ != 0)
         loop_.cancel(timer_);
-    if (call_)
-        call_->cancel();
 }
 
 void store_reader::start()
@@ -53,45 +55,28 @@
            now - last_failure_ < settings_.doubt;
 }
 
-void store_reader::call(
-    const std::string& path, duration limit,
-    std::function<void(int status, const std::string& body)> done)
+void store_reader::call(const std::string& path, duration limit,
+                        void (store_reader::*done)(int, const std::string&))
 {
-    net::client_request request;
-    request.address = store_.address;
-    request.port = store_.port;
-    request.path = path;
-    request.headers = {{"host", to_string(store_)}};
-    request.connect_timeout = connect_limit;
-    request.response_timeout = limit;
-    request.body_timeout = read_limit;
+    target_request request;
+    request.target = "store";
+    request.address = store_;
+    request.head = platform_wire::write_get_head(to_string(store_), path);
     counts_.add("store_calls");
-    body_.clear();
-    auto status = std::make_shared<int>(0);
-    net::call_events events;
-    events.on_response = [status](const net::response_head& head) {
-        *status = head.status;
+    auto finished = [this, done](const short_call::result& r) {
+        // The call is destroyed when the next one begins.
+        (this->*done)(r.status, r.body);
     };
-    events.on_data = [this](std::string_view data) { body_.append(data); };
-    events.on_complete = [this, status, done] {
-        call_.reset();
-        const std::string body = std::move(body_);
-        done(*status, body);
-    };
-    events.on_failed = [this, done](net::call_failure) {
-        call_.reset();
-        done(0, {});
-    };
-    call_ = client_.send(std::move(request), std::move(events));
+    call_ = std::make_unique<short_call>(loop_, pool_, request, connections,
+                                         limit, longest_answer,
+                                         std::move(finished));
 }
 
 void store_reader::read_page()
 {
     const std::string after = pages_.empty() ? "" : pages_.rbegin()->first;
     call(platform_wire::range_path(prefix_, after), read_limit,
-         [this](int status, const std::string& body) {
-             on_page(status, body);
-         });
+         &store_reader::on_page);
 }
 
 void store_reader::on_page(int status, const std::string& body)
@@ -118,14 +103,14 @@
     for (auto& item : reply.items)
         pages_.insert_or_assign(item.key, std::move(item));
     if (reply.more_pages && !stuck) {
-        read_page();
+        again(duration::zero(), true);
         return;
     }
     const auto all = std::move(pages_);
     pages_.clear();
     apply_all(all, pages_revision_);
     on_failure(ok_status);
-    watch();
+    again(duration::zero(), false);
 }
 
 void store_reader::apply_all(
@@ -173,9 +158,7 @@
 {
     call(platform_wire::watch_path(prefix_, revision_, settings_.watch_wait),
          settings_.watch_wait + settings_.answer_limit,
-         [this](int status, const std::string& body) {
-             on_watch(status, body);
-         });
+         &store_reader::on_watch);
 }
 
 void store_reader::on_watch(int status, const std::string& body)
--- a/src/lovagegate/gateway/store_reader.hpp
+++ b/src/lovagegate/gateway/store_reader.hpp
@@ -2,8 +2,8 @@
 #define LOVAGEGATE_GATEWAY_STORE_READER_HPP
 
 #include "lovagegate/core/counters.hpp"
+#include "lovagegate/gateway/short_call.hpp"
 #include "lovagegate/net/event_loop.hpp"
-#include "lovagegate/net/http_client.hpp"
 #include "lovagegate/settings/endpoint.hpp"
 #include "platform/published.hpp"
 
@@ -39,7 +39,7 @@
     using item_handler = std::function<void(
         const platform_wire::store_item& item, bool in_doubt)>;
 
-    store_reader(net::event_loop& loop, net::http_client& client,
+    store_reader(net::event_loop& loop, target_pool& pool,
                  settings::endpoint store, std::string prefix,
                  counters& counts, item_handler on_item,
                  store_settings settings = {});
@@ -69,7 +69,7 @@
 
 private:
     void call(const std::string& path, duration limit,
-              std::function<void(int status, const std::string& body)> done);
+              void (store_reader::*done)(int, const std::string&));
     void read_page();
     void on_page(int status, const std::string& body);
     void watch();
@@ -82,7 +82,7 @@
     [[nodiscard]] bool in_doubt(time_point now) const;
 
     net::event_loop& loop_;
-    net::http_client& client_;
+    target_pool& pool_;
     settings::endpoint store_;
     std::string prefix_;
     counters& counts_;
@@ -97,8 +97,7 @@
     time_point started_{};
     duration back_off_{};
     net::timer_id timer_ = 0;
-    net::http_call_ptr call_;
-    std::string body_;
+    std::unique_ptr<short_call> call_;
     bool failing_ = false;
     bool in_contact_ = false;
 };
