--- a/src/lovagegate/gateway/member_table.cpp
+++ b/src/lovagegate/gateway/member_table.cpp
@@ -91,8 +91,8 @@
 
 void member_table::add_records(outgoing& out, time_point now)
 {
-    if (members_.size() <= settings_.fan_out)
-        return;
+    // Also where all get this directly: those that no seed names are only
+    // known from others.
     std::vector<const member*> live;
     for (const auto& [address, m] : members_)
         if (now - m.heard <= silence())
--- a/src/lovagegate/gateway/member_table.hpp
+++ b/src/lovagegate/gateway/member_table.hpp
@@ -20,7 +20,7 @@
     duration interval = 400ms;
     /// Each heartbeat goes to at most so many members.
     std::size_t fan_out = 8;
-    /// Records of others in a heartbeat, once not all get it directly.
+    /// Records of others in a heartbeat.
     std::size_t passed_on = 20;
     /// Silence after which a member that sends here directly is not counted:
     /// three heartbeats, one of which may be lost.
