--- a/src/lovagegate/gateway/adapter_desk.cpp
+++ b/src/lovagegate/gateway/adapter_desk.cpp
@@ -171,10 +171,10 @@
     }
     kept_engine& e = it->second;
     const auto status = e.keeper.want(ask.wanted, now);
-    const auto resident =
-        e.keeper.resident(ask.wanted.model, ask.wanted.adapter);
     if (status != adapter_status::loading) {
-        reply(w, ask.engine, status, resident.value_or(0));
+        const auto held = e.keeper.look_up(ask.wanted.model,
+                                           ask.wanted.adapter, now);
+        reply(w, ask.engine, status, held.version);
         return;
     }
     const bool known = std::ranges::any_of(e.waiters, [&](const waiter& o) {
@@ -229,20 +229,22 @@
 void adapter_desk::serve_waiters(kept_engine& e, const std::string& id,
                                  time_point now)
 {
-    std::vector<std::pair<waiter, std::uint64_t>> served;
+    std::vector<std::pair<waiter, engine_keeper::standing>> served;
     std::vector<waiter> expired;
     std::erase_if(e.waiters, [&](const waiter& w) {
-        const auto v = e.keeper.resident(w.wanted.model, w.wanted.adapter);
-        if (v && *v >= w.wanted.version) {
-            served.emplace_back(w, *v);
+        const auto held =
+            e.keeper.look_up(w.wanted.model, w.wanted.adapter, now);
+        if (held.status != adapter_status::loading &&
+            held.version >= w.wanted.version) {
+            served.emplace_back(w, held);
             return true;
         }
         if (now > w.until)
             expired.push_back(w);
         return now > w.until;
     });
-    for (const auto& [w, version] : served)
-        reply(w, id, adapter_status::resident, version);
+    for (const auto& [w, held] : served)
+        reply(w, id, held.status, held.version);
     for (const auto& w : expired)
         reply(w, id, adapter_status::refused, 0);
 }
@@ -347,6 +349,29 @@
         give_order(id, e, order);
     if (e.keeper.awaits_change(now))
         e.next_report = std::min(e.next_report, now + eager_report_interval);
+    wake_when_ready(id, e, now);
+}
+
+void adapter_desk::wake_when_ready(const std::string& id, kept_engine& e,
+                                   time_point now)
+{
+    const auto ready = e.keeper.next_ready();
+    if (!ready || *ready <= now || e.waiters.empty() || e.wake == *ready)
+        return;
+    e.wake = *ready;
+    loop_.call_later(*ready - now, [this, id] {
+        const auto it = kept_.find(id);
+        if (it != kept_.end())
+            work(id, it->second, net::event_loop::now().mono);
+    });
+}
+
+void adapter_desk::on_too_early(const std::string& engine,
+                                const std::string& adapter)
+{
+    const auto it = kept_.find(engine);
+    if (it != kept_.end())
+        it->second.keeper.on_too_early(adapter, net::event_loop::now().mono);
 }
 
 void adapter_desk::give_order(const std::string& id, kept_engine& e,
--- a/src/lovagegate/gateway/adapter_desk.hpp
+++ b/src/lovagegate/gateway/adapter_desk.hpp
@@ -40,6 +40,9 @@
     /// A request runs on the adapter; owners don't evict what is used.
     void note_use(const std::string& engine, const std::string& adapter);
 
+    /// A request came back since its adapter was not there yet.
+    void on_too_early(const std::string& engine, const std::string& adapter);
+
     void on_message(const std::string& from, const adapter_ask& ask);
     void on_message(const std::string& from, const adapter_answer& answer);
     void on_message(const std::string& from, const adapter_use& use);
@@ -79,6 +82,7 @@
         std::unique_ptr<short_call> report;
         std::map<std::uint64_t, std::unique_ptr<short_call>> orders;
         time_point next_report{};
+        time_point wake{}; ///< when a load should be over, once asked for
         std::int64_t started_ms = 0;
     };
 
@@ -95,6 +99,8 @@
     void poll(const std::string& id, kept_engine& e, time_point now);
     void on_report(const std::string& id, const short_call::result& r);
     void work(const std::string& id, kept_engine& e, time_point now);
+    void wake_when_ready(const std::string& id, kept_engine& e,
+                         time_point now);
     void give_order(const std::string& id, kept_engine& e,
                     const engine_order& order);
     void on_order_done(const std::string& id, std::uint64_t number,
--- a/src/lovagegate/gateway/caller_connection.cpp
+++ b/src/lovagegate/gateway/caller_connection.cpp
@@ -161,6 +161,8 @@
         return;
     if (chunked_)
         stream_.write("0\r\n\r\n");
+    // A stop may have begun since the head was sent.
+    close_after_ = close_after_ || context_.closing();
     finish_answer();
 }
 
--- a/src/lovagegate/gateway/engine_keeper.cpp
+++ b/src/lovagegate/gateway/engine_keeper.cpp
@@ -10,9 +10,8 @@
 
 namespace {
 
-/// Loads to one engine at once; engines take four, and loads over all engines
-/// slow each other down.
-constexpr std::size_t loads_at_once = 3;
+/// Loads to one engine at once: engines take no more.
+constexpr std::size_t loads_at_once = 4;
 /// Reports are some hundred milliseconds old: a younger order may not show.
 constexpr duration report_lag = 400ms;
 /// A load that neither shows as resident nor as under way has failed.
@@ -21,6 +20,10 @@
 constexpr duration want_timeout = 2s;
 /// An adapter used this lately has requests on the engine.
 constexpr duration in_use = 1500ms;
+/// Age of what a report says.
+constexpr duration report_age = 100ms;
+/// Copies that an engine is taken to keep of adapters that left it.
+constexpr std::size_t kept_copies = 120;
 /// Between two orders to load the same base model.
 constexpr duration model_order_pause = 3s;
 constexpr std::uint64_t model_hash_seed = 0x6d6f64;
@@ -114,7 +117,7 @@
             const auto key = adapter_name(m.name, name);
             const auto [it, added] = places_.emplace(
                 key, place{place_state::resident, version, now - report_lag,
-                           now - in_use, false});
+                           now - in_use, false, false, now});
             place& p = it->second;
             if (added)
                 continue;
@@ -123,8 +126,10 @@
                 continue;
             if (p.replacing && version > p.version)
                 p.replacing = false;
-            if (p.state == place_state::loading)
+            if (p.state == place_state::loading) {
                 p.last_use = now;
+                loads_.on_within(p.was_held, now - report_age - p.since);
+            }
             p.version = version;
             p.state = place_state::resident;
         }
@@ -146,10 +151,13 @@
     std::erase_if(places_, [&](const auto& entry) {
         const place& p = entry.second;
         const duration age = now - p.since;
-        if (is_reported(entry.first))
+        if (is_reported(entry.first) ||
+            age <= (p.state == place_state::loading ? load_timeout
+                                                    : report_lag))
             return false;
-        return age >
-               (p.state == place_state::loading ? load_timeout : report_lag);
+        if (p.state == place_state::unloading)
+            note_left(entry.first);
+        return true;
     });
     for (auto& [key, p] : places_)
         if (p.replacing && now - p.since > load_timeout)
@@ -162,8 +170,13 @@
     take_resident(report, now);
     for (const auto& text : report.in_transit) {
         const auto [key, version] = split_version(text);
-        places_.emplace(std::string(key), place{place_state::loading, version,
-                                                now, now, false});
+        const auto [it, added] = places_.emplace(
+            std::string(key),
+            place{place_state::loading, version, now, now, false, false,
+                  now + loads_.expected(false)});
+        const place& p = it->second;
+        if (!added && p.state == place_state::loading)
+            loads_.on_longer_than(p.was_held, now - report_age - p.since);
     }
     drop_missing(report, now);
     reported_ = true;
@@ -175,13 +188,50 @@
     known = std::max(known, release.version);
 }
 
-std::optional<std::uint64_t>
-engine_keeper::resident(std::string_view model, std::string_view adapter) const
+engine_keeper::standing engine_keeper::look_up(std::string_view model,
+                                               std::string_view adapter,
+                                               time_point now) const
 {
     const auto it = places_.find(adapter_name(model, adapter));
-    if (it == places_.end() || it->second.state != place_state::resident)
-        return std::nullopt;
-    return it->second.version;
+    if (it == places_.end() || it->second.state == place_state::unloading)
+        return {};
+    const place& p = it->second;
+    if (p.state == place_state::resident)
+        return {adapter_status::resident, p.version};
+    if (now < p.ready_at)
+        return {};
+    return {adapter_status::expected, p.version};
+}
+
+std::optional<time_point> engine_keeper::next_ready() const
+{
+    std::optional<time_point> next;
+    for (const auto& [name, p] : places_)
+        if (p.state == place_state::loading && (!next || p.ready_at < *next))
+            next = p.ready_at;
+    return next;
+}
+
+void engine_keeper::on_too_early(std::string_view name, time_point now)
+{
+    const auto it = places_.find(name);
+    if (it == places_.end() || it->second.state != place_state::loading ||
+        now < it->second.ready_at)
+        return;
+    loads_.on_longer_than(it->second.was_held, now - it->second.since);
+}
+
+void engine_keeper::note_left(const std::string& name)
+{
+    std::erase(left_, name);
+    left_.push_front(name);
+    if (left_.size() > kept_copies)
+        left_.pop_back();
+}
+
+bool engine_keeper::was_held(std::string_view name) const
+{
+    return std::ranges::find(left_, name) != left_.end();
 }
 
 adapter_status engine_keeper::want(const adapter_ref& wanted, time_point now)
@@ -191,10 +241,11 @@
     if (it != places_.end()) {
         place& p = it->second;
         p.last_use = now;
-        if (p.state == place_state::loading)
-            return adapter_status::loading;
         const bool right =
             wanted.version == 0 || p.version == wanted.version;
+        if (p.state == place_state::loading)
+            return now >= p.ready_at && right ? adapter_status::expected
+                                              : adapter_status::loading;
         if (p.state == place_state::resident && right)
             return adapter_status::resident;
         if (p.state == place_state::resident && p.version > wanted.version)
@@ -273,9 +324,10 @@
 void engine_keeper::plan_wants(time_point now, std::vector<engine_order>& out)
 {
     std::erase_if(wants_, [&](const pending_want& w) {
-        const auto have = resident(w.wanted.model, w.wanted.adapter);
+        const auto have = look_up(w.wanted.model, w.wanted.adapter, now);
         return now - w.since > want_timeout ||
-               (have && *have >= w.wanted.version);
+               (have.status == adapter_status::resident &&
+                have.version >= w.wanted.version);
     });
     while (!wants_.empty() && in_transit() < loads_at_once) {
         const adapter_ref w = wants_.front().wanted;
@@ -294,13 +346,18 @@
             wants_.pop_front();
             continue;
         }
+        const auto version = std::max(w.version, newest(key));
         place& p = places_[key];
         const bool held = p.state == place_state::resident;
         p.replacing = held;
+        if (!held) {
+            p.version = version;
+            p.was_held = was_held(key);
+            p.ready_at = now + loads_.expected(p.was_held);
+        }
         p.since = now;
         p.last_use = now;
-        out.push_back({true, w.model, w.adapter,
-                       std::max(w.version, newest(key))});
+        out.push_back({true, w.model, w.adapter, version});
         wants_.pop_front();
     }
 }
@@ -338,6 +395,11 @@
     if (it == places_.end())
         return;
     place& p = it->second;
+    if (outcome == order_outcome::accepted && order.load &&
+        p.state == place_state::loading) {
+        p.since = now;
+        p.ready_at = now + loads_.expected(p.was_held);
+    }
     if (outcome == order_outcome::accepted ||
         outcome == order_outcome::unknown)
         return; // the report tells the rest
@@ -347,6 +409,7 @@
         return;
     }
     if (!order.load && outcome == order_outcome::already) {
+        note_left(it->first);
         places_.erase(it);
         return;
     }
--- a/src/lovagegate/gateway/engine_keeper.hpp
+++ b/src/lovagegate/gateway/engine_keeper.hpp
@@ -2,6 +2,7 @@
 #define LOVAGEGATE_GATEWAY_ENGINE_KEEPER_HPP
 
 #include "lovagegate/core/time.hpp"
+#include "lovagegate/gateway/load_estimate.hpp"
 #include "lovagegate/gateway/peer_messages.hpp"
 #include "lovagegate/gateway/site_config.hpp"
 
@@ -61,9 +62,23 @@
     /// @param name MODEL/NAME
     void on_use(std::string_view name, time_point now);
 
-    /// @return the version that is resident
-    [[nodiscard]] std::optional<std::uint64_t>
-    resident(std::string_view model, std::string_view adapter) const;
+    /// Where an adapter stands.
+    struct standing
+    {
+        adapter_status status = adapter_status::loading;
+        std::uint64_t version = 0;
+    };
+
+    /// @return whether requests may be sent, and on which version they run
+    [[nodiscard]] standing look_up(std::string_view model,
+                                   std::string_view adapter,
+                                   time_point now) const;
+
+    /// @return when the next load should be over, if one is under way
+    [[nodiscard]] std::optional<time_point> next_ready() const;
+
+    /// A request came back since its adapter was not there yet.
+    void on_too_early(std::string_view name, time_point now);
 
     /// @return the next orders, which must be given now
     [[nodiscard]] std::vector<engine_order> plan(time_point now);
@@ -105,6 +120,8 @@
         time_point since{};    ///< of the last order
         time_point last_use{};
         bool replacing = false; ///< a newer version is under way
+        bool was_held = false;  ///< the engine may have kept a copy
+        time_point ready_at{};  ///< by estimate, while it is loading
     };
 
     struct pending_want
@@ -113,6 +130,8 @@
         time_point since{};
     };
 
+    void note_left(const std::string& name);
+    [[nodiscard]] bool was_held(std::string_view name) const;
     void take_resident(const engine_report& report, time_point now);
     void drop_missing(const engine_report& report, time_point now);
     void plan_model(std::string_view wanted, time_point now,
@@ -133,6 +152,9 @@
     std::map<std::string, std::uint64_t, std::less<>> releases_;
     std::deque<pending_want> wants_;
     std::map<std::string, time_point, std::less<>> model_ordered_;
+    load_estimate loads_;
+    /// Adapters that left the engine, the last one first: it may keep copies.
+    std::deque<std::string> left_;
 };
 
 /// @return MODEL/NAME
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -42,6 +42,8 @@
 constexpr duration least_slow_answer = 150ms;
 /// Engines above this load are slow without being faulty.
 constexpr double busy_load = 0.9;
+/// Until a request is sent again whose adapter was expected too early.
+constexpr duration too_early_pause = 45ms;
 /// Callers that were refused come back when a slot may be free.
 constexpr duration refusal_pause = 700ms;
 constexpr duration startup_pause = 300ms;
@@ -220,7 +222,9 @@
                 return;
             ask_ = 0;
             const time_point now = net::event_loop::now().mono;
-            if (status == adapter_status::resident) {
+            if (status == adapter_status::resident ||
+                status == adapter_status::expected) {
+                expected_ = status == adapter_status::expected;
                 context_.state.places.on_resident(target, adapter_, held, now);
                 send(target);
                 return;
@@ -460,6 +464,17 @@
     } else if (answer_.status == misdirected) {
         s.places.on_unreachable(target_, now);
         excluded_.push_back(target_);
+    } else if (expected_ && sends_ < most_sends) {
+        // The adapter takes longer than its owner thought.
+        s.counts.add("sends_too_early");
+        context_.adapters.on_too_early(target_, adapter_);
+        const auto alive = alive_;
+        context_.loop.call_later(
+            too_early_pause, [this, alive, target = target_] {
+                if (*alive && !done_)
+                    send(target);
+            });
+        return;
     } else {
         s.places.on_full(target_, now);
         excluded_.push_back(target_);
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -106,6 +106,7 @@
     std::uint32_t sends_ = 0;   ///< requests that may have reached a target
     std::uint32_t runs_ = 0;    ///< of those, not known as not run
     double load_at_choice_ = 0;
+    bool expected_ = false;     ///< the adapter was not reported yet
     bool rejected_ = false;     ///< the answer says that it has not run
     bool discarding_ = false;   ///< a failure that is tried again
     bool head_sent_ = false;    ///< the caller has got a head
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -461,6 +461,8 @@
 void gateway_daemon::look_at_connections()
 {
     const time_point now = net::event_loop::now().mono;
+    if (state_.stopping && now - stop_since_ > out_of_rotation)
+        take_no_more();
     std::vector<caller_ptr> all;
     for (const auto& [p, c] : callers_)
         all.push_back(c);
@@ -472,6 +474,17 @@
     state_.suspects.expire(now);
 }
 
+void gateway_daemon::take_no_more()
+{
+    listener_.reset();
+    std::vector<caller_ptr> idle;
+    for (const auto& [p, c] : callers_)
+        if (c->is_idle())
+            idle.push_back(c);
+    for (const auto& c : idle)
+        c->close();
+}
+
 void gateway_daemon::pull_from_peer(time_point now)
 {
     const duration silent = std::max(operator_reader_.out_of_contact(now),
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -53,6 +53,8 @@
     void beat();
     void tick();
     void look_at_connections();
+    /// Closes what carries no request: the platform sends callers elsewhere.
+    void take_no_more();
     void pull_from_peer(time_point now);
     void take_peer_state(const std::string& body);
     [[nodiscard]] std::string peer_state() const;
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -63,6 +63,7 @@
 enum class adapter_status : std::uint8_t
 {
     resident, ///< requests may be sent
+    expected, ///< the load should be over by now, though no report says so
     loading,  ///< another answer follows
     refused,  ///< no room, or the instance doesn't order the engine
 };
