Leave a silent stream only for a target that serves at once

Change: silence moves a request only if another target holds the adapter and isn't busy; the line of an answer says when it was sent, when it began and how long its longest pause was.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -47,6 +47,7 @@
 /// Callers that were refused come back when a slot may be free.
 constexpr duration refusal_pause = 700ms;
 constexpr duration startup_pause = 300ms;
+constexpr double whole_percent = 100;
 /// Lowest urgency that engines know.
 constexpr std::uint32_t lowest_priority = 9;
 
@@ -100,6 +101,24 @@
          {"reason", reason}});
 }
 
+void forwarding::log_answer() const
+{
+    logging::write(
+        logging::level::info, "answered",
+        {{"request", facts_.attempt_id},
+         {"route", route_->name},
+         {"target", target_},
+         {"status", static_cast<std::uint64_t>(answer_.status)},
+         {"sends", std::uint64_t{sends_}},
+         {"sent_ms", static_cast<std::uint64_t>(to_ms(sent_after_))},
+         {"first_ms", static_cast<std::uint64_t>(to_ms(first_byte_))},
+         {"gap_ms", static_cast<std::uint64_t>(to_ms(longest_gap_))},
+         {"ms", static_cast<std::uint64_t>(to_ms(elapsed()))},
+         {"load_percent",
+          static_cast<std::uint64_t>(load_at_choice_ * whole_percent)},
+         {"config", context_.state.routes.version()}});
+}
+
 void forwarding::start()
 {
     watch_caller();
@@ -169,6 +188,21 @@
     return route_->services.back().service;
 }
 
+placement_request forwarding::placement_needs(time_point now) const
+{
+    placement_request wanted;
+    wanted.service = service_;
+    wanted.first_part = facts_.first_part;
+    wanted.excluded = excluded_;
+    if (facts_.model.empty())
+        return wanted;
+    std::uint64_t version = facts_.version;
+    if (version == 0 && !adapter_.empty())
+        version = context_.state.releases.newest(adapter_, true, now);
+    wanted.adapter = adapter_ref{facts_.model, facts_.adapter, version};
+    return wanted;
+}
+
 void forwarding::try_next()
 {
     gateway_state& s = context_.state;
@@ -177,16 +211,7 @@
         refuse("no time left");
         return;
     }
-    placement_request wanted;
-    wanted.service = service_;
-    wanted.first_part = facts_.first_part;
-    wanted.excluded = excluded_;
-    if (!facts_.model.empty()) {
-        std::uint64_t version = facts_.version;
-        if (version == 0 && !adapter_.empty())
-            version = s.releases.newest(adapter_, true, now);
-        wanted.adapter = adapter_ref{facts_.model, facts_.adapter, version};
-    }
+    const placement_request wanted = placement_needs(now);
     const auto candidates = s.targets.usable(service_, now);
     const auto choice =
         s.places.choose(wanted, candidates, s.members.count(now), now);
@@ -303,6 +328,8 @@
     s.places.on_sent(target, now.mono);
     if (!adapter_.empty())
         context_.adapters.note_use(target, adapter_);
+    if (sends_ == 1)
+        sent_after_ = elapsed();
     silent_since_ = now.mono;
     log("sent", head_sent_ ? "resume" : (sends_ > 1 ? "again" : "first"));
     arm_timer();
@@ -389,8 +416,12 @@
     const std::string_view whole = events_.add(data);
     if (whole.empty())
         return;
+    const time_point now = net::event_loop::now().mono;
     if (!head_sent_)
         deliver_head(answer_, false);
+    else
+        longest_gap_ = std::max(longest_gap_, now - last_event_);
+    last_event_ = now;
     caller_->send_body(whole);
     if (caller_->unsent() < pause_bytes || paused_ || !call_)
         return;
@@ -432,7 +463,7 @@
         deliver_whole();
     }
     s.counts.add("answers", "status", std::to_string(answer_.status));
-    log("answered", std::to_string(answer_.status));
+    log_answer();
     if (context_.on_times)
         context_.on_times(*route_, first_byte_, elapsed());
     finish("answered");
@@ -634,6 +665,19 @@
         arm_timer();
 }
 
+bool forwarding::has_alternative(time_point now)
+{
+    auto excluded = excluded_;
+    excluded.push_back(target_);
+    placement_request wanted = placement_needs(now);
+    wanted.excluded = excluded;
+    const gateway_state& s = context_.state;
+    const auto choice =
+        context_.state.places.choose(wanted, s.targets.usable(service_, now),
+                                     s.members.count(now), now);
+    return choice && choice->resident && choice->load < busy_load;
+}
+
 void forwarding::on_silence(time_point now)
 {
     const duration silent = now - silent_since_;
@@ -648,7 +692,7 @@
                              route_->latency_objective *
                              slow_answer_objectives));
     }
-    if (silent < limit || !may_run_again())
+    if (silent < limit || !may_run_again() || !has_alternative(now))
         return;
     context_.state.counts.add("sends_failed", "reason", "silent");
     log("send_failed", "silent");
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -78,6 +78,10 @@
     void arm_timer();
     void on_timer();
     void on_silence(time_point now);
+    /// @return whether another target would serve at once
+    [[nodiscard]] bool has_alternative(time_point now);
+    [[nodiscard]] placement_request placement_needs(time_point now) const;
+    void log_answer() const;
     void watch_caller();
     [[nodiscard]] bool is_stream() const noexcept;
     [[nodiscard]] bool may_repeat() const noexcept;
@@ -114,7 +118,10 @@
     bool streaming_out_ = false;
     bool paused_ = false;
     bool done_ = false;
-    duration first_byte_{};
+    duration first_byte_{};  ///< since the request was whole
+    duration sent_after_{};  ///< first send, since the request was whole
+    duration longest_gap_{}; ///< between two deliveries of events
+    time_point last_event_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
