Evict only adapters without open requests; pause after a refused order

Change: instances tell owners what their open requests run on; a refused order pauses the engine's orders for 120 ms. Placement weighs crowding, event pace and how often an adapter is asked for.

--- a/src/lovagegate/gateway/adapter_desk.cpp
+++ b/src/lovagegate/gateway/adapter_desk.cpp
@@ -18,6 +18,8 @@
 constexpr duration call_limit = 700ms;
 /// Reports of engines are a few kilobytes.
 constexpr std::size_t longest_report = std::size_t{256} * 1024;
+/// Enough to see why an order was refused.
+constexpr std::size_t logged_answer_bytes = 80;
 /// A datagram may be lost: a question is repeated.
 constexpr duration ask_again = 150ms;
 /// A question without answer: the owner is gone or cut off.
@@ -138,16 +140,30 @@
 void adapter_desk::note_use(const std::string& engine,
                             const std::string& adapter)
 {
-    uses_[engine][adapter] = true;
+    ++uses_[engine][adapter];
+}
+
+void adapter_desk::note_done(const std::string& engine,
+                             const std::string& adapter)
+{
+    const auto on_engine = uses_.find(engine);
+    if (on_engine == uses_.end())
+        return;
+    const auto it = on_engine->second.find(adapter);
+    if (it != on_engine->second.end() && it->second > 0)
+        --it->second;
 }
 
 void adapter_desk::flush_uses()
 {
     const time_point now = net::event_loop::now().mono;
-    for (const auto& [engine, adapters] : uses_) {
+    for (auto& [engine, adapters] : uses_) {
         adapter_use use{engine, {}};
-        for (const auto& [name, used] : adapters)
+        for (const auto& [name, open] : adapters)
             use.adapters.push_back(name);
+        std::erase_if(adapters, [](const auto& a) { return a.second == 0; });
+        if (use.adapters.empty())
+            continue;
         if (state_.ownership.find(engine)) {
             on_message({}, use);
             continue;
@@ -157,7 +173,7 @@
         if (owner)
             send_(*owner, use);
     }
-    uses_.clear();
+    std::erase_if(uses_, [](const auto& u) { return u.second.empty(); });
 }
 
 void adapter_desk::on_message(const std::string& from, const adapter_ask& ask)
@@ -416,7 +432,10 @@
                     {"adapter", order.adapter},
                     {"version", order.version},
                     {"token", owned ? owned->token : 0},
-                    {"outcome", to_string(outcome)}});
+                    {"outcome", to_string(outcome)},
+                    {"status", static_cast<std::uint64_t>(r.status)},
+                    {"answer", std::string_view(r.body).substr(
+                                   0, logged_answer_bytes)}});
     state_.counts.add("orders_done", "outcome", to_string(outcome));
     const auto it = kept_.find(id);
     if (it == kept_.end())
--- a/src/lovagegate/gateway/adapter_desk.hpp
+++ b/src/lovagegate/gateway/adapter_desk.hpp
@@ -37,8 +37,10 @@
 
     void cancel(std::uint64_t number);
 
-    /// A request runs on the adapter; owners don't evict what is used.
+    /// A request was sent to run on an adapter; owners don't evict what is
+    /// used. Each call is paired with one of note_done().
     void note_use(const std::string& engine, const std::string& adapter);
+    void note_done(const std::string& engine, const std::string& adapter);
 
     /// A request came back since its adapter was not there yet.
     void on_too_early(const std::string& engine, const std::string& adapter);
@@ -123,7 +125,9 @@
     peer_sender send_;
     std::map<std::string, kept_engine> kept_;
     std::map<std::uint64_t, open_ask> asks_;
-    std::map<std::string, std::map<std::string, bool>> uses_;
+    /// Requests of this instance on each adapter of each engine; those that
+    /// ended stay with zero until the owner was told once more.
+    std::map<std::string, std::map<std::string, std::uint32_t>> uses_;
     std::uint64_t last_number_ = 0;
     time_point last_use_flush_{};
     time_point last_update_{};
--- a/src/lovagegate/gateway/engine_keeper.cpp
+++ b/src/lovagegate/gateway/engine_keeper.cpp
@@ -22,6 +22,8 @@
 constexpr duration in_use = 1500ms;
 /// Age of what a report says.
 constexpr duration report_age = 100ms;
+/// After a refused order: until a report tells why, or an unload has ended.
+constexpr duration order_pause = 120ms;
 /// Copies that an engine is taken to keep of adapters that left it.
 constexpr std::size_t kept_copies = 120;
 /// Between two orders to load the same base model.
@@ -116,8 +118,8 @@
             const auto [name, version] = split_version(text);
             const auto key = adapter_name(m.name, name);
             const auto [it, added] = places_.emplace(
-                key, place{place_state::resident, version, now - report_lag,
-                           now - in_use, false, false, now});
+                key, place{place_state::resident, version, now - report_lag, now,
+                           false, false, now});
             place& p = it->second;
             if (added)
                 continue;
@@ -365,7 +367,7 @@
 std::vector<engine_order> engine_keeper::plan(time_point now)
 {
     std::vector<engine_order> out;
-    if (!reported_)
+    if (!reported_ || now < no_orders_until_)
         return out;
     if (report_.models.empty() && !spec_.models.empty()) {
         // Without any model the engine serves nothing.
@@ -385,6 +387,9 @@
 void engine_keeper::on_order_done(const engine_order& order,
                                   order_outcome outcome, time_point now)
 {
+    if (outcome == order_outcome::engine_busy ||
+        outcome == order_outcome::refused || outcome == order_outcome::not_sent)
+        no_orders_until_ = now + order_pause;
     if (order.adapter.empty()) {
         if (outcome != order_outcome::accepted &&
             outcome != order_outcome::unknown)
--- a/src/lovagegate/gateway/engine_keeper.hpp
+++ b/src/lovagegate/gateway/engine_keeper.hpp
@@ -148,6 +148,7 @@
     engine_spec spec_;
     engine_report report_;
     bool reported_ = false;
+    time_point no_orders_until_{}; ///< the engine refused one
     std::map<std::string, place, std::less<>> places_; ///< by MODEL/NAME
     std::map<std::string, std::uint64_t, std::less<>> releases_;
     std::deque<pending_want> wants_;
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -193,6 +193,7 @@
     placement_request wanted;
     wanted.service = service_;
     wanted.first_part = facts_.first_part;
+    wanted.prompt_tokens = facts_.prompt_tokens;
     wanted.excluded = excluded_;
     if (facts_.model.empty())
         return wanted;
@@ -323,6 +324,7 @@
         try_next();
         return;
     }
+    at_target_ = true;
     ++sends_;
     ++runs_;
     s.places.on_sent(target, now.mono);
@@ -337,10 +339,13 @@
 
 void forwarding::leave_target()
 {
-    if (call_) {
-        call_.reset();
-        context_.state.places.on_left(target_);
-    }
+    if (!at_target_)
+        return;
+    at_target_ = false;
+    call_.reset();
+    context_.state.places.on_left(target_);
+    if (!adapter_.empty())
+        context_.adapters.note_done(target_, adapter_);
 }
 
 bool forwarding::may_run_again() const
@@ -420,7 +425,7 @@
     if (!head_sent_)
         deliver_head(answer_, false);
     else
-        longest_gap_ = std::max(longest_gap_, now - last_event_);
+        note_gap(now);
     last_event_ = now;
     caller_->send_body(whole);
     if (caller_->unsent() < pause_bytes || paused_ || !call_)
@@ -435,6 +440,14 @@
     });
 }
 
+void forwarding::note_gap(time_point now)
+{
+    const duration gap = now - last_event_;
+    longest_gap_ = std::max(longest_gap_, gap);
+    if (!paused_)
+        context_.state.places.on_event(target_, gap, now);
+}
+
 void forwarding::on_answer_end()
 {
     gateway_state& s = context_.state;
@@ -454,7 +467,7 @@
         return;
     }
     if (answer_.status < first_server_error) {
-        s.places.on_success(target, first_byte_);
+        s.places.on_success(target);
         s.suspects.on_answer(fingerprint_);
     }
     if (head_sent_) {
@@ -538,8 +551,7 @@
     const time_point now = net::event_loop::now().mono;
     s.counts.add("sends_failed", "reason", to_string(f));
     log("send_failed", to_string(f));
-    s.places.on_left(target_);
-    call_.reset();
+    leave_target();
     if (nothing_sent(f)) {
         --runs_;
         --sends_;
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -70,6 +70,7 @@
     void deliver_head(const net::message_head& head, bool whole);
     void deliver_events(std::string_view data);
     void deliver_whole();
+    void note_gap(time_point now);
     void on_broken(call_failure f);
     void refuse(std::string_view reason);
     void fail(int status, std::string_view reason);
@@ -110,6 +111,7 @@
     std::uint32_t sends_ = 0;   ///< requests that may have reached a target
     std::uint32_t runs_ = 0;    ///< of those, not known as not run
     double load_at_choice_ = 0;
+    bool at_target_ = false;    ///< counted as open at target_
     bool expected_ = false;     ///< the adapter was not reported yet
     bool rejected_ = false;     ///< the answer says that it has not run
     bool discarding_ = false;   ///< a failure that is tried again
--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -4,23 +4,42 @@
 #include "lovagegate/gateway/engine_keeper.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace lovagegate::gateway {
 
 namespace {
 
-/// Costs are expected milliseconds until the answer begins.
-constexpr double load_wait_ms = 250;     ///< an adapter from the store
-constexpr double rank_step_ms = 12;      ///< keeps an adapter on few engines
-constexpr double batch_ms = 70;          ///< slower steps of a full batch
-constexpr double mean_run_ms = 1500;     ///< a slot of a full engine is held
-constexpr double other_domain_ms = 6;    ///< delay, and bytes that are priced
-constexpr double failure_ms = 1500;      ///< of a request that fails surely
-constexpr double last_resort_ms = 4000;  ///< leaving targets come last
-constexpr double avoid_ms = 3000;        ///< unreachable a moment ago
-constexpr double full_ms = 300;          ///< refused a request a moment ago
-constexpr double noise = 0.06;           ///< of the load, so none herds
+/// Costs are in thousandths of what a late answer loses.
+constexpr double load_cost = 600;       ///< an adapter from the store, priced
+constexpr double load_wait_cost = 60;   ///< its wait, within most objectives
+constexpr double load_wait_ms = 260;
+constexpr double rank_cost = 12;        ///< keeps an adapter on few engines
+constexpr double other_domain_cost = 6; ///< delay, and bytes that are priced
+constexpr double failure_cost = 1500;   ///< of a request that fails surely
+constexpr double last_resort_cost = 4000; ///< leaving targets come last
+constexpr double avoid_cost = 3000;     ///< unreachable a moment ago
+constexpr double full_cost = 300;       ///< refused a request a moment ago
+constexpr double noise = 0.06;          ///< of the load, so none herds
+constexpr double mean_run_ms = 1500;    ///< a slot of a full engine is held
+/// Running requests at which the prompts of those that arrive meanwhile keep
+/// an engine reading without a pause, so that all its streams are late.
+constexpr double crowded = 45;
+constexpr double crowded_cost = 400;
+/// Gap between events from which streams are at risk, and what each further
+/// millisecond costs.
+constexpr double calm_gap_ms = 70;
+constexpr double gap_cost = 4;
+/// Weight of one event in the average gap.
+constexpr double gap_weight = 0.1;
+/// An average without events for so long says nothing.
+constexpr duration gap_keeps = 800ms;
+/// Requests that a copy of an adapter serves before it is evicted, as a part
+/// of those of the last seconds.
+constexpr duration demand_time = 8s;
+constexpr double demand_share = 0.25;
+constexpr std::size_t most_demands = 20000;
 /// Weight of one answer in the share of failures.
 constexpr double failure_weight = 0.25;
 constexpr double success_weight = 0.08;
@@ -56,7 +75,42 @@
         --it->second.open;
 }
 
-void placement::on_success(const std::string& target, duration)
+void placement::on_event(const std::string& target, duration gap,
+                         time_point now)
+{
+    belief& b = beliefs_[target];
+    const double ms = to_ms(gap);
+    b.pace_ms = now - b.pace_at > gap_keeps
+                    ? ms
+                    : b.pace_ms + gap_weight * (ms - b.pace_ms);
+    b.pace_at = now;
+}
+
+double placement::count_demand(const std::string& key, time_point now)
+{
+    if (demands_.size() >= most_demands)
+        std::erase_if(demands_, [&](const auto& d) {
+            return now - d.second.at > demand_time;
+        });
+    demand& d = demands_[key];
+    const double age = to_seconds(now - d.at) / to_seconds(demand_time);
+    d.count = (d.at == time_point{} ? 0 : d.count * std::exp(-age)) + 1;
+    d.at = now;
+    return d.count;
+}
+
+double placement::crowding_cost(const belief& b, double running, double slots,
+                                time_point now)
+{
+    double cost = crowded_cost * (running / crowded) * (running / crowded);
+    if (running > slots)
+        cost += (running - slots) / slots * mean_run_ms;
+    if (now - b.pace_at < gap_keeps)
+        cost += gap_cost * std::max(0.0, b.pace_ms - calm_gap_ms);
+    return cost;
+}
+
+void placement::on_success(const std::string& target)
 {
     belief& b = beliefs_[target];
     b.failure_share *= 1 - success_weight;
@@ -202,38 +256,43 @@
                                  stable_hash(t->entry.id, place_seed))});
     std::ranges::sort(order, std::greater<>(), &ranked::weight);
 
+    const double uses =
+        on_adapter ? (count_demand(adapter, now) - 1) * demand_share *
+                         static_cast<double>(instances)
+                   : 0;
     std::optional<placement_choice> best;
     double best_cost = std::numeric_limits<double>::max();
     std::uniform_real_distribution<double> jitter(0, noise);
     for (std::size_t rank = 0; rank < order.size(); ++rank) {
         const target_state& t = *order[rank].target;
         const belief& b = beliefs_[t.entry.id];
+        const double slots = t.entry.slots;
         const double load = load_of(b, t.entry.slots, instances, now);
-        const double spread = load + jitter(random_);
+        const double running = (load + jitter(random_)) * slots;
         const bool resident =
             !on_adapter ||
             is_resident(t.entry.id, adapter, request.adapter->version);
-        double wait = 0;
-        if (spread > 1)
-            wait += (spread - 1) * mean_run_ms;
-        double cost = wait + batch_ms * std::min(1.0, spread * spread);
+        double cost = crowding_cost(b, running, slots, now);
+        double wait =
+            running > slots ? (running - slots) / slots * mean_run_ms : 0;
         if (!resident) {
             wait += load_wait_ms;
-            cost += load_wait_ms + rank_step_ms * static_cast<double>(rank);
+            cost += load_wait_cost + load_cost / (1 + uses) +
+                    rank_cost * static_cast<double>(rank);
             if (now < b.no_loads_until)
-                cost += avoid_ms;
+                cost += avoid_cost;
         }
         if (on_adapter || !request.first_part.empty())
             cost += static_cast<double>(rank) * 0.5;
         if (t.entry.failure_domain != own_domain_)
-            cost += other_domain_ms;
-        cost += failure_ms * b.failure_share;
+            cost += other_domain_cost;
+        cost += failure_cost * b.failure_share;
         if (t.use(now) == target_use::last_resort)
-            cost += last_resort_ms;
+            cost += last_resort_cost;
         if (now < b.avoid_until)
-            cost += avoid_ms;
+            cost += avoid_cost;
         if (now < b.full_until)
-            cost += full_ms;
+            cost += full_cost;
         if (cost >= best_cost)
             continue;
         best_cost = cost;
--- a/src/lovagegate/gateway/placement.hpp
+++ b/src/lovagegate/gateway/placement.hpp
@@ -13,6 +13,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace lovagegate::gateway {
@@ -23,6 +24,7 @@
     std::string service;
     std::optional<adapter_ref> adapter; ///< model alone: adapter is empty
     std::string first_part;             ///< of the prompt, shared with others
+    std::uint32_t prompt_tokens = 0;
     std::span<const std::string> excluded; ///< ids of targets already tried
 };
 
@@ -49,7 +51,10 @@
     void on_left(const std::string& target);
 
     /// A target answered, or failed to.
-    void on_success(const std::string& target, duration first_byte);
+    void on_success(const std::string& target);
+    /// A stream made an event.
+    /// @param gap since the event before
+    void on_event(const std::string& target, duration gap, time_point now);
     void on_failure(const std::string& target, time_point now);
     void on_unreachable(const std::string& target, time_point now);
 
@@ -103,13 +108,27 @@
         std::map<std::string, std::uint64_t, std::less<>> adapters;
         std::map<std::string, time_point, std::less<>> known_since;
         std::int64_t started_ms = 0;
+        double pace_ms = 0; ///< moving average of the gaps between events
+        time_point pace_at{};
     };
 
+    /// Requests for one adapter or shared prompt, decaying over time.
+    struct demand
+    {
+        double count = 0;
+        time_point at{};
+    };
+
+    /// @return recent requests of this instance for a key, with this one
+    double count_demand(const std::string& key, time_point now);
+    [[nodiscard]] static double crowding_cost(const belief& b, double running,
+                                              double slots, time_point now);
     [[nodiscard]] double load_of(const belief& b, std::uint32_t slots,
                                  std::size_t instances, time_point now) const;
 
     std::string own_domain_;
     std::map<std::string, belief> beliefs_;
+    std::unordered_map<std::string, demand> demands_;
     std::mt19937_64 random_;
 };
 
