Count adapters as idle 0.45 s after their last use

Cause: with 29 places and 10 to 16 arrivals a second at an engine, every place had been used within 1.5 s, so nothing could be evicted while requests waited. Change: owners hear of uses every 0.3 s, and 0.45 s without one is idle.

--- a/src/lovagegate/gateway/adapter_desk.cpp
+++ b/src/lovagegate/gateway/adapter_desk.cpp
@@ -26,8 +26,9 @@
 constexpr duration ask_silence = 600ms;
 /// Longest wait for a load, in which two others may come first.
 constexpr duration ask_limit = 2500ms;
-/// Owners are told what is used at this rate, half of what they count as use.
-constexpr duration use_interval = 700ms;
+/// Owners are told what is used at this rate; what they were not told of for
+/// 450 ms counts as idle.
+constexpr duration use_interval = 300ms;
 
 /// Claims are compared at about the rate of heartbeats.
 constexpr duration update_interval = 250ms;
--- a/src/lovagegate/gateway/engine_keeper.cpp
+++ b/src/lovagegate/gateway/engine_keeper.cpp
@@ -19,7 +19,7 @@
 /// Requests don't wait longer for a place.
 constexpr duration want_timeout = 2s;
 /// An adapter used this lately has requests on the engine.
-constexpr duration in_use = 1500ms;
+constexpr duration in_use = 450ms;
 /// Age of what a report says.
 constexpr duration report_age = 100ms;
 /// After a refused order: until a report tells why, or an unload has ended.
