Lower the weights of crowding and pace in placement

Cause: the weights of the first try moved adapters about under load. Change: crowding 400 to 200, pace 4 to 1.

--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -26,11 +26,11 @@
 /// Running requests at which the prompts of those that arrive meanwhile keep
 /// an engine reading without a pause, so that all its streams are late.
 constexpr double crowded = 45;
-constexpr double crowded_cost = 400;
+constexpr double crowded_cost = 200;
 /// Gap between events from which streams are at risk, and what each further
 /// millisecond costs.
 constexpr double calm_gap_ms = 70;
-constexpr double gap_cost = 4;
+constexpr double gap_cost = 1;
 /// Weight of one event in the average gap.
 constexpr double gap_weight = 0.1;
 /// An average without events for so long says nothing.
