Let two instances read the store and tell the others

Change: two instances, found by hash among those that the store answers, watch and send what changed as datagrams; gaps and values over 12 KB are pulled over a connection; an instance that hears nobody reads for itself.

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -1,5 +1,6 @@
 #include "lovagegate/gateway/gateway_daemon.hpp"
 
+#include "lovagegate/gateway/store_duty.hpp"
 #include "lovagegate/logging/log.hpp"
 #include "platform/http_fields.hpp"
 #include "platform/published.hpp"
@@ -26,9 +27,13 @@
 constexpr duration out_of_rotation = 2300ms;
 /// Left of the grace time when the process ends at the latest.
 constexpr duration end_margin = 700ms;
-/// Another instance is asked after the store did not answer for so long.
-constexpr duration pull_after = 500ms;
-constexpr duration pull_interval = 500ms;
+/// Another instance is asked for all that it knows if it is ahead for so long.
+constexpr duration pull_after = 300ms;
+constexpr duration pull_interval = 150ms;
+/// Values in one datagram; a larger one travels alone.
+constexpr std::size_t news_bytes = 1200;
+/// Larger values are pulled over a connection.
+constexpr std::size_t longest_news = 12000;
 /// Entries of one service that vanish together have lapsed, not left.
 constexpr duration vanish_window = 1s;
 constexpr double vanish_part = 0.25;
@@ -155,13 +160,15 @@
           state_.counts,
           [this](const platform_wire::store_item& item, bool) {
               take_operator_item(item);
-          }),
+          },
+          [this](const store_reader::batch& b) { tell_news(false, b); }),
       target_reader_(
           loop_, control_pool_, state_.boot.store,
           std::string(platform_wire::store_key::targets), state_.counts,
           [this](const platform_wire::store_item& item, bool in_doubt) {
               take_target(item, in_doubt);
-          })
+          },
+          [this](const store_reader::batch& b) { tell_news(true, b); })
 {
     ready_server_ = page_server(state_.boot.readiness.address,
                                 state_.boot.readiness.port);
@@ -418,6 +425,8 @@
         adapters_.on_message(from.address, *use);
     } else if (const auto* crash = std::get_if<crash_notice>(&*message)) {
         state_.suspects.on_crash(crash->request, crash->engine, now);
+    } else if (const auto* news = std::get_if<store_news>(&*message)) {
+        take_news(from, *news);
     }
 }
 
@@ -431,8 +440,11 @@
             state_.places.on_load(c, now.mono);
     }
     self.config_version = state_.routes.version();
-    self.store_revision =
-        std::min(operator_reader_.revision(), target_reader_.revision());
+    self.operator_revision = operator_reader_.newest();
+    self.target_revision = target_reader_.newest();
+    self.store_silent =
+        operator_reader_.is_failing() || target_reader_.is_failing();
+    update_store_duty(now.mono);
     const auto out = state_.members.next(now.mono);
     const std::string datagram = encode(out.message);
     for (const auto& address : out.to) {
@@ -485,25 +497,90 @@
         c->close();
 }
 
+void gateway_daemon::update_store_duty(time_point now)
+{
+    const bool reads = reads_store(state_.members, now);
+    operator_reader_.set_active(reads);
+    target_reader_.set_active(reads);
+}
+
+void gateway_daemon::tell_news(bool of_targets, const store_reader::batch& news)
+{
+    store_news message{of_targets, news.after, news.after, news.in_doubt, {}};
+    std::vector<store_news> messages;
+    std::size_t bytes = 0;
+    const auto flush = [&](std::uint64_t revision) {
+        message.revision = revision;
+        messages.push_back(message);
+        message.after = revision;
+        message.items.clear();
+        bytes = 0;
+    };
+    auto items = news.items;
+    std::ranges::sort(items, {}, &platform_wire::store_item::revision);
+    for (const auto& item : items) {
+        if (bytes + item.value.size() > news_bytes && !message.items.empty())
+            flush(message.items.back().revision);
+        if (item.value.size() > longest_news) {
+            message.items.clear(); // to be pulled
+            flush(item.revision);
+            continue;
+        }
+        bytes += item.value.size();
+        message.items.push_back(
+            {item.key, item.value, item.revision, item.deleted});
+    }
+    if (!message.items.empty())
+        flush(news.revision);
+    for (const auto& address :
+         state_.members.alive(net::event_loop::now().mono))
+        if (address != state_.boot.address)
+            for (const auto& m : messages)
+                send_to_peer(address, m);
+}
+
+void gateway_daemon::take_news(const settings::endpoint& from,
+                               const store_news& news)
+{
+    store_reader& reader = news.of_targets ? target_reader_ : operator_reader_;
+    store_reader::batch b{news.after, news.revision, news.in_doubt, {}};
+    for (const auto& i : news.items)
+        b.items.push_back({i.key, i.value, i.revision, i.deleted});
+    // Without items, the change was too large for a datagram.
+    const bool complete = !news.items.empty() && reader.adopt(b);
+    if (!complete && news.revision > reader.newest())
+        pull_from(from.address);
+}
+
 void gateway_daemon::pull_from_peer(time_point now)
 {
-    const duration silent = std::max(operator_reader_.out_of_contact(now),
-                                     target_reader_.out_of_contact(now));
-    if (silent < pull_after || pull_ || now - last_pull_ < pull_interval)
-        return;
-    const std::uint64_t own =
-        std::min(operator_reader_.revision(), target_reader_.revision());
     const member_table::member* best = nullptr;
+    const auto is_ahead = [&](const member_record& r) {
+        return r.operator_revision > operator_reader_.newest() ||
+               r.target_revision > target_reader_.newest();
+    };
     for (const auto& [address, m] : state_.members.all())
-        if (now - m.heard < 2s && m.record.store_revision > own &&
-            (best == nullptr ||
-             m.record.store_revision > best->record.store_revision))
+        if (state_.members.is_alive(m, now) && is_ahead(m.record) &&
+            (best == nullptr || m.record.operator_revision >
+                                    best->record.operator_revision))
             best = &m;
+    // News may be on their way: only what is still missing is asked for.
+    if (best != nullptr && behind_since_ != time_point{} &&
+        now - behind_since_ >= pull_after)
+        pull_from(best->record.address);
     if (best == nullptr)
+        behind_since_ = {};
+    else if (behind_since_ == time_point{})
+        behind_since_ = now;
+}
+
+void gateway_daemon::pull_from(const std::string& address)
+{
+    const time_point now = net::event_loop::now().mono;
+    if (pull_ || now - last_pull_ < pull_interval)
         return;
     last_pull_ = now;
-    const settings::endpoint peer{best->record.address,
-                                  state_.boot.control.port};
+    const settings::endpoint peer{address, state_.boot.control.port};
     target_request request;
     request.target = "peer " + peer.address;
     request.address = peer;
@@ -528,8 +605,8 @@
     for (const auto* reader : {&operator_reader_, &target_reader_})
         for (const auto& [key, item] : reader->items())
             items.push_back(json::array({item.key, item.value, item.revision}));
-    const json page = json::array({operator_reader_.revision(),
-                                   target_reader_.revision(),
+    const json page = json::array({operator_reader_.newest(),
+                                   target_reader_.newest(),
                                    std::move(items)});
     std::string out;
     json::to_cbor(page, nlohmann::detail::output_adapter<char>(out));
@@ -545,8 +622,8 @@
             items.push_back({i.at(0).get<std::string>(),
                              i.at(1).get<std::string>(),
                              i.at(2).get<std::uint64_t>(), false});
-        operator_reader_.adopt(page.at(0).get<std::uint64_t>(), items);
-        target_reader_.adopt(page.at(1).get<std::uint64_t>(), items);
+        operator_reader_.adopt_all(page.at(0).get<std::uint64_t>(), items);
+        target_reader_.adopt_all(page.at(1).get<std::uint64_t>(), items);
         logging::write(logging::level::info, "state_from_peer",
                        {{"items", std::uint64_t{items.size()}}});
     } catch (const nlohmann::json::exception& e) {
@@ -559,7 +636,7 @@
 bool gateway_daemon::is_ready() const
 {
     return !state_.stopping && state_.routes.version() != 0 &&
-           target_reader_.revision() != 0;
+           target_reader_.is_filled();
 }
 
 void gateway_daemon::serve_page(const net::exchange_ptr& exchange)
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -55,7 +55,11 @@
     void look_at_connections();
     /// Closes what carries no request: the platform sends callers elsewhere.
     void take_no_more();
+    void update_store_duty(time_point now);
+    void tell_news(bool of_targets, const store_reader::batch& news);
+    void take_news(const settings::endpoint& from, const store_news& news);
     void pull_from_peer(time_point now);
+    void pull_from(const std::string& address);
     void take_peer_state(const std::string& body);
     [[nodiscard]] std::string peer_state() const;
     void serve_page(const net::exchange_ptr& exchange);
@@ -91,6 +95,7 @@
     store_reader target_reader_;
     std::unique_ptr<short_call> pull_;
     time_point last_pull_{};
+    time_point behind_since_{}; ///< another instance knows newer changes
     time_point last_tick_{};
     time_point stop_since_{};
     std::map<std::string, std::vector<time_point>> vanished_;
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -15,7 +15,8 @@
     adapter_ask = 2,
     adapter_answer = 3,
     adapter_use = 4,
-    crash_notice = 5
+    crash_notice = 5,
+    store_news = 6
 };
 
 json write(const engine_claim& c)
@@ -30,7 +31,8 @@
     for (const auto& c : m.claims)
         claims.push_back(write(c));
     return json::array({m.address, m.start, m.beat, m.leaving,
-                        m.config_version, m.store_revision,
+                        m.config_version, m.operator_revision,
+                        m.target_revision, m.store_silent,
                         std::move(claims)});
 }
 
@@ -64,6 +66,29 @@
     return json::array({tag::crash_notice, m.request, m.engine});
 }
 
+json write(const store_news& m)
+{
+    json items = json::array();
+    for (const auto& i : m.items)
+        items.push_back(json::array({i.key, i.value, i.revision, i.deleted}));
+    return json::array({tag::store_news, m.of_targets, m.after, m.revision,
+                        m.in_doubt, std::move(items)});
+}
+
+store_news read_news(const json& j)
+{
+    store_news n;
+    n.of_targets = j.at(1).get<bool>();
+    n.after = j.at(2).get<std::uint64_t>();
+    n.revision = j.at(3).get<std::uint64_t>();
+    n.in_doubt = j.at(4).get<bool>();
+    for (const json& i : j.at(5))
+        n.items.push_back({i.at(0).get<std::string>(),
+                           i.at(1).get<std::string>(),
+                           i.at(2).get<std::uint64_t>(), i.at(3).get<bool>()});
+    return n;
+}
+
 engine_claim read_claim(const json& j)
 {
     return {j.at(0).get<std::string>(),
@@ -82,8 +107,10 @@
     m.beat = j.at(2).get<std::uint64_t>();
     m.leaving = j.at(3).get<bool>();
     m.config_version = j.at(4).get<std::uint64_t>();
-    m.store_revision = j.at(5).get<std::uint64_t>();
-    for (const json& c : j.at(6))
+    m.operator_revision = j.at(5).get<std::uint64_t>();
+    m.target_revision = j.at(6).get<std::uint64_t>();
+    m.store_silent = j.at(7).get<bool>();
+    for (const json& c : j.at(8))
         m.claims.push_back(read_claim(c));
     return m;
 }
@@ -124,6 +151,8 @@
     case tag::adapter_use:
         return adapter_use{j.at(1).get<std::string>(),
                            j.at(2).get<std::vector<std::string>>()};
+    case tag::store_news:
+        return read_news(j);
     case tag::crash_notice:
         return crash_notice{j.at(1).get<std::uint64_t>(),
                             j.at(2).get<std::string>()};
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -33,7 +33,11 @@
     std::uint64_t beat = 0; ///< grows while the process runs
     bool leaving = false;
     std::uint64_t config_version = 0;
-    std::uint64_t store_revision = 0;
+    /// Newest changes that it has heard of, of the operator's keys and of the
+    /// targets' entries.
+    std::uint64_t operator_revision = 0;
+    std::uint64_t target_revision = 0;
+    bool store_silent = false; ///< the store doesn't answer it
     std::vector<engine_claim> claims;
 };
 
@@ -90,8 +94,26 @@
     std::string engine;
 };
 
+/// Changes in the platform's store, from an instance that reads it.
+struct store_news
+{
+    struct item
+    {
+        std::string key;
+        std::string value;
+        std::uint64_t revision = 0;
+        bool deleted = false;
+    };
+
+    bool of_targets = false;      ///< else of the operator's keys
+    std::uint64_t after = 0;      ///< news up to here were told before
+    std::uint64_t revision = 0;   ///< of the last change in this message
+    bool in_doubt = false;        ///< deleted entries may have lapsed
+    std::vector<item> items;      ///< none where they are too large to send
+};
+
 using peer_message = std::variant<heartbeat, adapter_ask, adapter_answer,
-                                  adapter_use, crash_notice>;
+                                  adapter_use, crash_notice, store_news>;
 
 /// @return the datagram
 [[nodiscard]] std::string encode(const peer_message& message);
--- /dev/null
+++ b/src/lovagegate/gateway/store_duty.hpp
@@ -0,0 +1,17 @@
+#ifndef LOVAGEGATE_GATEWAY_STORE_DUTY_HPP
+#define LOVAGEGATE_GATEWAY_STORE_DUTY_HPP
+
+#include "lovagegate/gateway/member_table.hpp"
+
+namespace lovagegate::gateway {
+
+/// Decides whether this instance reads the platform's store. Two instances
+/// read it and tell the others what has changed, so that calls to the store
+/// don't grow with the fleet. An instance that hears of no other reads for
+/// itself.
+/// @return whether this instance is one of the readers
+[[nodiscard]] bool reads_store(const member_table& members, time_point now);
+
+} // namespace lovagegate::gateway
+
+#endif
--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -23,10 +23,11 @@
 store_reader::store_reader(net::event_loop& loop, target_pool& pool,
                            settings::endpoint store, std::string prefix,
                            counters& counts, item_handler on_item,
-                           store_settings settings)
+                           batch_handler on_batch, store_settings settings)
     : loop_(loop), pool_(pool), store_(std::move(store)),
       prefix_(std::move(prefix)), counts_(counts),
-      on_item_(std::move(on_item)), settings_(settings)
+      on_item_(std::move(on_item)), on_batch_(std::move(on_batch)),
+      settings_(settings)
 {
 }
 
@@ -41,6 +42,7 @@
     started_ = net::event_loop::now().mono;
     failing_since_ = started_;
     failing_ = true;
+    watching_ = true;
     read_page();
 }
 
@@ -108,50 +110,95 @@
     }
     const auto all = std::move(pages_);
     pages_.clear();
-    apply_all(all, pages_revision_);
+    auto news = apply_all(all, pages_revision_);
+    revision_ = std::max(revision_, pages_revision_);
     on_failure(ok_status);
+    tell(std::move(news));
     again(duration::zero(), false);
 }
 
-void store_reader::apply_all(
+store_reader::batch store_reader::apply_all(
     const std::map<std::string, platform_wire::store_item>& all,
     std::uint64_t revision)
 {
-    const bool doubt = in_doubt(net::event_loop::now().mono) || revision_ != 0;
-    std::vector<std::string> gone;
+    batch news;
+    news.after = newest_;
+    news.in_doubt = in_doubt(net::event_loop::now().mono) || filled_;
+    std::vector<platform_wire::store_item> changes;
     for (const auto& [key, item] : items_)
         if (!all.contains(key))
-            gone.push_back(key);
+            changes.push_back({key, {}, revision, true});
     for (const auto& [key, item] : all)
-        apply(item, doubt);
-    for (const auto& key : gone)
-        apply({key, {}, revision, true}, doubt);
-    revision_ = std::max(revision_, revision);
+        changes.push_back(item);
+    for (auto& item : changes)
+        if (apply(item, news.in_doubt))
+            news.items.push_back(std::move(item));
+    filled_ = true;
+    news.revision = newest_;
+    return news;
 }
 
-void store_reader::adopt(std::uint64_t revision,
-                         const std::vector<platform_wire::store_item>& items)
+void store_reader::adopt_all(
+    std::uint64_t newest, const std::vector<platform_wire::store_item>& items)
 {
-    if (revision <= revision_)
+    if (newest <= newest_ && filled_)
         return;
     std::map<std::string, platform_wire::store_item> all;
     for (const auto& item : items)
         if (item.key.starts_with(prefix_))
             all.emplace(item.key, item);
-    last_failure_ = net::event_loop::now().mono;
-    apply_all(all, revision);
+    apply_all(all, newest);
+    newest_ = std::max(newest_, newest);
+    revision_ = std::max(revision_, newest);
 }
 
-void store_reader::apply(const platform_wire::store_item& item, bool in_doubt)
+bool store_reader::adopt(const batch& news)
+{
+    if (!filled_)
+        return false;
+    for (const auto& item : news.items)
+        apply(item, news.in_doubt);
+    if (news.after > newest_)
+        return false;
+    newest_ = std::max(newest_, news.revision);
+    revision_ = std::max(revision_, newest_);
+    return true;
+}
+
+bool store_reader::apply(const platform_wire::store_item& item, bool in_doubt)
 {
     const auto it = items_.find(item.key);
     if (it != items_.end() && it->second.revision >= item.revision)
-        return;
+        return false;
+    if (it == items_.end() && item.deleted)
+        return false;
     if (item.deleted)
         items_.erase(item.key);
     else
         items_.insert_or_assign(item.key, item);
     on_item_(item, in_doubt);
+    return true;
+}
+
+void store_reader::tell(batch news)
+{
+    for (const auto& item : news.items)
+        newest_ = std::max(newest_, item.revision);
+    news.revision = newest_;
+    if (!news.items.empty())
+        on_batch_(news);
+}
+
+void store_reader::set_active(bool active)
+{
+    if (active == active_)
+        return;
+    active_ = active;
+    logging::write(logging::level::info,
+                   active ? "store_reading_begun" : "store_reading_ended",
+                   {{"prefix", prefix_}, {"revision", revision_}});
+    if (active && !watching_)
+        again(duration::zero(), !filled_);
 }
 
 void store_reader::watch()
@@ -171,15 +218,19 @@
     }
     if (status != ok_status) {
         on_failure(status);
-        again(back_off_, revision_ == 0);
+        again(back_off_, !filled_);
         return;
     }
     try {
         const auto reply = platform_wire::parse_watch(body);
-        const bool doubt = in_doubt(net::event_loop::now().mono);
+        batch news;
+        news.after = newest_;
+        news.in_doubt = in_doubt(net::event_loop::now().mono);
         for (const auto& item : reply.items)
-            apply(item, doubt);
+            if (apply(item, news.in_doubt))
+                news.items.push_back(item);
         revision_ = std::max(revision_, reply.revision);
+        tell(std::move(news));
     } catch (const platform_wire::published_error&) {
         on_failure(0);
         again(back_off_, true);
@@ -200,7 +251,6 @@
                             {"after_ms", static_cast<std::uint64_t>(to_ms(
                                              now - failing_since_))}});
         failing_ = false;
-        in_contact_ = true;
         back_off_ = {};
         return;
     }
@@ -220,6 +270,11 @@
 
 void store_reader::again(duration after, bool from_start)
 {
+    watching_ = active_ || !filled_;
+    if (!watching_)
+        return;
+    if (timer_ != 0)
+        loop_.cancel(timer_);
     timer_ = loop_.call_later(after, [this, from_start] {
         timer_ = 0;
         if (from_start)
--- a/src/lovagegate/gateway/store_reader.hpp
+++ b/src/lovagegate/gateway/store_reader.hpp
@@ -23,7 +23,7 @@
     /// Added to the wait before a call counts as failed.
     duration answer_limit = 800ms;
     /// Between the end of one watch and the begin of the next.
-    duration watch_pause = 60ms;
+    duration watch_pause = 200ms;
     duration first_back_off = 150ms;
     duration longest_back_off = 600ms;
     /// Entries that vanish so soon after a failed call may have lapsed.
@@ -39,10 +39,21 @@
     using item_handler = std::function<void(
         const platform_wire::store_item& item, bool in_doubt)>;
 
+    /// Changes that came together.
+    struct batch
+    {
+        std::uint64_t after = 0;    ///< newest change before these
+        std::uint64_t revision = 0; ///< newest of these
+        bool in_doubt = false;
+        std::vector<platform_wire::store_item> items;
+    };
+    /// Gets what this instance has read itself.
+    using batch_handler = std::function<void(const batch&)>;
+
     store_reader(net::event_loop& loop, target_pool& pool,
                  settings::endpoint store, std::string prefix,
                  counters& counts, item_handler on_item,
-                 store_settings settings = {});
+                 batch_handler on_batch, store_settings settings = {});
     ~store_reader();
     store_reader(const store_reader&) = delete;
     store_reader& operator=(const store_reader&) = delete;
@@ -50,13 +61,27 @@
     /// Reads all keys, then watches them.
     void start();
 
-    /// Takes the keys as another instance knows them.
-    /// @param revision of the store when it answered that instance
+    /// Goes on or stops watching; the first read is made in any case.
+    void set_active(bool active);
+
+    /// Takes all keys as another instance knows them.
+    /// @param newest change among them
     /// @param items of all keys; others of the prefix are gone
-    void adopt(std::uint64_t revision,
-               const std::vector<platform_wire::store_item>& items);
+    void adopt_all(std::uint64_t newest,
+                   const std::vector<platform_wire::store_item>& items);
+
+    /// Takes changes that another instance has read.
+    /// @return whether nothing is missing between them and what was known
+    bool adopt(const batch& news);
+
+    /// @return newest change that is known, 0 before the first read
+    [[nodiscard]] std::uint64_t newest() const noexcept { return newest_; }
+
+    /// @return whether the keys were read, here or by another instance
+    [[nodiscard]] bool is_filled() const noexcept { return filled_; }
 
-    [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
+    /// @return whether the last call failed
+    [[nodiscard]] bool is_failing() const noexcept { return failing_; }
 
     /// @return how long calls have failed, zero if the last one did not
     [[nodiscard]] duration out_of_contact(time_point now) const;
@@ -76,9 +101,10 @@
     void on_watch(int status, const std::string& body);
     void on_failure(int status);
     void again(duration after, bool from_start);
-    void apply(const platform_wire::store_item& item, bool in_doubt);
-    void apply_all(const std::map<std::string, platform_wire::store_item>& all,
-                   std::uint64_t revision);
+    bool apply(const platform_wire::store_item& item, bool in_doubt);
+    void tell(batch news);
+    batch apply_all(const std::map<std::string, platform_wire::store_item>& all,
+                    std::uint64_t revision);
     [[nodiscard]] bool in_doubt(time_point now) const;
 
     net::event_loop& loop_;
@@ -87,6 +113,7 @@
     std::string prefix_;
     counters& counts_;
     item_handler on_item_;
+    batch_handler on_batch_;
     store_settings settings_;
     std::map<std::string, platform_wire::store_item> items_;
     std::map<std::string, platform_wire::store_item> pages_;
@@ -98,8 +125,11 @@
     duration back_off_{};
     net::timer_id timer_ = 0;
     std::unique_ptr<short_call> call_;
+    std::uint64_t newest_ = 0;
     bool failing_ = false;
-    bool in_contact_ = false;
+    bool filled_ = false;
+    bool active_ = true;
+    bool watching_ = false; ///< a call or a timer for the next one is there
 };
 
 } // namespace lovagegate::gateway
