Keep adapters to their first engines, which have copies

Cause: in bursts requests waited for adapters while engines were a quarter full: loads from the store were at its limit. Engines keep copies of adapters that they had; moving an adapter to a less loaded engine made it a load from the store again. Change: each place further down an adapter's order of engines costs 150 more, up to the third.

--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -12,10 +12,13 @@
 namespace {
 
 /// Costs are in thousandths of what a late answer loses.
-constexpr double load_cost = 600;       ///< an adapter from the store, priced
+constexpr double load_cost = 300;       ///< an adapter from the store, priced
 constexpr double load_wait_cost = 60;   ///< its wait, within most objectives
 constexpr double load_wait_ms = 260;
-constexpr double rank_cost = 12;        ///< keeps an adapter on few engines
+/// The first engines in an adapter's order have had it before: they keep a
+/// copy, which loads ten times as fast and costs nothing.
+constexpr double rank_cost = 150;
+constexpr std::size_t ranks_apart = 3;
 constexpr double other_domain_cost = 6; ///< delay, and bytes that are priced
 constexpr double failure_cost = 1500;   ///< of a request that fails surely
 constexpr double last_resort_cost = 4000; ///< leaving targets come last
@@ -278,7 +281,8 @@
         if (!resident) {
             wait += load_wait_ms;
             cost += load_wait_cost + load_cost / (1 + uses) +
-                    rank_cost * static_cast<double>(rank);
+                    rank_cost *
+                        static_cast<double>(std::min(rank, ranks_apart));
             if (now < b.no_loads_until)
                 cost += avoid_cost;
         }
