Test the gateway's decisions; honour the last order of a stopping owner

Cause: tests of the ownership failed first: a stopping owner's engines waited 1.5 s longer than the lease, since its earlier heartbeats were taken for those of an owner that might go on; and the parser let a space stand before a header's colon.

--- a/src/lovagegate/gateway/engine_ownership.cpp
+++ b/src/lovagegate/gateway/engine_ownership.cpp
@@ -100,14 +100,14 @@
         for (const auto& c : m.record.claims) {
             auto& highest = highest_token_[c.engine];
             highest = std::max(highest, c.token);
-            // A member that leaves has stopped; a silent one may go on for a
-            // while after it was last heard.
-            const bool stopped = m.record.leaving;
-            const time_point last =
-                stopped ? m.heard - c.since_last_order
-                        : m.heard + silent_owner_goes_on;
             auto& at = last_foreign_order_[c.engine];
-            at = std::max(at, std::min(last, now + silent_owner_goes_on));
+            if (!m.record.leaving)
+                // A silent member may go on for a while after it was heard.
+                at = std::max(at, std::min(m.heard, now) +
+                                      silent_owner_goes_on);
+            else if (c.token == highest)
+                // One that leaves has stopped.
+                at = m.heard - c.since_last_order;
         }
     }
 }
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -438,6 +438,10 @@
         self.claims = adapters_.claims(now.mono);
         for (const auto& c : self.claims)
             state_.places.on_load(c, now.mono);
+    } else {
+        // The successors count from the last order.
+        for (auto& c : self.claims)
+            c.since_last_order += member_settings{}.interval;
     }
     self.config_version = state_.routes.version();
     self.operator_revision = operator_reader_.newest();
--- a/src/lovagegate/net/http_message.cpp
+++ b/src/lovagegate/net/http_message.cpp
@@ -139,7 +139,9 @@
         in_value_ = false;
         return;
     }
-    if (!is_clean_value(value_))
+    // The library lets a space stand before the colon, which others read as
+    // another header.
+    if (!is_clean_value(value_) || field_.find(' ') != std::string::npos)
         malformed_ = true;
     head_.headers.push_back(
         {std::move(field_), std::string(trimmed(value_))});
--- /dev/null
+++ b/tests/gateway/engine_keeper_test.cpp
@@ -0,0 +1,227 @@
+#include "lovagegate/gateway/engine_keeper.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <set>
+
+using namespace lovagegate;
+using namespace lovagegate::gateway;
+
+namespace {
+
+engine_spec small_engine(std::uint32_t slots)
+{
+    engine_spec s;
+    s.batch_slots = 64;
+    s.weights_mb = 16800;
+    s.adapter_slots = slots;
+    s.models = {{"m", 16100, 600ms, 14}};
+    return s;
+}
+
+engine_report report_with(const std::vector<std::string>& adapters,
+                          const std::vector<std::string>& in_transit = {})
+{
+    engine_report r;
+    r.models = {{"m", adapters}};
+    r.in_transit = in_transit;
+    return r;
+}
+
+adapter_ref adapter(const std::string& name, std::uint64_t version = 0)
+{
+    return {"m", name, version};
+}
+
+/// An engine that crashes if it is ordered to hold too much.
+class model_engine
+{
+public:
+    explicit model_engine(std::size_t slots) : slots_(slots) {}
+
+    order_outcome take(const engine_order& order, time_point now)
+    {
+        advance(now);
+        if (!order.load) {
+            held_.erase(order.adapter);
+            return order_outcome::already;
+        }
+        if (held_.contains(order.adapter))
+            return order_outcome::already;
+        if (coming_.size() >= 4)
+            return order_outcome::engine_busy;
+        coming_[order.adapter] = now + 250ms;
+        over_ = over_ || held_.size() + coming_.size() > slots_;
+        return order_outcome::accepted;
+    }
+
+    engine_report report(time_point now)
+    {
+        advance(now);
+        std::vector<std::string> held;
+        for (const auto& a : held_)
+            held.push_back(a + "@1");
+        std::vector<std::string> coming;
+        for (const auto& [a, at] : coming_)
+            coming.push_back("m/" + a + "@1");
+        return report_with(held, coming);
+    }
+
+    [[nodiscard]] bool overloaded() const { return over_; }
+
+private:
+    void advance(time_point now)
+    {
+        std::erase_if(coming_, [&](const auto& c) {
+            if (c.second > now)
+                return false;
+            held_.insert(c.first);
+            return true;
+        });
+    }
+
+    std::size_t slots_;
+    std::set<std::string> held_;
+    std::map<std::string, time_point> coming_;
+    bool over_ = false;
+};
+
+} // namespace
+
+TEST_CASE("nothing is ordered before the engine's first report", "[gateway]")
+{
+    engine_keeper keeper("e", small_engine(4));
+    CHECK(keeper.want(adapter("a1"), time_point{1s}) ==
+          adapter_status::loading);
+    CHECK(keeper.plan(time_point{1s}).empty());
+    keeper.on_report(report_with({}), time_point{2s});
+    CHECK(keeper.plan(time_point{2s}).size() == 1);
+}
+
+TEST_CASE("an engine without a model is told to load one", "[gateway]")
+{
+    engine_keeper keeper("e", small_engine(4));
+    keeper.on_report(engine_report{}, time_point{1s});
+    const auto orders = keeper.plan(time_point{1s});
+    REQUIRE(orders.size() == 1);
+    CHECK(orders.front().model == "m");
+    CHECK(orders.front().adapter.empty());
+    CHECK(keeper.plan(time_point{1s}).empty());
+}
+
+TEST_CASE("requests may be sent when the load should be over", "[gateway]")
+{
+    engine_keeper keeper("e", small_engine(4));
+    time_point now{10s};
+    keeper.on_report(report_with({}), now);
+    CHECK(keeper.want(adapter("a1"), now) == adapter_status::loading);
+    const auto orders = keeper.plan(now);
+    REQUIRE(orders.size() == 1);
+    keeper.on_order_done(orders.front(), order_outcome::accepted, now);
+    CHECK(keeper.look_up("m", "a1", now).status == adapter_status::loading);
+    const auto ready = keeper.next_ready();
+    REQUIRE(ready);
+    CHECK(keeper.look_up("m", "a1", *ready).status ==
+          adapter_status::expected);
+    keeper.on_report(report_with({"a1@3"}), now + 400ms);
+    const auto held = keeper.look_up("m", "a1", now + 400ms);
+    CHECK(held.status == adapter_status::resident);
+    CHECK(held.version == 3);
+}
+
+TEST_CASE("an adapter in use is not evicted, the least recently used is",
+          "[gateway]")
+{
+    engine_keeper keeper("e", small_engine(2));
+    time_point now{10s};
+    keeper.on_report(report_with({"a1@1", "a2@1"}), now);
+    now += 2s;
+    keeper.on_use("m/a1", now);
+    CHECK(keeper.want(adapter("a3"), now) == adapter_status::loading);
+    auto orders = keeper.plan(now);
+    REQUIRE(orders.size() == 1);
+    CHECK_FALSE(orders.front().load);
+    CHECK(orders.front().adapter == "a2");
+
+    engine_keeper busy("e", small_engine(2));
+    busy.on_report(report_with({"a1@1", "a2@1"}), now);
+    busy.on_use("m/a1", now);
+    busy.on_use("m/a2", now);
+    CHECK(busy.want(adapter("a3"), now) == adapter_status::loading);
+    CHECK(busy.plan(now).empty());
+}
+
+TEST_CASE("orders pause after the engine refused one", "[gateway]")
+{
+    engine_keeper keeper("e", small_engine(4));
+    const time_point now{10s};
+    keeper.on_report(report_with({}), now);
+    CHECK(keeper.want(adapter("a1"), now) == adapter_status::loading);
+    const auto orders = keeper.plan(now);
+    REQUIRE(orders.size() == 1);
+    keeper.on_order_done(orders.front(), order_outcome::engine_busy, now);
+    CHECK(keeper.want(adapter("a1"), now) == adapter_status::loading);
+    CHECK(keeper.plan(now).empty());
+    CHECK(keeper.plan(now + 200ms).size() == 1);
+}
+
+TEST_CASE("a new version replaces the one that is held", "[gateway]")
+{
+    engine_keeper keeper("e", small_engine(4));
+    const time_point now{10s};
+    keeper.on_report(report_with({"a1@1"}), now);
+    keeper.on_release({"m", "a1", 2});
+    const auto orders = keeper.plan(now);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders.front().load);
+    CHECK(orders.front().version == 2);
+    CHECK(keeper.plan(now).empty());
+}
+
+TEST_CASE("an older version than the one held is refused", "[gateway]")
+{
+    engine_keeper keeper("e", small_engine(4));
+    const time_point now{10s};
+    keeper.on_report(report_with({"a1@5"}), now);
+    CHECK(keeper.want(adapter("a1", 4), now) == adapter_status::refused);
+    CHECK(keeper.want(adapter("a1", 5), now) == adapter_status::resident);
+}
+
+TEST_CASE("weights leave less room than there are places", "[gateway]")
+{
+    engine_spec spec = small_engine(29);
+    spec.weights_mb = 16100 + 3 * 14 + 1;
+    engine_keeper keeper("e", spec);
+    keeper.on_report(report_with({}), time_point{1s});
+    CHECK(keeper.capacity() == 3);
+}
+
+TEST_CASE("no engine is ever ordered to hold more than it has room for",
+          "[gateway]")
+{
+    rc::check([] {
+        const auto slots = *rc::gen::inRange<std::uint32_t>(1, 8);
+        model_engine engine(slots);
+        engine_keeper keeper("e", small_engine(slots));
+        time_point now{10s};
+        const auto steps = *rc::gen::container<std::vector<int>>(
+            200, rc::gen::inRange(0, 100));
+        for (const int s : steps) {
+            now += 20ms;
+            if (s % 3 == 0)
+                keeper.on_report(engine.report(now - 100ms), now);
+            if (s % 2 == 0)
+                (void)keeper.want(adapter("a" + std::to_string(s / 5)), now);
+            for (const auto& order : keeper.plan(now)) {
+                const auto outcome = engine.take(order, now);
+                // Every tenth answer is lost.
+                keeper.on_order_done(order,
+                                     s % 10 == 9 ? order_outcome::unknown
+                                                 : outcome,
+                                     now);
+            }
+        }
+        RC_ASSERT(!engine.overloaded());
+    });
+}
--- /dev/null
+++ b/tests/gateway/engine_ownership_test.cpp
@@ -0,0 +1,257 @@
+#include "lovagegate/gateway/engine_ownership.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <memory>
+
+using namespace lovagegate;
+using namespace lovagegate::gateway;
+
+namespace {
+
+constexpr duration lease = 3s;
+constexpr duration step = 100ms;
+
+/// Instances that exchange heartbeats and look for engines to order.
+class owners
+{
+public:
+    explicit owners(int size)
+    {
+        for (int i = 1; i <= size; ++i)
+            start("10.0.0." + std::to_string(i), true);
+    }
+
+    void start(const std::string& address, bool first_start)
+    {
+        auto seeds = std::vector<std::string>{"10.0.0.1", "10.0.0.2"};
+        nodes_[address] = std::make_unique<node>(
+            node{member_table(address, ++starts_, seeds, starts_),
+                 engine_ownership(lease, first_start, now_)});
+    }
+
+    void kill(const std::string& address) { nodes_.erase(address); }
+
+    void leave(const std::string& address)
+    {
+        node& n = *nodes_.at(address);
+        n.members.self().claims = claims(n);
+        n.members.self().leaving = true;
+        n.ownership.drop_all("stopping", now_);
+    }
+
+    /// @param cut is partitioned from all others
+    void run(duration time, const std::string& cut = {})
+    {
+        const time_point until = now_ + time;
+        for (; now_ < until; now_ += step) {
+            if ((now_.time_since_epoch() / step) % 4 == 0)
+                beat(cut);
+            for (auto& [address, n] : nodes_)
+                update(*n, address);
+        }
+    }
+
+    /// @return addresses that may order the engine now
+    [[nodiscard]] std::vector<std::string> who(const std::string& engine) const
+    {
+        std::vector<std::string> out;
+        for (const auto& [address, n] : nodes_)
+            if (n->ownership.find(engine))
+                out.push_back(address);
+        return out;
+    }
+
+    [[nodiscard]] fencing_token token(const std::string& address) const
+    {
+        return nodes_.at(address)->ownership.find("e1")->token;
+    }
+
+    /// @return shortest time between orders of two instances to one engine
+    [[nodiscard]] duration shortest_turn() const { return shortest_turn_; }
+    [[nodiscard]] bool tokens_grew() const { return tokens_grew_; }
+    engine_ownership& ownership(const std::string& address)
+    {
+        return nodes_.at(address)->ownership;
+    }
+    [[nodiscard]] instant now() const { return {now_, wall()}; }
+    /// Difference of one instance's time of day.
+    std::map<std::string, std::chrono::milliseconds> skew;
+
+private:
+    struct node
+    {
+        member_table members;
+        engine_ownership ownership;
+    };
+    struct last_order
+    {
+        std::string by;
+        time_point at;
+        fencing_token token = 0;
+    };
+
+    [[nodiscard]] wall_time wall() const
+    {
+        return wall_time(std::chrono::hours(500000)) +
+               std::chrono::duration_cast<std::chrono::milliseconds>(
+                   now_.time_since_epoch());
+    }
+
+    std::vector<engine_claim> claims(const node& n) const
+    {
+        std::vector<engine_claim> out;
+        for (const auto& [id, o] : n.ownership.all())
+            out.push_back({id, o.token, now_ - o.last_order, 0, 0, 0});
+        return out;
+    }
+
+    void beat(const std::string& cut)
+    {
+        for (auto& [address, n] : nodes_) {
+            if (!n->members.self().leaving)
+                n->members.self().claims = claims(*n);
+            else
+                for (auto& c : n->members.self().claims)
+                    c.since_last_order += 4 * step;
+            const auto out = n->members.next(now_);
+            for (const auto& to : out.to)
+                if (address != cut && to != cut && nodes_.contains(to))
+                    nodes_.at(to)->members.on_heartbeat(out.message, address,
+                                                        now_);
+        }
+    }
+
+    void update(node& n, const std::string& address)
+    {
+        const instant at{now_, wall() + skew[address]};
+        n.ownership.update(n.members, engines_, at);
+        // Every owner orders all the time: the worst case for turns.
+        for (const auto& [id, o] : n.ownership.all()) {
+            last_order& last = last_[id];
+            if (!last.by.empty() && last.by != address) {
+                shortest_turn_ = std::min(shortest_turn_, now_ - last.at);
+                tokens_grew_ = tokens_grew_ && o.token > last.token;
+            }
+            last = {address, now_, o.token};
+            n.ownership.on_ordered(id, now_);
+        }
+    }
+
+    std::map<std::string, std::unique_ptr<node>> nodes_;
+    std::map<std::string, last_order> last_;
+    std::vector<std::string> engines_{"e1", "e2", "e3", "e4"};
+    duration shortest_turn_ = 1h;
+    bool tokens_grew_ = true;
+    std::uint64_t starts_ = 0;
+    time_point now_{100s};
+};
+
+} // namespace
+
+TEST_CASE("every engine gets exactly one owner", "[gateway]")
+{
+    owners fleet(9);
+    fleet.run(5s);
+    for (const char* engine : {"e1", "e2", "e3", "e4"})
+        CHECK(fleet.who(engine).size() == 1);
+    CHECK(fleet.shortest_turn() == 1h);
+}
+
+TEST_CASE("a killed owner's engines are taken after a lease", "[gateway]")
+{
+    owners fleet(5);
+    fleet.run(5s);
+    const auto owner = fleet.who("e1").front();
+    fleet.kill(owner);
+    fleet.run(10s);
+    REQUIRE(fleet.who("e1").size() == 1);
+    CHECK(fleet.who("e1").front() != owner);
+    CHECK(fleet.shortest_turn() >= lease);
+    CHECK(fleet.tokens_grew());
+}
+
+TEST_CASE("a stopping owner's engines are taken a lease after its last order",
+          "[gateway]")
+{
+    owners fleet(5);
+    fleet.run(5s);
+    const auto owner = fleet.who("e1").front();
+    fleet.leave(owner);
+    fleet.run(5s);
+    REQUIRE(fleet.who("e1").size() == 1);
+    CHECK(fleet.who("e1").front() != owner);
+    CHECK(fleet.shortest_turn() >= lease);
+}
+
+TEST_CASE("a cut-off owner stops before another one begins", "[gateway]")
+{
+    owners fleet(5);
+    fleet.run(5s);
+    const auto owner = fleet.who("e1").front();
+    fleet.run(9s, owner);
+    REQUIRE(fleet.who("e1").size() == 1);
+    CHECK(fleet.who("e1").front() != owner);
+    fleet.run(9s);
+    CHECK(fleet.who("e1").size() == 1);
+    CHECK(fleet.shortest_turn() >= lease);
+    CHECK(fleet.tokens_grew());
+}
+
+TEST_CASE("a newcomer doesn't take engines from live owners", "[gateway]")
+{
+    owners fleet(3);
+    fleet.run(5s);
+    const auto before = fleet.who("e1");
+    fleet.start("10.0.0.7", false);
+    fleet.run(9s);
+    CHECK(fleet.who("e1") == before);
+    CHECK(fleet.shortest_turn() == 1h);
+}
+
+TEST_CASE("after a restart of all, nobody orders before a lease has passed",
+          "[gateway]")
+{
+    owners fleet(4);
+    fleet.run(5s);
+    for (int i = 1; i <= 4; ++i) {
+        fleet.kill("10.0.0." + std::to_string(i));
+        fleet.start("10.0.0." + std::to_string(i), false);
+    }
+    fleet.run(9s);
+    CHECK(fleet.who("e1").size() == 1);
+    CHECK(fleet.shortest_turn() >= lease);
+}
+
+TEST_CASE("tokens grow over a takeover by an instance whose clock is behind",
+          "[gateway]")
+{
+    owners fleet(3);
+    fleet.run(5s);
+    const auto owner = fleet.who("e1").front();
+    for (const char* other : {"10.0.0.1", "10.0.0.2", "10.0.0.3"})
+        if (owner != other)
+            fleet.skew[other] = -60s;
+    fleet.kill(owner);
+    fleet.run(10s);
+    REQUIRE(fleet.who("e1").size() == 1);
+    CHECK(fleet.tokens_grew());
+}
+
+TEST_CASE("a refused token is given up, raised and used after a lease",
+          "[gateway]")
+{
+    owners fleet(1);
+    fleet.run(3s);
+    const std::string self = "10.0.0.1";
+    REQUIRE(fleet.who("e1").size() == 1);
+    const auto refused = fleet.token(self);
+    fleet.ownership(self).on_token_refused("e1", fleet.now());
+    CHECK(fleet.who("e1").empty());
+    fleet.run(2s);
+    CHECK(fleet.who("e1").empty());
+    fleet.run(4s);
+    REQUIRE(fleet.who("e1").size() == 1);
+    CHECK(fleet.token(self) > refused + 2000 * 1024);
+}
--- /dev/null
+++ b/tests/gateway/member_table_test.cpp
@@ -0,0 +1,114 @@
+#include "lovagegate/gateway/member_table.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace lovagegate;
+using namespace lovagegate::gateway;
+
+namespace {
+
+/// Several tables that exchange heartbeats without a network.
+class small_fleet
+{
+public:
+    explicit small_fleet(int size)
+    {
+        for (int i = 1; i <= size; ++i) {
+            const std::string address = "10.0.0." + std::to_string(i);
+            tables_.emplace(address,
+                            member_table(address, 1, {"10.0.0.1"},
+                                         static_cast<std::uint64_t>(i)));
+        }
+    }
+
+    /// @param cut addresses that neither send nor receive
+    void beat(const std::vector<std::string>& cut = {})
+    {
+        const auto is_cut = [&](const std::string& a) {
+            return std::ranges::find(cut, a) != cut.end();
+        };
+        for (auto& [address, table] : tables_) {
+            const auto out = table.next(now_);
+            for (const auto& to : out.to)
+                if (!is_cut(address) && !is_cut(to) && tables_.contains(to))
+                    tables_.at(to).on_heartbeat(out.message, address, now_);
+        }
+        now_ += member_settings{}.interval;
+    }
+
+    member_table& at(const std::string& address)
+    {
+        return tables_.at(address);
+    }
+    [[nodiscard]] time_point now() const { return now_; }
+    std::map<std::string, member_table>& all() { return tables_; }
+
+private:
+    std::map<std::string, member_table> tables_;
+    time_point now_{100s};
+};
+
+} // namespace
+
+TEST_CASE("instances that no seed names become known to all", "[gateway]")
+{
+    const int size = GENERATE(3, 9, 40);
+    small_fleet fleet(size);
+    for (int i = 0; i < 12; ++i)
+        fleet.beat();
+    for (auto& [address, table] : fleet.all())
+        CHECK(table.count(fleet.now()) == static_cast<std::size_t>(size));
+}
+
+TEST_CASE("a silent instance leaves the view and comes back", "[gateway]")
+{
+    small_fleet fleet(5);
+    for (int i = 0; i < 6; ++i)
+        fleet.beat();
+    for (int i = 0; i < 5; ++i)
+        fleet.beat({"10.0.0.3"});
+    CHECK(fleet.at("10.0.0.2").count(fleet.now()) == 4);
+    CHECK(fleet.at("10.0.0.2").has_majority(fleet.now()));
+    CHECK_FALSE(fleet.at("10.0.0.3").has_majority(fleet.now()));
+    for (int i = 0; i < 6; ++i)
+        fleet.beat();
+    CHECK(fleet.at("10.0.0.2").count(fleet.now()) == 5);
+    CHECK(fleet.at("10.0.0.3").has_majority(fleet.now()));
+}
+
+TEST_CASE("a leaving instance is not counted, however young its heartbeat",
+          "[gateway]")
+{
+    small_fleet fleet(3);
+    for (int i = 0; i < 4; ++i)
+        fleet.beat();
+    fleet.at("10.0.0.2").self().leaving = true;
+    fleet.beat();
+    CHECK(fleet.at("10.0.0.1").count(fleet.now()) == 2);
+}
+
+TEST_CASE("a heartbeat under another sender's address is ignored", "[gateway]")
+{
+    member_table table("10.0.0.1", 1, {}, 7);
+    heartbeat h;
+    h.self.address = "10.0.0.2";
+    CHECK_FALSE(table.on_heartbeat(h, "10.0.0.9", time_point{1s}));
+    CHECK(table.all().empty());
+}
+
+TEST_CASE("a restarted instance replaces its record even if its clock is behind",
+          "[gateway]")
+{
+    member_table table("10.0.0.1", 1, {}, 7);
+    heartbeat h;
+    h.self.address = "10.0.0.2";
+    h.self.start = 500;
+    h.self.beat = 90;
+    table.on_heartbeat(h, "10.0.0.2", time_point{1s});
+    h.self.start = 400;
+    h.self.beat = 1;
+    CHECK(table.on_heartbeat(h, "10.0.0.2", time_point{2s}));
+    CHECK(table.all().at("10.0.0.2").record.start == 400);
+}
--- /dev/null
+++ b/tests/gateway/placement_test.cpp
@@ -0,0 +1,163 @@
+#include "lovagegate/gateway/placement.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace lovagegate;
+using namespace lovagegate::gateway;
+
+namespace {
+
+class engines
+{
+public:
+    explicit engines(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            target_entry e;
+            e.id = "e" + std::to_string(i);
+            e.service = "llm";
+            e.slots = 64;
+            e.failure_domain = "z";
+            directory.put(e, now);
+        }
+    }
+
+    std::optional<placement_choice>
+    choose(placement& p, const std::string& adapter,
+           std::vector<std::string> excluded = {})
+    {
+        placement_request r;
+        r.service = "llm";
+        r.adapter = adapter_ref{"m", adapter, 0};
+        r.excluded = excluded;
+        return p.choose(r, directory.usable("llm", now), 3, now);
+    }
+
+    target_directory directory{2s};
+    time_point now{100s};
+};
+
+} // namespace
+
+TEST_CASE("all instances choose the same engine for an unknown adapter",
+          "[gateway]")
+{
+    engines site(12);
+    for (int a = 0; a < 40; ++a) {
+        placement one("z", 1);
+        placement other("z", 99);
+        const auto name = "a" + std::to_string(a);
+        const auto first = site.choose(one, name);
+        REQUIRE(first);
+        CHECK_FALSE(first->resident);
+        CHECK(first->target == site.choose(other, name)->target);
+    }
+}
+
+TEST_CASE("an engine that holds the adapter is taken before one that doesn't",
+          "[gateway]")
+{
+    engines site(6);
+    placement p("z", 1);
+    const auto home = site.choose(p, "a1")->target;
+    const std::string other = home == "e0" ? "e1" : "e0";
+    p.on_resident(other, "m/a1", 1, site.now);
+    const auto choice = site.choose(p, "a1");
+    CHECK(choice->target == other);
+    CHECK(choice->resident);
+    p.on_absent(other, "m/a1", site.now);
+    CHECK(site.choose(p, "a1")->target == home);
+}
+
+TEST_CASE("an adapter stays at its first engine while that is a little busier",
+          "[gateway]")
+{
+    engines site(6);
+    placement p("z", 1);
+    const auto home = site.choose(p, "a1")->target;
+    for (int i = 0; i < 6; ++i) {
+        const auto id = "e" + std::to_string(i);
+        p.on_load({id, 1, {}, id == home ? 25U : 10U, 0, 0}, site.now);
+    }
+    CHECK(site.choose(p, "a1")->target == home);
+}
+
+TEST_CASE("an engine whose queue is long is left for another", "[gateway]")
+{
+    engines site(6);
+    placement p("z", 1);
+    const auto home = site.choose(p, "a1")->target;
+    p.on_resident(home, "m/a1", 1, site.now);
+    for (int i = 0; i < 6; ++i) {
+        const auto id = "e" + std::to_string(i);
+        p.on_load({id, 1, {}, id == home ? 64U : 5U, id == home ? 60U : 0U, 0},
+                  site.now);
+    }
+    CHECK(site.choose(p, "a1")->target != home);
+}
+
+TEST_CASE("an unreachable engine is avoided for a while", "[gateway]")
+{
+    engines site(4);
+    placement p("z", 1);
+    const auto home = site.choose(p, "a1")->target;
+    p.on_unreachable(home, site.now);
+    CHECK(site.choose(p, "a1")->target != home);
+    site.now += 5s;
+    CHECK(site.choose(p, "a1")->target == home);
+}
+
+TEST_CASE("an engine that fails its requests quickly doesn't draw more",
+          "[gateway]")
+{
+    engines site(3);
+    placement p("z", 1);
+    for (int i = 0; i < 3; ++i)
+        p.on_resident("e" + std::to_string(i), "m/a1", 1, site.now);
+    const auto first = site.choose(p, "a1")->target;
+    for (int i = 0; i < 4; ++i)
+        p.on_failure(first, site.now);
+    CHECK(site.choose(p, "a1")->target != first);
+}
+
+TEST_CASE("targets that were tried are not chosen again", "[gateway]")
+{
+    engines site(2);
+    placement p("z", 1);
+    CHECK(site.choose(p, "a1", {"e0"})->target == "e1");
+    CHECK_FALSE(site.choose(p, "a1", {"e0", "e1"}));
+}
+
+TEST_CASE("a restarted engine holds nothing", "[gateway]")
+{
+    placement p("z", 1);
+    const time_point now{100s};
+    target_entry e;
+    e.id = "e0";
+    e.started_ms = 1;
+    e.models = {{"m", {"a1@4"}}};
+    p.on_entry(e, now);
+    CHECK(p.is_resident("e0", "m/a1", 4));
+    CHECK_FALSE(p.is_resident("e0", "m/a1", 5));
+    e.started_ms = 2;
+    e.models = {{"m", {}}};
+    p.on_entry(e, now);
+    CHECK_FALSE(p.is_resident("e0", "m/a1", 0));
+}
+
+TEST_CASE("what an owner said is believed before an older entry", "[gateway]")
+{
+    placement p("z", 1);
+    const time_point now{100s};
+    target_entry e;
+    e.id = "e0";
+    e.models = {{"m", {"a1@1"}}};
+    p.on_entry(e, now);
+    p.on_absent("e0", "m/a1", now);
+    p.on_entry(e, now + 1s);
+    CHECK_FALSE(p.is_resident("e0", "m/a1", 0));
+    p.on_entry(e, now + 4s);
+    CHECK(p.is_resident("e0", "m/a1", 0));
+}
--- /dev/null
+++ b/tests/platform_wire/http_fields_test.cpp
@@ -0,0 +1,124 @@
+#include "platform/http_fields.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagegate;
+using namespace lovagegate::platform_wire;
+
+namespace {
+
+net::message_head request_head()
+{
+    net::message_head h;
+    h.method = "POST";
+    h.target = "/a/b?q=1";
+    h.headers = {{"Host", "h.example"},
+                 {"X-Attempt-Id", "id1"},
+                 {"X-Model-Name", "m/a7"},
+                 {"X-Token-Counts", "1460,80"},
+                 {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+                 {"X-Request-Deadline", "12000"},
+                 {"Last-Event-Id", "4"},
+                 {"Connection", "keep-alive, X-Private"},
+                 {"X-Private", "hop"},
+                 {"Transfer-Encoding", "chunked"},
+                 {"X-Hold-Request", "h"},
+                 {"Kv-From", "10.0.0.1:80/1"},
+                 {"X-Expected-Instance", "forged"},
+                 {"Accept", "text/event-stream"}};
+    return h;
+}
+
+bool contains(const std::string& text, std::string_view part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("a request's facts are decoded once", "[platform_wire]")
+{
+    const auto f = read_request(request_head());
+    CHECK(f.attempt_id == "id1");
+    CHECK(f.model == "m");
+    CHECK(f.adapter == "a7");
+    CHECK(f.prompt_tokens == 1460);
+    CHECK(f.output_tokens == 80);
+    CHECK(f.first_part == "5c1e07a2");
+    CHECK(f.time_left == duration(12s));
+    CHECK(f.resume_after == "4");
+}
+
+TEST_CASE("a target gets the caller's headers but for the system's own",
+          "[platform_wire]")
+{
+    gateway::target_fields fields;
+    fields.target = "i-1";
+    fields.time_left = 900ms;
+    fields.priority = 2;
+    const auto text = write_target_head(request_head(), fields, 5);
+    CHECK(text.starts_with("POST /a/b?q=1 HTTP/1.1\r\n"));
+    CHECK(text.ends_with("Content-Length: 5\r\n\r\n"));
+    CHECK(contains(text, "X-Attempt-Id: id1\r\n"));
+    CHECK(contains(text, "X-Expected-Instance: i-1\r\n"));
+    CHECK(contains(text, "X-Request-Deadline: 900\r\n"));
+    CHECK(contains(text, "X-Request-Priority: 2\r\n"));
+    CHECK(contains(text, "Last-Event-Id: 4\r\n"));
+    CHECK(contains(text, "Accept: text/event-stream\r\n"));
+    for (const auto* dropped :
+         {"forged", "X-Hold-Request", "Kv-From", "12000", "X-Private",
+          "Transfer-Encoding", "Connection"})
+        CHECK_FALSE(contains(text, dropped));
+}
+
+TEST_CASE("a resumed stream goes on after the last event that was passed on",
+          "[platform_wire]")
+{
+    gateway::target_fields fields;
+    fields.target = "i-1";
+    fields.resume_after = "17";
+    const auto text = write_target_head(request_head(), fields, 0);
+    CHECK(contains(text, "Last-Event-Id: 17\r\n"));
+    CHECK_FALSE(contains(text, "Last-Event-Id: 4\r\n"));
+}
+
+TEST_CASE("an answer keeps the target's headers and gets its own framing",
+          "[platform_wire]")
+{
+    net::message_head h;
+    h.status = 200;
+    h.headers = {{"X-Server-Seal", "s"},
+                 {"Content-Length", "9"},
+                 {"Connection", "close"},
+                 {"Keep-Alive", "timeout=5"}};
+    const auto text = write_answer_head(h, framing::chunked, 0, false);
+    CHECK(contains(text, "X-Server-Seal: s\r\n"));
+    CHECK(contains(text, "Transfer-Encoding: chunked\r\n"));
+    CHECK_FALSE(contains(text, "Content-Length"));
+    CHECK_FALSE(contains(text, "Keep-Alive"));
+    CHECK_FALSE(contains(text, "Connection"));
+    CHECK(contains(write_answer_head(h, framing::length, 9, true),
+                   "Connection: close\r\n"));
+}
+
+TEST_CASE("what an answer says of its run is read", "[platform_wire]")
+{
+    net::message_head h;
+    h.status = 421;
+    CHECK(read_answer(h).not_run);
+    h.status = 503;
+    CHECK_FALSE(read_answer(h).not_run);
+    h.headers = {{"x-not-executed", "1"}};
+    CHECK(read_answer(h).not_run);
+    h.headers = {{"X-Server-Seal", "s"}, {"Content-Encoding", "gzip"}};
+    CHECK(read_answer(h).signed_by_target);
+    CHECK(read_answer(h).encoded);
+}
+
+TEST_CASE("a refusal says when to come back", "[platform_wire]")
+{
+    const auto text = write_own_answer(503, "id1", "busy", 250ms, false);
+    CHECK(contains(text, "Retry-After: 0.250\r\n"));
+    CHECK(contains(text, "X-Attempt-Id: id1\r\n"));
+    CHECK(text.ends_with("\r\n\r\nbusy\n"));
+}
--- /dev/null
+++ b/tests/platform_wire/published_test.cpp
@@ -0,0 +1,123 @@
+#include "platform/published.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace lovagegate;
+using namespace lovagegate::platform_wire;
+
+TEST_CASE("a configuration is read into the project's terms",
+          "[platform_wire]")
+{
+    const auto c = parse_config(R"({"version":7,"routes":[
+        {"name":"r","host":"h","prefix":"/p/","kind":"streaming",
+         "timeoutMs":12000,"targetLatencyMs":500,"priority":1,
+         "trafficSplit":[{"service":"a","weight":90},
+                         {"service":"b","weight":10}],
+         "maxAttempts":2,"sessionAffinity":true,"resumable":true,
+         "gapAimMs":250}, "not a route"],
+        "services":[{"name":"a","healthCheckPath":"/health",
+          "maxConnections":370,"engine":{"slots":64,"weightsSize":16800.0,
+          "adapterSlots":29,"loadsPerS":4.3,
+          "models":[{"name":"m","weightsSize":16100.5,"loadTimeS":0.6,
+                     "adapterMb":14.0}]}}],
+        "limits":{"maxHeaderBytes":1000,"idleTimeoutMs":5000}})");
+    CHECK(c.version == 7);
+    REQUIRE(c.routes.size() == 1);
+    const auto& r = c.routes.front();
+    CHECK(r.repeats == gateway::repeat_rule::stream);
+    CHECK(r.resumable);
+    CHECK(r.timeout == 12s);
+    CHECK(r.services.size() == 2);
+    REQUIRE(c.services.size() == 1);
+    REQUIRE(c.services.front().engine);
+    CHECK(c.services.front().engine->models.front().load_time == 600ms);
+    CHECK(c.limits.head_bytes == 1000);
+    CHECK(c.limits.idle_timeout == 5s);
+}
+
+TEST_CASE("a route of an unknown kind runs at most once", "[platform_wire]")
+{
+    const auto c = parse_config(
+        R"({"version":1,"routes":[{"name":"r","kind":"new"}]})");
+    CHECK(c.routes.front().repeats == gateway::repeat_rule::at_most_once);
+}
+
+TEST_CASE("entries by other writers name no target", "[platform_wire]")
+{
+    const std::string key = "servers/i-1";
+    CHECK(parse_target(key, R"({"service":"s","address":"10.0.0.1:80",
+        "state":"ready","slots":6,"born":17})"));
+    const auto text = GENERATE(
+        R"({"service":7,"address":"10.0.0.1:80","state":"ready"})",
+        R"({"service":"s","address":"nowhere","state":"ready"})",
+        R"({"service":"s","address":"10.0.0.1:80","state":"odd"})",
+        R"({"address":"10.0.0.1:80","state":"ready"})", R"([1,2])", "\xff\xfe",
+        "");
+    CHECK_FALSE(parse_target(key, text));
+}
+
+TEST_CASE("wrong types in optional fields are passed over", "[platform_wire]")
+{
+    const auto t = parse_target("servers/i-1", R"({"service":"s",
+        "address":"10.0.0.1:80","state":"draining","slots":"many",
+        "models":[3,{"name":"m","adapters":[1,"a@2"]}],"remainingMs":1500})");
+    REQUIRE(t);
+    CHECK(t->slots == 1);
+    CHECK(t->leaving);
+    CHECK(t->leaves_in == 1500ms);
+    CHECK(t->models.front().adapters.size() == 1);
+}
+
+TEST_CASE("values are decoded and tombstones are known", "[platform_wire]")
+{
+    const auto r = parse_watch(R"({"events":[
+        {"key":"a","value":"bm9kZS0x","revision":412,"created":4,"lease":0},
+        {"key":"b","revision":413,"tombstone":true},
+        {"key":"c","value":"***","revision":414}],"currentRev":414})");
+    REQUIRE(r.items.size() == 3);
+    CHECK(r.items[0].value == "node-1");
+    CHECK(r.items[1].deleted);
+    CHECK(r.items[2].value.empty());
+    CHECK(r.revision == 414);
+    CHECK_THROWS_AS(parse_watch(R"({"events":[]})"), published_error);
+    CHECK_THROWS_AS(parse_range("oops"), published_error);
+}
+
+TEST_CASE("paths of the store's calls are escaped", "[platform_wire]")
+{
+    CHECK(range_path("op/", "op/a b") ==
+          "/-/kv-range?prefix=op/&after=op/a%20b");
+    CHECK(watch_path("servers/", 5, 2500ms) ==
+          "/-/kv-watch?prefix=servers/&after=5&waitMs=2500");
+}
+
+TEST_CASE("an order names holder and token", "[platform_wire]")
+{
+    const auto text = write_order({true, "m", "a", 3, "n1", 41});
+    CHECK(text == R"({"adapter":"a","fencingToken":41,"holder":"n1",)"
+                  R"("model":"m","operation":"load","version":3})");
+}
+
+TEST_CASE("no bytes of the store are too odd to be read", "[platform_wire]")
+{
+    rc::check([](const std::string& bytes) {
+        (void)parse_target("servers/x", bytes);
+        (void)parse_release(bytes);
+        for (const auto read : {+[](std::string_view b) {
+                                    (void)parse_range(b);
+                                },
+                                +[](std::string_view b) {
+                                    (void)parse_config(b);
+                                },
+                                +[](std::string_view b) {
+                                    (void)parse_report(b);
+                                }}) {
+            try {
+                read(bytes);
+            } catch (const published_error&) {
+                continue; // refused with a type
+            }
+        }
+    });
+}
