--- a/src/lovagegate/cli/command.hpp
+++ b/src/lovagegate/cli/command.hpp
@@ -44,9 +44,8 @@
     std::string text;
 };
 
-using command =
-    std::variant<serve_command, gateway_command, check_command, status_command,
-                 print_command>;
+using command = std::variant<serve_command, gateway_command, check_command,
+                             status_command, print_command>;
 
 /// The command line is not one that the usage allows.
 class usage_error : public error
--- a/src/lovagegate/gateway/adapter_desk.cpp
+++ b/src/lovagegate/gateway/adapter_desk.cpp
@@ -99,8 +99,7 @@
 {
     const time_point now = net::event_loop::now().mono;
     const std::uint64_t number = ++last_number_;
-    asks_.emplace(number,
-                  open_ask{engine, wanted, std::move(done), now, {}});
+    asks_.emplace(number, open_ask{engine, wanted, std::move(done), now, {}});
     send_ask(number, asks_.at(number), now);
     return asks_.contains(number) ? number : 0;
 }
@@ -189,8 +188,8 @@
     kept_engine& e = it->second;
     const auto status = e.keeper.want(ask.wanted, now);
     if (status != adapter_status::loading) {
-        const auto held = e.keeper.look_up(ask.wanted.model,
-                                           ask.wanted.adapter, now);
+        const auto held =
+            e.keeper.look_up(ask.wanted.model, ask.wanted.adapter, now);
         reply(w, ask.engine, status, held.version);
         return;
     }
@@ -268,11 +267,9 @@
 
 void adapter_desk::log_change(const engine_ownership::change& c) const
 {
-    logging::write(logging::level::info,
-                   c.taken ? "engine_taken" : "engine_given_up",
-                   {{"engine", c.engine},
-                    {"token", c.token},
-                    {"reason", c.reason}});
+    logging::write(
+        logging::level::info, c.taken ? "engine_taken" : "engine_given_up",
+        {{"engine", c.engine}, {"token", c.token}, {"reason", c.reason}});
 }
 
 void adapter_desk::update_owned(instant now)
@@ -404,8 +401,8 @@
     target_request request;
     request.target = id;
     request.address = t->entry.address;
-    request.head = platform_wire::write_order_head(
-        to_string(t->entry.address), id, body.size());
+    request.head = platform_wire::write_order_head(to_string(t->entry.address),
+                                                   id, body.size());
     request.body = body;
     const std::uint64_t number = ++last_number_;
     state_.counts.add("orders_given", "operation",
@@ -413,8 +410,7 @@
     state_.ownership.on_ordered(id, net::event_loop::now().mono);
     e.orders[number] = std::make_unique<short_call>(
         loop_, pool_, request, connection_limit(t->entry.service), call_limit,
-        longest_report,
-        [this, id, number, order](const short_call::result& r) {
+        longest_report, [this, id, number, order](const short_call::result& r) {
             on_order_done(id, number, order, r);
         });
 }
@@ -426,17 +422,17 @@
     const instant now = net::event_loop::now();
     const auto outcome = outcome_of(r);
     const auto* owned = state_.ownership.find(id);
-    logging::write(logging::level::info, "order",
-                   {{"engine", id},
-                    {"operation", order.load ? "load" : "unload"},
-                    {"model", order.model},
-                    {"adapter", order.adapter},
-                    {"version", order.version},
-                    {"token", owned ? owned->token : 0},
-                    {"outcome", to_string(outcome)},
-                    {"status", static_cast<std::uint64_t>(r.status)},
-                    {"answer", std::string_view(r.body).substr(
-                                   0, logged_answer_bytes)}});
+    logging::write(
+        logging::level::info, "order",
+        {{"engine", id},
+         {"operation", order.load ? "load" : "unload"},
+         {"model", order.model},
+         {"adapter", order.adapter},
+         {"version", order.version},
+         {"token", owned ? owned->token : 0},
+         {"outcome", to_string(outcome)},
+         {"status", static_cast<std::uint64_t>(r.status)},
+         {"answer", std::string_view(r.body).substr(0, logged_answer_bytes)}});
     state_.counts.add("orders_done", "outcome", to_string(outcome));
     const auto it = kept_.find(id);
     if (it == kept_.end())
--- a/src/lovagegate/gateway/adapter_desk.hpp
+++ b/src/lovagegate/gateway/adapter_desk.hpp
@@ -25,8 +25,8 @@
     using answer_handler =
         std::function<void(adapter_status status, std::uint64_t version)>;
 
-    adapter_desk(net::event_loop& loop, gateway_state& state,
-                 target_pool& pool, peer_sender send);
+    adapter_desk(net::event_loop& loop, gateway_state& state, target_pool& pool,
+                 peer_sender send);
     ~adapter_desk();
 
     /// Asks for an adapter on an engine.
@@ -101,13 +101,11 @@
     void poll(const std::string& id, kept_engine& e, time_point now);
     void on_report(const std::string& id, const short_call::result& r);
     void work(const std::string& id, kept_engine& e, time_point now);
-    void wake_when_ready(const std::string& id, kept_engine& e,
-                         time_point now);
+    void wake_when_ready(const std::string& id, kept_engine& e, time_point now);
     void give_order(const std::string& id, kept_engine& e,
                     const engine_order& order);
     void on_order_done(const std::string& id, std::uint64_t number,
-                       const engine_order& order,
-                       const short_call::result& r);
+                       const engine_order& order, const short_call::result& r);
     void serve_waiters(kept_engine& e, const std::string& id, time_point now);
     void reply(const waiter& w, const std::string& engine,
                adapter_status status, std::uint64_t version);
@@ -116,8 +114,8 @@
     void send_ask(std::uint64_t number, open_ask& ask, time_point now);
     void flush_uses();
     void log_change(const engine_ownership::change& c) const;
-    [[nodiscard]] std::size_t connection_limit(const std::string& service)
-        const;
+    [[nodiscard]] std::size_t
+    connection_limit(const std::string& service) const;
 
     net::event_loop& loop_;
     gateway_state& state_;
--- a/src/lovagegate/gateway/boot_settings.hpp
+++ b/src/lovagegate/gateway/boot_settings.hpp
@@ -22,7 +22,8 @@
     settings::endpoint readiness; ///< where the platform asks for readiness
     settings::endpoint control;   ///< pages for peers and operators
     std::uint16_t peer_port = 0;  ///< datagrams between instances
-    std::uint16_t metrics_port = 0;
+    /// The deploy file names it; the port that Prometheus' exporters begin at.
+    std::uint16_t metrics_port = 9464;
     std::vector<settings::endpoint> seeds; ///< control addresses; may be stale
     settings::endpoint store;
     std::size_t memory_mb = 260;
@@ -30,8 +31,8 @@
 
     duration drain_after_notice = 2s; ///< last new request to a leaving target
     duration stop_grace = 8s;         ///< from SIGTERM to SIGKILL
-    duration lease = 3s; ///< least pause between orders of two instances
-    double retry_ratio = 0.2;  ///< repeats for each request, all instances
+    duration lease = 3s;      ///< least pause between orders of two instances
+    double retry_ratio = 0.2; ///< repeats for each request, all instances
     duration retry_window = 10s;
     double retry_slack = 50; ///< further repeats in each window
     bool engines_check_fencing = true;
--- a/src/lovagegate/gateway/caller_connection.cpp
+++ b/src/lovagegate/gateway/caller_connection.cpp
@@ -183,11 +183,10 @@
     if (unread_.empty() || reading_)
         return;
     // Not from here: the answer may have been written in a callback.
-    context_.loop.call_later(duration::zero(),
-                             [weak = weak_from_this()] {
-                                 if (const auto self = weak.lock())
-                                     self->read_requests();
-                             });
+    context_.loop.call_later(duration::zero(), [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->read_requests();
+    });
 }
 
 void caller_connection::abort()
--- a/src/lovagegate/gateway/caller_connection.hpp
+++ b/src/lovagegate/gateway/caller_connection.hpp
@@ -111,7 +111,7 @@
     std::function<void()> drained_;
     time_point since_{}; ///< begin of the present state
     std::size_t body_limit_ = 0;
-    bool busy_ = false;      ///< a request is being answered
+    bool busy_ = false; ///< a request is being answered
     bool chunked_ = false;
     bool close_after_ = false;
     bool lingering_ = false; ///< the answer is sent; waits for the peer's end
--- a/src/lovagegate/gateway/caller_request.hpp
+++ b/src/lovagegate/gateway/caller_request.hpp
@@ -15,12 +15,12 @@
     std::string attempt_id; ///< of this attempt; a repeat has another
     std::string host;
     std::optional<duration> time_left; ///< how long the caller waits
-    std::string model;   ///< empty: for a plain service
-    std::string adapter; ///< empty: the base model
-    std::uint64_t version = 0; ///< that the caller wants; 0: the newest
+    std::string model;                 ///< empty: for a plain service
+    std::string adapter;               ///< empty: the base model
+    std::uint64_t version = 0;         ///< that the caller wants; 0: the newest
     std::uint32_t prompt_tokens = 0;
     std::uint32_t output_tokens = 0; ///< bound
-    std::string first_part; ///< first shared part of the prompt
+    std::string first_part;          ///< first shared part of the prompt
     std::string resume_after; ///< id of the last event that the caller has
 };
 
@@ -36,10 +36,10 @@
 /// What the gateway adds to a request.
 struct target_fields
 {
-    std::string target;  ///< id: another target refuses the request
+    std::string target; ///< id: another target refuses the request
     duration time_left{};
-    std::optional<std::uint32_t> priority; ///< 0 is the most urgent
-    std::uint64_t required_version = 0;    ///< 0: any
+    std::optional<std::uint32_t> priority;   ///< 0 is the most urgent
+    std::uint64_t required_version = 0;      ///< 0: any
     std::optional<std::string> resume_after; ///< replaces the caller's
 };
 
--- a/src/lovagegate/gateway/crash_suspects.hpp
+++ b/src/lovagegate/gateway/crash_suspects.hpp
@@ -25,8 +25,7 @@
     /// An engine crashed with the request on it.
     /// @param engine with the time of its start, so that one crash that two
     ///        instances report counts once
-    void on_crash(fingerprint request, std::string_view engine,
-                  time_point now);
+    void on_crash(fingerprint request, std::string_view engine, time_point now);
 
     /// The request was answered: it is harmless.
     void on_answer(fingerprint request);
--- a/src/lovagegate/gateway/engine_keeper.cpp
+++ b/src/lovagegate/gateway/engine_keeper.cpp
@@ -77,10 +77,9 @@
         adapter_mb = std::max(adapter_mb, m.adapter_mb);
     if (adapter_mb <= 0 || spec_.weights_mb <= 0)
         return spec_.adapter_slots;
-    const double room =
-        std::floor((spec_.weights_mb - held_mb()) / adapter_mb);
-    return std::min<std::size_t>(
-        spec_.adapter_slots, static_cast<std::size_t>(std::max(0.0, room)));
+    const double room = std::floor((spec_.weights_mb - held_mb()) / adapter_mb);
+    return std::min<std::size_t>(spec_.adapter_slots,
+                                 static_cast<std::size_t>(std::max(0.0, room)));
 }
 
 bool engine_keeper::holds_model(std::string_view model) const
@@ -99,16 +98,19 @@
 {
     return static_cast<std::size_t>(
         std::ranges::count_if(places_, [](const auto& p) {
-            return p.second.state == place_state::loading ||
-                   p.second.replacing;
+            return p.second.state == place_state::loading || p.second.replacing;
         }));
 }
 
 bool engine_keeper::awaits_change(time_point now) const
 {
-    return std::ranges::any_of(places_, [&](const auto& p) {
-        return p.second.state != place_state::resident || p.second.replacing;
-    }) || (reported_ && report_.models.empty() && now > time_point{});
+    return std::ranges::any_of(places_,
+                               [&](const auto& p) {
+                                   return p.second.state !=
+                                              place_state::resident ||
+                                          p.second.replacing;
+                               }) ||
+           (reported_ && report_.models.empty() && now > time_point{});
 }
 
 void engine_keeper::take_resident(const engine_report& report, time_point now)
@@ -118,8 +120,8 @@
             const auto [name, version] = split_version(text);
             const auto key = adapter_name(m.name, name);
             const auto [it, added] = places_.emplace(
-                key, place{place_state::resident, version, now - report_lag, now,
-                           false, false, now});
+                key, place{place_state::resident, version, now - report_lag,
+                           now, false, false, now});
             place& p = it->second;
             if (added)
                 continue;
@@ -145,17 +147,17 @@
             for (const auto& text : m.adapters)
                 if (adapter_name(m.name, split_version(text).first) == key)
                     return true;
-        return std::ranges::any_of(
-            report.in_transit, [&](const std::string& text) {
-                return split_version(text).first == key;
-            });
+        return std::ranges::any_of(report.in_transit,
+                                   [&](const std::string& text) {
+                                       return split_version(text).first == key;
+                                   });
     };
     std::erase_if(places_, [&](const auto& entry) {
         const place& p = entry.second;
         const duration age = now - p.since;
         if (is_reported(entry.first) ||
-            age <= (p.state == place_state::loading ? load_timeout
-                                                    : report_lag))
+            age <=
+                (p.state == place_state::loading ? load_timeout : report_lag))
             return false;
         if (p.state == place_state::unloading)
             note_left(entry.first);
@@ -172,10 +174,10 @@
     take_resident(report, now);
     for (const auto& text : report.in_transit) {
         const auto [key, version] = split_version(text);
-        const auto [it, added] = places_.emplace(
-            std::string(key),
-            place{place_state::loading, version, now, now, false, false,
-                  now + loads_.expected(false)});
+        const auto [it, added] =
+            places_.emplace(std::string(key),
+                            place{place_state::loading, version, now, now,
+                                  false, false, now + loads_.expected(false)});
         const place& p = it->second;
         if (!added && p.state == place_state::loading)
             loads_.on_longer_than(p.was_held, now - report_age - p.since);
@@ -243,8 +245,7 @@
     if (it != places_.end()) {
         place& p = it->second;
         p.last_use = now;
-        const bool right =
-            wanted.version == 0 || p.version == wanted.version;
+        const bool right = wanted.version == 0 || p.version == wanted.version;
         if (p.state == place_state::loading)
             return now >= p.ready_at && right ? adapter_status::expected
                                               : adapter_status::loading;
@@ -371,11 +372,12 @@
         return out;
     if (report_.models.empty() && !spec_.models.empty()) {
         // Without any model the engine serves nothing.
-        const auto first =
-            wants_.empty()
-                ? spec_.models[stable_hash(id_, model_hash_seed) %
-                               spec_.models.size()].name
-                : wants_.front().wanted.model;
+        const auto first = wants_.empty()
+                               ? spec_
+                                     .models[stable_hash(id_, model_hash_seed) %
+                                             spec_.models.size()]
+                                     .name
+                               : wants_.front().wanted.model;
         plan_model(first, now, out);
         return out;
     }
@@ -405,8 +407,7 @@
         p.since = now;
         p.ready_at = now + loads_.expected(p.was_held);
     }
-    if (outcome == order_outcome::accepted ||
-        outcome == order_outcome::unknown)
+    if (outcome == order_outcome::accepted || outcome == order_outcome::unknown)
         return; // the report tells the rest
     if (order.load && outcome == order_outcome::already) {
         p.state = place_state::resident;
--- a/src/lovagegate/gateway/engine_keeper.hpp
+++ b/src/lovagegate/gateway/engine_keeper.hpp
@@ -28,13 +28,13 @@
 /// What became of an order.
 enum class order_outcome : std::uint8_t
 {
-    accepted,      ///< being carried out
-    already,       ///< holds
-    engine_busy,   ///< another order is under way
-    stale_token,   ///< the engine has seen a higher token
-    refused,       ///< it will not be carried out
-    not_sent,      ///< the engine could not be reached
-    unknown        ///< no answer: it may have been accepted
+    accepted,    ///< being carried out
+    already,     ///< holds
+    engine_busy, ///< another order is under way
+    stale_token, ///< the engine has seen a higher token
+    refused,     ///< it will not be carried out
+    not_sent,    ///< the engine could not be reached
+    unknown      ///< no answer: it may have been accepted
 };
 
 /// Decides what one engine holds, for the instance that gives it orders: loads
@@ -117,7 +117,7 @@
     {
         place_state state = place_state::loading;
         std::uint64_t version = 0;
-        time_point since{};    ///< of the last order
+        time_point since{}; ///< of the last order
         time_point last_use{};
         bool replacing = false; ///< a newer version is under way
         bool was_held = false;  ///< the engine may have kept a copy
--- a/src/lovagegate/gateway/engine_ownership.cpp
+++ b/src/lovagegate/gateway/engine_ownership.cpp
@@ -27,9 +27,8 @@
     std::string_view best;
     std::uint64_t best_weight = 0;
     for (const auto& address : alive) {
-        const auto weight =
-            combine_hash(stable_hash(engine, owner_hash_seed),
-                         stable_hash(address, owner_hash_seed));
+        const auto weight = combine_hash(stable_hash(engine, owner_hash_seed),
+                                         stable_hash(address, owner_hash_seed));
         if (best.empty() || weight > best_weight) {
             best = address;
             best_weight = weight;
@@ -77,7 +76,8 @@
     fencing_token token = (ms << instance_bits) | part;
     const auto known = highest_token_.find(engine);
     if (known != highest_token_.end() && token <= known->second)
-        token = (((known->second >> instance_bits) + 1) << instance_bits) | part;
+        token =
+            (((known->second >> instance_bits) + 1) << instance_bits) | part;
     return token;
 }
 
@@ -103,8 +103,8 @@
             auto& at = last_foreign_order_[c.engine];
             if (!m.record.leaving)
                 // A silent member may go on for a while after it was heard.
-                at = std::max(at, std::min(m.heard, now) +
-                                      silent_owner_goes_on);
+                at =
+                    std::max(at, std::min(m.heard, now) + silent_owner_goes_on);
             else if (c.token == highest)
                 // One that leaves has stopped.
                 at = m.heard - c.since_last_order;
@@ -138,9 +138,8 @@
         candidate_since_.erase(engine);
         if (mine == owned_.end())
             return false;
-        const bool keep =
-            mine->second.token > c->token ||
-            (mine->second.token == c->token && self < address);
+        const bool keep = mine->second.token > c->token ||
+                          (mine->second.token == c->token && self < address);
         if (keep)
             continue;
         out.push_back({engine, false, "claimed by " + address, c->token});
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -89,16 +89,15 @@
 
 void forwarding::log(std::string_view event, std::string_view reason) const
 {
-    logging::write(
-        logging::level::info, event,
-        {{"request", facts_.attempt_id},
-         {"route", route_ ? std::string_view(route_->name) : "-"},
-         {"target", target_},
-         {"adapter", adapter_},
-         {"sends", std::uint64_t{sends_}},
-         {"ms", static_cast<std::uint64_t>(to_ms(elapsed()))},
-         {"config", context_.state.routes.version()},
-         {"reason", reason}});
+    logging::write(logging::level::info, event,
+                   {{"request", facts_.attempt_id},
+                    {"route", route_ ? std::string_view(route_->name) : "-"},
+                    {"target", target_},
+                    {"adapter", adapter_},
+                    {"sends", std::uint64_t{sends_}},
+                    {"ms", static_cast<std::uint64_t>(to_ms(elapsed()))},
+                    {"config", context_.state.routes.version()},
+                    {"reason", reason}});
 }
 
 void forwarding::log_answer() const
@@ -291,8 +290,7 @@
     if (!facts_.model.empty())
         fields.priority = std::min(route_->rank, lowest_priority);
     if (facts_.version == 0 && !adapter_.empty())
-        fields.required_version =
-            s.releases.newest(adapter_, true, now.mono);
+        fields.required_version = s.releases.newest(adapter_, true, now.mono);
     if (head_sent_ || !events_.last_id().empty())
         fields.resume_after = events_.last_id();
     const bool has_body = !message_.body.empty() ||
@@ -310,9 +308,9 @@
     request.avoid_stale = !may_repeat();
     const service_spec* spec = s.routes.service(service_);
     constexpr std::size_t default_connections = 64;
-    const std::size_t limit =
-        spec && spec->max_connections > 0 ? spec->max_connections
-                                          : default_connections;
+    const std::size_t limit = spec && spec->max_connections > 0
+                                  ? spec->max_connections
+                                  : default_connections;
     answer_ = {};
     answer_facts_ = {};
     rejected_ = discarding_ = streaming_out_ = false;
@@ -365,8 +363,7 @@
     }
     const bool success =
         head.status >= ok_status && head.status < first_redirect;
-    if (success &&
-        (!answer_facts_.signed_by_target || answer_facts_.encoded)) {
+    if (success && (!answer_facts_.signed_by_target || answer_facts_.encoded)) {
         discarding_ = true;
         context_.state.counts.add("answers_bad", "reason", "unsigned");
         return;
@@ -513,11 +510,11 @@
         s.counts.add("sends_too_early");
         context_.adapters.on_too_early(target_, adapter_);
         const auto alive = alive_;
-        context_.loop.call_later(
-            too_early_pause, [this, alive, target = target_] {
-                if (*alive && !done_)
-                    send(target);
-            });
+        context_.loop.call_later(too_early_pause,
+                                 [this, alive, target = target_] {
+                                     if (*alive && !done_)
+                                         send(target);
+                                 });
         return;
     } else {
         s.places.on_full(target_, now);
@@ -574,8 +571,7 @@
     const target_state* t = s.targets.find(target_);
     if (f != call_failure::not_an_answer && t != nullptr) {
         const crash_notice notice{
-            fingerprint_,
-            target_ + '@' + std::to_string(t->entry.started_ms)};
+            fingerprint_, target_ + '@' + std::to_string(t->entry.started_ms)};
         context_.on_crash(notice);
     }
     excluded_.push_back(target_);
@@ -684,9 +680,8 @@
     placement_request wanted = placement_needs(now);
     wanted.excluded = excluded;
     const gateway_state& s = context_.state;
-    const auto choice =
-        context_.state.places.choose(wanted, s.targets.usable(service_, now),
-                                     s.members.count(now), now);
+    const auto choice = context_.state.places.choose(
+        wanted, s.targets.usable(service_, now), s.members.count(now), now);
     return choice && choice->resident && choice->load < busy_load;
 }
 
@@ -699,10 +694,10 @@
         if (load_at_choice_ > busy_load)
             return;
     } else {
-        limit = std::max(least_slow_answer,
-                         std::chrono::duration_cast<duration>(
-                             route_->latency_objective *
-                             slow_answer_objectives));
+        limit =
+            std::max(least_slow_answer,
+                     std::chrono::duration_cast<duration>(
+                         route_->latency_objective * slow_answer_objectives));
     }
     if (silent < limit || !may_run_again() || !has_alternative(now))
         return;
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -99,24 +99,24 @@
     time_point deadline_{};     ///< of the route or the caller
     time_point silent_since_{}; ///< last byte from the target, or the send
     net::timer_id timer_ = 0;
-    std::uint64_t ask_ = 0;     ///< open question for an adapter
-    std::string target_;        ///< that has the request now
-    std::string adapter_;       ///< MODEL/NAME, empty without one
+    std::uint64_t ask_ = 0; ///< open question for an adapter
+    std::string target_;    ///< that has the request now
+    std::string adapter_;   ///< MODEL/NAME, empty without one
     std::unique_ptr<target_call> call_;
     std::vector<std::string> excluded_;
     event_splitter events_;
     net::message_head answer_;
     answer_facts answer_facts_;
-    std::string buffer_;        ///< an answer that may still be replaced
-    std::uint32_t sends_ = 0;   ///< requests that may have reached a target
-    std::uint32_t runs_ = 0;    ///< of those, not known as not run
+    std::string buffer_;      ///< an answer that may still be replaced
+    std::uint32_t sends_ = 0; ///< requests that may have reached a target
+    std::uint32_t runs_ = 0;  ///< of those, not known as not run
     double load_at_choice_ = 0;
-    bool at_target_ = false;    ///< counted as open at target_
-    bool expected_ = false;     ///< the adapter was not reported yet
-    bool rejected_ = false;     ///< the answer says that it has not run
-    bool discarding_ = false;   ///< a failure that is tried again
-    bool head_sent_ = false;    ///< the caller has got a head
-    bool resuming_ = false;     ///< the answer continues an earlier one
+    bool at_target_ = false;  ///< counted as open at target_
+    bool expected_ = false;   ///< the adapter was not reported yet
+    bool rejected_ = false;   ///< the answer says that it has not run
+    bool discarding_ = false; ///< a failure that is tried again
+    bool head_sent_ = false;  ///< the caller has got a head
+    bool resuming_ = false;   ///< the answer continues an earlier one
     bool streaming_out_ = false;
     bool paused_ = false;
     bool done_ = false;
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -75,8 +75,7 @@
                          random()),
             engine_ownership(boot.lease, boot.first_start, now),
             placement(boot.failure_domain, random()),
-            retry_budget(boot.retry_ratio, boot.retry_slack,
-                         boot.retry_window),
+            retry_budget(boot.retry_ratio, boot.retry_slack, boot.retry_window),
             {},
             {},
             {},
@@ -94,8 +93,8 @@
 gateway_daemon::gateway_daemon(boot_settings boot,
                                std::function<boot_settings()> reload)
     : read_settings_(std::move(reload)), random_(std::random_device{}()),
-      state_(make_state(std::move(boot), random_)),
-      pool_(loop_), control_pool_(loop_),
+      state_(make_state(std::move(boot), random_)), pool_(loop_),
+      control_pool_(loop_),
       peers_(loop_, {state_.boot.address, state_.boot.peer_port},
              [this](const settings::endpoint& from, std::string_view data) {
                  on_datagram(from, data);
@@ -156,8 +155,7 @@
                       }},
       operator_reader_(
           loop_, control_pool_, state_.boot.store,
-          std::string(platform_wire::store_key::operator_prefix),
-          state_.counts,
+          std::string(platform_wire::store_key::operator_prefix), state_.counts,
           [this](const platform_wire::store_item& item, bool) {
               take_operator_item(item);
           },
@@ -170,8 +168,8 @@
           },
           [this](const store_reader::batch& b) { tell_news(true, b); })
 {
-    ready_server_ = page_server(state_.boot.readiness.address,
-                                state_.boot.readiness.port);
+    ready_server_ =
+        page_server(state_.boot.readiness.address, state_.boot.readiness.port);
     control_server_ =
         page_server(state_.boot.control.address, state_.boot.control.port);
     metrics_server_ =
@@ -360,8 +358,7 @@
     if (item.deleted) {
         if (known == nullptr || !known->listed)
             return;
-        const bool doubt =
-            in_doubt || many_vanished(known->entry.service, now);
+        const bool doubt = in_doubt || many_vanished(known->entry.service, now);
         logging::write(logging::level::info, "target_unlisted",
                        {{"target", id},
                         {"revision", item.revision},
@@ -409,9 +406,10 @@
     const time_point now = net::event_loop::now().mono;
     if (const auto* h = std::get_if<heartbeat>(&*message)) {
         if (state_.members.on_heartbeat(*h, from.address, now))
-            logging::write(logging::level::info, "members",
-                           {{"from", from.address},
-                            {"live", std::uint64_t{state_.members.count(now)}}});
+            logging::write(
+                logging::level::info, "members",
+                {{"from", from.address},
+                 {"live", std::uint64_t{state_.members.count(now)}}});
         for (const auto& c : h->self.claims)
             state_.places.on_load(c, now);
         for (const auto& o : h->others)
@@ -565,8 +563,8 @@
     };
     for (const auto& [address, m] : state_.members.all())
         if (state_.members.is_alive(m, now) && is_ahead(m.record) &&
-            (best == nullptr || m.record.operator_revision >
-                                    best->record.operator_revision))
+            (best == nullptr ||
+             m.record.operator_revision > best->record.operator_revision))
             best = &m;
     // News may be on their way: only what is still missing is asked for.
     if (best != nullptr && behind_since_ != time_point{} &&
@@ -609,9 +607,8 @@
     for (const auto* reader : {&operator_reader_, &target_reader_})
         for (const auto& [key, item] : reader->items())
             items.push_back(json::array({item.key, item.value, item.revision}));
-    const json page = json::array({operator_reader_.newest(),
-                                   target_reader_.newest(),
-                                   std::move(items)});
+    const json page = json::array(
+        {operator_reader_.newest(), target_reader_.newest(), std::move(items)});
     std::string out;
     json::to_cbor(page, nlohmann::detail::output_adapter<char>(out));
     return out;
@@ -668,6 +665,7 @@
     counters all = state_.counts;
     all.add("connections_to_targets_opened", pool_.counts().opened);
     all.add("connections_to_targets_reused", pool_.counts().reused);
+    all.add("log_lines_left_out", logging::lines_dropped());
     all.add("answers_of_other_requests", pool_.counts().extra_answers);
     const std::array gauges{
         metrics::gauge{"open_requests", static_cast<double>(requests_.size())},
@@ -677,9 +675,8 @@
                        static_cast<double>(pool_.connections())},
         metrics::gauge{"members",
                        static_cast<double>(state_.members.count(now))},
-        metrics::gauge{
-            "engines_ordered",
-            static_cast<double>(state_.ownership.all().size())},
+        metrics::gauge{"engines_ordered",
+                       static_cast<double>(state_.ownership.all().size())},
         metrics::gauge{"adapter_loads_in_transit",
                        static_cast<double>(adapters_.loads_in_transit())},
         metrics::gauge{"config_version",
--- a/src/lovagegate/gateway/member_table.cpp
+++ b/src/lovagegate/gateway/member_table.cpp
@@ -30,9 +30,8 @@
     }
     member& known = it->second;
     const bool silent = now - known.heard > silence();
-    const bool restarted =
-        r.start != known.record.start &&
-        (direct || r.start > known.record.start || silent);
+    const bool restarted = r.start != known.record.start &&
+                           (direct || r.start > known.record.start || silent);
     const bool newer =
         r.start == known.record.start && r.beat > known.record.beat;
     if (!restarted && !newer)
@@ -72,8 +71,10 @@
 
 std::size_t member_table::count(time_point now) const
 {
-    return static_cast<std::size_t>(1 + std::ranges::count_if(
-        members_, [&](const auto& m) { return is_alive(m.second, now); }));
+    return static_cast<std::size_t>(
+        1 + std::ranges::count_if(members_, [&](const auto& m) {
+            return is_alive(m.second, now);
+        }));
 }
 
 bool member_table::has_majority(time_point now) const
--- a/src/lovagegate/gateway/member_table.hpp
+++ b/src/lovagegate/gateway/member_table.hpp
@@ -49,7 +49,10 @@
                  std::vector<std::string> seeds, std::uint64_t random_seed,
                  member_settings settings = {});
 
-    void set_seeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+    void set_seeds(std::vector<std::string> seeds)
+    {
+        seeds_ = std::move(seeds);
+    }
 
     /// What is told about this instance.
     member_record& self() noexcept { return self_; }
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -30,9 +30,8 @@
     json claims = json::array();
     for (const auto& c : m.claims)
         claims.push_back(write(c));
-    return json::array({m.address, m.start, m.beat, m.leaving,
-                        m.config_version, m.operator_revision,
-                        m.target_revision, m.store_silent,
+    return json::array({m.address, m.start, m.beat, m.leaving, m.config_version,
+                        m.operator_revision, m.target_revision, m.store_silent,
                         std::move(claims)});
 }
 
@@ -145,8 +144,7 @@
                             j.at(5).get<std::uint64_t>()}};
     case tag::adapter_answer:
         return adapter_answer{j.at(1).get<std::uint64_t>(),
-                              j.at(2).get<std::string>(),
-                              read_status(j.at(3)),
+                              j.at(2).get<std::string>(), read_status(j.at(3)),
                               j.at(4).get<std::uint64_t>()};
     case tag::adapter_use:
         return adapter_use{j.at(1).get<std::string>(),
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -105,11 +105,11 @@
         bool deleted = false;
     };
 
-    bool of_targets = false;      ///< else of the operator's keys
-    std::uint64_t after = 0;      ///< news up to here were told before
-    std::uint64_t revision = 0;   ///< of the last change in this message
-    bool in_doubt = false;        ///< deleted entries may have lapsed
-    std::vector<item> items;      ///< none where they are too large to send
+    bool of_targets = false;    ///< else of the operator's keys
+    std::uint64_t after = 0;    ///< news up to here were told before
+    std::uint64_t revision = 0; ///< of the last change in this message
+    bool in_doubt = false;      ///< deleted entries may have lapsed
+    std::vector<item> items;    ///< none where they are too large to send
 };
 
 using peer_message = std::variant<heartbeat, adapter_ask, adapter_answer,
--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -12,20 +12,20 @@
 namespace {
 
 /// Costs are in thousandths of what a late answer loses.
-constexpr double load_cost = 300;       ///< an adapter from the store, priced
-constexpr double load_wait_cost = 60;   ///< its wait, within most objectives
+constexpr double load_cost = 300;     ///< an adapter from the store, priced
+constexpr double load_wait_cost = 60; ///< its wait, within most objectives
 constexpr double load_wait_ms = 260;
 /// The first engines in an adapter's order have had it before: they keep a
 /// copy, which loads ten times as fast and costs nothing.
 constexpr double rank_cost = 150;
 constexpr std::size_t ranks_apart = 3;
-constexpr double other_domain_cost = 6; ///< delay, and bytes that are priced
-constexpr double failure_cost = 1500;   ///< of a request that fails surely
+constexpr double other_domain_cost = 6;   ///< delay, and bytes that are priced
+constexpr double failure_cost = 1500;     ///< of a request that fails surely
 constexpr double last_resort_cost = 4000; ///< leaving targets come last
-constexpr double avoid_cost = 3000;     ///< unreachable a moment ago
-constexpr double full_cost = 300;       ///< refused a request a moment ago
-constexpr double noise = 0.06;          ///< of the load, so none herds
-constexpr double mean_run_ms = 1500;    ///< a slot of a full engine is held
+constexpr double avoid_cost = 3000;       ///< unreachable a moment ago
+constexpr double full_cost = 300;         ///< refused a request a moment ago
+constexpr double noise = 0.06;            ///< of the load, so none herds
+constexpr double mean_run_ms = 1500;      ///< a slot of a full engine is held
 /// Running requests at which the prompts of those that arrive meanwhile keep
 /// an engine reading without a pause, so that all its streams are late.
 constexpr double crowded = 45;
@@ -224,8 +224,8 @@
                           std::size_t instances, time_point now) const
 {
     const double all = slots == 0 ? 1 : slots;
-    const bool fresh = now - b.reported_at < report_keeps &&
-                       b.reported_at != time_point{};
+    const bool fresh =
+        now - b.reported_at < report_keeps && b.reported_at != time_point{};
     // Without a report, the other instances are taken to send as much.
     const double guess =
         fresh ? static_cast<double>(b.reported) + b.sent_since
@@ -246,9 +246,9 @@
     const bool on_adapter =
         request.adapter && !request.adapter->adapter.empty();
     const std::string adapter =
-        on_adapter ? adapter_name(request.adapter->model,
-                                  request.adapter->adapter)
-                   : std::string();
+        on_adapter
+            ? adapter_name(request.adapter->model, request.adapter->adapter)
+            : std::string();
     const std::string affinity = on_adapter ? adapter : request.first_part;
     std::vector<ranked> order;
     for (const target_state* t : candidates)
@@ -259,10 +259,10 @@
                                  stable_hash(t->entry.id, place_seed))});
     std::ranges::sort(order, std::greater<>(), &ranked::weight);
 
-    const double uses =
-        on_adapter ? (count_demand(adapter, now) - 1) * demand_share *
-                         static_cast<double>(instances)
-                   : 0;
+    const double uses = on_adapter
+                            ? (count_demand(adapter, now) - 1) * demand_share *
+                                  static_cast<double>(instances)
+                            : 0;
     std::optional<placement_choice> best;
     double best_cost = std::numeric_limits<double>::max();
     std::uniform_real_distribution<double> jitter(0, noise);
@@ -280,9 +280,9 @@
             running > slots ? (running - slots) / slots * mean_run_ms : 0;
         if (!resident) {
             wait += load_wait_ms;
-            cost += load_wait_cost + load_cost / (1 + uses) +
-                    rank_cost *
-                        static_cast<double>(std::min(rank, ranks_apart));
+            cost +=
+                load_wait_cost + load_cost / (1 + uses) +
+                rank_cost * static_cast<double>(std::min(rank, ranks_apart));
             if (now < b.no_loads_until)
                 cost += avoid_cost;
         }
@@ -300,10 +300,10 @@
         if (cost >= best_cost)
             continue;
         best_cost = cost;
-        best = placement_choice{
-            t.entry.id, resident,
-            duration(static_cast<duration::rep>(wait * 1000)), load,
-            resident ? "resident" : "load"};
+        best =
+            placement_choice{t.entry.id, resident,
+                             duration(static_cast<duration::rep>(wait * 1000)),
+                             load, resident ? "resident" : "load"};
     }
     return best;
 }
--- a/src/lovagegate/gateway/placement.hpp
+++ b/src/lovagegate/gateway/placement.hpp
@@ -32,10 +32,10 @@
 struct placement_choice
 {
     std::string target;
-    bool resident = true;      ///< the adapter is believed to be there
-    duration expected_wait{};  ///< to the start of the run, by estimate
-    double load = 0;           ///< requests there over its slots
-    const char* reason = "";   ///< what decided, for the log
+    bool resident = true;     ///< the adapter is believed to be there
+    duration expected_wait{}; ///< to the start of the run, by estimate
+    double load = 0;          ///< requests there over its slots
+    const char* reason = "";  ///< what decided, for the log
 };
 
 /// What this instance believes of each target, and the choice among them. Load
--- a/src/lovagegate/gateway/route_table.cpp
+++ b/src/lovagegate/gateway/route_table.cpp
@@ -57,8 +57,8 @@
 
 const service_spec* route_table::service(std::string_view name) const
 {
-    const auto it = std::ranges::find(config_->services, name,
-                                      &service_spec::name);
+    const auto it =
+        std::ranges::find(config_->services, name, &service_spec::name);
     return it == config_->services.end() ? nullptr : &*it;
 }
 
--- a/src/lovagegate/gateway/route_table.hpp
+++ b/src/lovagegate/gateway/route_table.hpp
@@ -26,9 +26,8 @@
     /// @param target path and query
     /// @return the route with the longest matching prefix, or null; it stays
     ///         valid while the caller holds it
-    [[nodiscard]] std::shared_ptr<const route> find(std::string_view host,
-                                                    std::string_view target)
-        const;
+    [[nodiscard]] std::shared_ptr<const route>
+    find(std::string_view host, std::string_view target) const;
 
     /// @return null if the configuration has no such service
     [[nodiscard]] const service_spec* service(std::string_view name) const;
--- a/src/lovagegate/gateway/site_config.hpp
+++ b/src/lovagegate/gateway/site_config.hpp
@@ -33,11 +33,11 @@
 /// What is common to the engines of a service.
 struct engine_spec
 {
-    std::uint32_t batch_slots = 0;    ///< requests in one batch
+    std::uint32_t batch_slots = 0; ///< requests in one batch
     std::uint64_t kv_cache_tokens = 0;
-    double weights_mb = 0;            ///< room for weights and adapters
-    std::uint32_t adapter_slots = 0;  ///< adapters held or in transit
-    double store_loads_per_s = 0;     ///< of base models, all engines together
+    double weights_mb = 0;           ///< room for weights and adapters
+    std::uint32_t adapter_slots = 0; ///< adapters held or in transit
+    double store_loads_per_s = 0;    ///< of base models, all engines together
     std::vector<model_spec> models;
 };
 
--- a/src/lovagegate/gateway/store_duty.cpp
+++ b/src/lovagegate/gateway/store_duty.cpp
@@ -38,9 +38,8 @@
         if (members.is_alive(m, now))
             all.push_back({m.record.store_silent,
                            stable_hash(address, reader_seed), false});
-    std::ranges::sort(all, [](const candidate& a, const candidate& b) {
-        return a < b;
-    });
+    std::ranges::sort(
+        all, [](const candidate& a, const candidate& b) { return a < b; });
     all.resize(std::min(all.size(), readers));
     return std::ranges::any_of(all, &candidate::is_self);
 }
--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -25,9 +25,8 @@
                            counters& counts, item_handler on_item,
                            batch_handler on_batch, store_settings settings)
     : loop_(loop), pool_(pool), store_(std::move(store)),
-      prefix_(std::move(prefix)), counts_(counts),
-      on_item_(std::move(on_item)), on_batch_(std::move(on_batch)),
-      settings_(settings)
+      prefix_(std::move(prefix)), counts_(counts), on_item_(std::move(on_item)),
+      on_batch_(std::move(on_batch)), settings_(settings)
 {
 }
 
@@ -69,9 +68,9 @@
         // The call is destroyed when the next one begins.
         (this->*done)(r.status, r.body);
     };
-    call_ = std::make_unique<short_call>(loop_, pool_, request, connections,
-                                         limit, longest_answer,
-                                         std::move(finished));
+    call_ =
+        std::make_unique<short_call>(loop_, pool_, request, connections, limit,
+                                     longest_answer, std::move(finished));
 }
 
 void store_reader::read_page()
@@ -248,8 +247,8 @@
             logging::write(logging::level::info, "store_contact",
                            {{"prefix", prefix_},
                             {"revision", revision_},
-                            {"after_ms", static_cast<std::uint64_t>(to_ms(
-                                             now - failing_since_))}});
+                            {"after_ms", static_cast<std::uint64_t>(
+                                             to_ms(now - failing_since_))}});
         failing_ = false;
         back_off_ = {};
         return;
--- a/src/lovagegate/gateway/store_reader.hpp
+++ b/src/lovagegate/gateway/store_reader.hpp
@@ -51,9 +51,9 @@
     using batch_handler = std::function<void(const batch&)>;
 
     store_reader(net::event_loop& loop, target_pool& pool,
-                 settings::endpoint store, std::string prefix,
-                 counters& counts, item_handler on_item,
-                 batch_handler on_batch, store_settings settings = {});
+                 settings::endpoint store, std::string prefix, counters& counts,
+                 item_handler on_item, batch_handler on_batch,
+                 store_settings settings = {});
     ~store_reader();
     store_reader(const store_reader&) = delete;
     store_reader& operator=(const store_reader&) = delete;
--- a/src/lovagegate/gateway/target_directory.cpp
+++ b/src/lovagegate/gateway/target_directory.cpp
@@ -43,8 +43,8 @@
 
 void target_directory::put(target_entry entry, time_point now)
 {
-    const auto usable = std::chrono::duration_cast<duration>(
-        drain_ * usable_part);
+    const auto usable =
+        std::chrono::duration_cast<duration>(drain_ * usable_part);
     const auto it = targets_.find(entry.id);
     target_state next;
     if (entry.leaving) {
@@ -71,8 +71,8 @@
         return;
     target_state& t = it->second;
     t.listed = false;
-    const auto usable = std::chrono::duration_cast<duration>(
-        drain_ * usable_part);
+    const auto usable =
+        std::chrono::duration_cast<duration>(drain_ * usable_part);
     const bool lapsed = in_doubt && !t.entry.leaving;
     t.stop_preferring =
         std::min(t.stop_preferring, lapsed ? now + lapse_return : now);
--- a/src/lovagegate/gateway/target_pool.cpp
+++ b/src/lovagegate/gateway/target_pool.cpp
@@ -162,8 +162,8 @@
     {
         constexpr int first_final_status = 200;
         const auto id = platform_wire::answer_attempt_id(head);
-        const bool other = !attempt_id_.empty() && !id.empty() &&
-                           id != attempt_id_;
+        const bool other =
+            !attempt_id_.empty() && !id.empty() && id != attempt_id_;
         if (head.status < first_final_status || other) {
             skipping_ = true;
             if (other) {
@@ -173,8 +173,7 @@
             return;
         }
         answered_ = true;
-        const auto limit =
-            keep_alive_time(head.header("Keep-Alive"));
+        const auto limit = keep_alive_time(head.header("Keep-Alive"));
         keep_for_ = std::min(limit ? *limit - keep_alive_margin
                                    : pool_.settings_.idle_limit,
                              pool_.settings_.idle_limit);
@@ -184,10 +183,9 @@
     /// @param nothing_follows the target has sent no more
     bool complete(bool nothing_follows)
     {
-        const bool reusable = nothing_follows && !spoiled_ &&
-                              reader_.head().keep_alive &&
-                              stream_.unsent() == 0 &&
-                              keep_for_ > duration::zero();
+        const bool reusable =
+            nothing_follows && !spoiled_ && reader_.head().keep_alive &&
+            stream_.unsent() == 0 && keep_for_ > duration::zero();
         if (!nothing_follows)
             ++pool_.counts_.extra_answers;
         call_handler* const handler = release();
@@ -265,7 +263,7 @@
     bool skipping_ = false; ///< an answer that is not to the request
     bool spoiled_ = false;  ///< carried an answer to another request
     bool is_head_ = false;
-    bool gone_ = false;     ///< discarded
+    bool gone_ = false; ///< discarded
 };
 
 } // namespace internal
@@ -289,9 +287,9 @@
 
 target_pool::~target_pool() = default;
 
-internal::target_connection*
-target_pool::idle_connection(connection_list& all, bool avoid_stale,
-                             time_point now)
+internal::target_connection* target_pool::idle_connection(connection_list& all,
+                                                          bool avoid_stale,
+                                                          time_point now)
 {
     // The one that was used last is the least likely to be closed by now.
     internal::target_connection* best = nullptr;
@@ -309,8 +307,8 @@
                                                call_handler& handler)
 {
     auto& all = connections_[request.target];
-    internal::target_connection* c = idle_connection(
-        all, request.avoid_stale, net::event_loop::now().mono);
+    internal::target_connection* c =
+        idle_connection(all, request.avoid_stale, net::event_loop::now().mono);
     if (c) {
         ++counts_.reused;
     } else {
--- a/src/lovagegate/gateway/target_pool.hpp
+++ b/src/lovagegate/gateway/target_pool.hpp
@@ -18,11 +18,11 @@
 /// How far a call to a target had come when it failed.
 enum class call_failure : std::uint8_t
 {
-    no_connection,  ///< none could be opened, or no more are allowed
-    unreachable,    ///< the target refused the connection or didn't answer
-    before_answer,  ///< the request was sent and may have run
-    within_answer,  ///< the answer broke off
-    not_an_answer,  ///< the target sent bytes that are no answer
+    no_connection, ///< none could be opened, or no more are allowed
+    unreachable,   ///< the target refused the connection or didn't answer
+    before_answer, ///< the request was sent and may have run
+    within_answer, ///< the answer broke off
+    not_an_answer, ///< the target sent bytes that are no answer
 };
 
 /// @return the name used in counters and logs
@@ -54,7 +54,7 @@
 {
     std::string target; ///< id, for the pool of kept connections
     settings::endpoint address;
-    std::string head;   ///< with the empty line
+    std::string head; ///< with the empty line
     std::string_view body;
     std::string attempt_id; ///< the answer must repeat it; empty: not checked
     bool is_head_method = false;
@@ -121,8 +121,7 @@
     /// @param limit most connections to this target
     /// @return the call, or null if there are too many connections
     std::unique_ptr<target_call> send(const target_request& request,
-                                      std::size_t limit,
-                                      call_handler& handler);
+                                      std::size_t limit, call_handler& handler);
 
     /// Closes the kept connections to a target.
     void forget(const std::string& target);
@@ -130,10 +129,7 @@
     /// Closes connections that were idle for too long.
     void close_idle(time_point now);
 
-    [[nodiscard]] const pool_counts& counts() const noexcept
-    {
-        return counts_;
-    }
+    [[nodiscard]] const pool_counts& counts() const noexcept { return counts_; }
     [[nodiscard]] std::size_t connections() const noexcept;
 
 private:
@@ -142,9 +138,8 @@
     using connection_list =
         std::list<std::unique_ptr<internal::target_connection>>;
 
-    internal::target_connection* idle_connection(connection_list& all,
-                                                 bool avoid_stale,
-                                                 time_point now);
+    internal::target_connection*
+    idle_connection(connection_list& all, bool avoid_stale, time_point now);
     void discard(internal::target_connection& c);
 
     net::event_loop& loop_;
--- a/src/lovagegate/logging/log.cpp
+++ b/src/lovagegate/logging/log.cpp
@@ -1,8 +1,12 @@
 #include "lovagegate/logging/log.hpp"
 
+#include "lovagegate/logging/line_budget.hpp"
+
 #include <algorithm>
 #include <array>
 #include <easylogging++.h>
+#include <poll.h>
+#include <unistd.h>
 
 namespace lovagegate::logging {
 
@@ -42,8 +46,57 @@
     line += '"';
 }
 
+/// Lines of one process: several for each of 60 requests a second, the most
+/// that an instance of a quarter of a core serves.
+constexpr double lines_per_second = 400;
+constexpr double lines_at_once = 1200;
+/// A pipe that is ready takes this much without blocking.
+constexpr std::size_t longest_line = 4096;
+
+line_budget& budget()
+{
+    static line_budget lines(lines_per_second, lines_at_once);
+    return lines;
+}
+
+time_point steady_now()
+{
+    return time_point(std::chrono::duration_cast<duration>(
+        std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+/// Writes to standard output, unless that would block.
+bool write_line(std::string line)
+{
+    if (line.size() > longest_line) {
+        line.resize(longest_line - 1);
+        line += '\n';
+    }
+    pollfd out{STDOUT_FILENO, POLLOUT, 0};
+    if (::poll(&out, 1, 0) != 1 || (out.revents & POLLOUT) == 0)
+        return false;
+    return ::write(STDOUT_FILENO, line.data(), line.size()) > 0;
+}
+
+/// Gets each line from the library.
+class output : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData* data) override
+    {
+        const auto* message = data->logMessage();
+        if (!write_line(message->logger()->logBuilder()->build(message, true)))
+            budget().on_dropped();
+    }
+};
+
 } // namespace
 
+std::uint64_t lines_dropped() noexcept
+{
+    return budget().dropped();
+}
+
 void configure(level least)
 {
     constexpr std::array<el::Level, 4> levels = {
@@ -52,7 +105,9 @@
     el::Configurations c;
     c.setToDefault();
     c.setGlobally(el::ConfigurationType::ToFile, "false");
-    c.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    // The library's own output would block on a full pipe.
+    c.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+    el::Helpers::installLogDispatchCallback<output>("output");
     c.setGlobally(el::ConfigurationType::Format,
                   "%level %datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
     for (std::size_t i = 0; i < levels.size(); ++i) {
@@ -65,6 +120,11 @@
 
 void write(level l, std::string_view event, std::initializer_list<field> fields)
 {
+    const time_point now = steady_now();
+    if (!budget().take(now))
+        return;
+    if (const auto left_out = budget().report(now))
+        LOG(WARNING) << format("log_lines_left_out", {{"count", *left_out}});
     const std::string line = format(event, fields);
     switch (l) {
     case level::debug:
--- a/src/lovagegate/logging/log.hpp
+++ b/src/lovagegate/logging/log.hpp
@@ -8,8 +8,8 @@
 #include <string>
 #include <string_view>
 
-/// Log lines on standard error, one for each change of state. What happens
-/// for every request is counted instead.
+/// Log lines on standard output, one for each decision and change of state.
+/// Their rate is bounded, and a reader that doesn't read blocks nothing.
 namespace lovagegate::logging {
 
 using level = settings::log_level;
@@ -40,6 +40,9 @@
 void write(level l, std::string_view event,
            std::initializer_list<field> fields = {});
 
+/// @return lines that were left out, over the bound or for a slow reader
+[[nodiscard]] std::uint64_t lines_dropped() noexcept;
+
 /// @return EVENT KEY=VALUE ..., with values quoted and escaped where needed
 [[nodiscard]] std::string format(std::string_view event,
                                  std::initializer_list<field> fields);
--- a/src/lovagegate/net/http_message.cpp
+++ b/src/lovagegate/net/http_message.cpp
@@ -102,9 +102,7 @@
         self(p).value_.append(at, n);
         return 0;
     };
-    s.on_headers_complete = [](http_parser* p) {
-        return self(p).on_headers();
-    };
+    s.on_headers_complete = [](http_parser* p) { return self(p).on_headers(); };
     s.on_body = [](http_parser* p, const char* at, std::size_t n) {
         self(p).on_body_({at, n});
         return 0;
@@ -119,8 +117,8 @@
 
 void message_reader::start(bool without_body)
 {
-    http_parser_init(&parser_, kind_ == kind::requests ? HTTP_REQUEST
-                                                       : HTTP_RESPONSE);
+    http_parser_init(&parser_,
+                     kind_ == kind::requests ? HTTP_REQUEST : HTTP_RESPONSE);
     parser_.data = this;
     head_ = {};
     field_.clear();
@@ -143,8 +141,7 @@
     // another header.
     if (!is_clean_value(value_) || field_.find(' ') != std::string::npos)
         malformed_ = true;
-    head_.headers.push_back(
-        {std::move(field_), std::string(trimmed(value_))});
+    head_.headers.push_back({std::move(field_), std::string(trimmed(value_))});
     field_.clear();
     value_.clear();
     in_value_ = false;
--- a/src/lovagegate/net/tcp_stream.cpp
+++ b/src/lovagegate/net/tcp_stream.cpp
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <tuple>
 #include <unistd.h>
 
 namespace lovagegate::net {
@@ -78,7 +79,8 @@
                static_cast<int>(limit.count()));
     const sockaddr_in a = to_sockaddr(to);
     // A failure shows when the socket becomes writable.
-    ::connect(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a);
+    std::ignore =
+        ::connect(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a);
     return fd;
 }
 
@@ -141,8 +143,8 @@
 bool tcp_stream::flush()
 {
     while (unsent() > 0) {
-        const auto done = ::send(watch_->fd(), out_.data() + sent_, unsent(),
-                                 MSG_NOSIGNAL);
+        const auto done =
+            ::send(watch_->fd(), out_.data() + sent_, unsent(), MSG_NOSIGNAL);
         if (done < 0) {
             if (!would_block(errno))
                 return false;
@@ -189,7 +191,7 @@
 
 void tcp_stream::on_readable()
 {
-    static std::array<char, read_bytes> buffer;
+    thread_local std::array<char, read_bytes> buffer;
     if (ended_ || !connected_)
         return;
     const auto n = ::recv(watch_->fd(), buffer.data(), buffer.size(), 0);
@@ -293,13 +295,12 @@
 
 void datagram_socket::on_readable()
 {
-    static std::array<char, datagram_bytes> buffer;
+    thread_local std::array<char, datagram_bytes> buffer;
     for (int i = 0; i < accept_batch; ++i) {
         sockaddr_in from{};
         socklen_t size = sizeof from;
-        const auto n =
-            ::recvfrom(watch_->fd(), buffer.data(), buffer.size(), 0,
-                       reinterpret_cast<sockaddr*>(&from), &size);
+        const auto n = ::recvfrom(watch_->fd(), buffer.data(), buffer.size(), 0,
+                                  reinterpret_cast<sockaddr*>(&from), &size);
         if (n < 0)
             return;
         on_receive_(from_sockaddr(from),
--- /dev/null
+++ b/standins/site/platform_store.cpp
@@ -0,0 +1,102 @@
+#include "standins/site/platform_store.hpp"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace lovagegate::standins {
+
+namespace {
+
+using nlohmann::json;
+
+/// A watch without changes is answered after this time, so that tests see
+/// changes soon without a list of waiting calls.
+constexpr duration watch_time = 20ms;
+
+std::string argument(const std::string& target, const std::string& name)
+{
+    const auto at = target.find(name + "=");
+    if (at == std::string::npos)
+        return {};
+    const auto from = at + name.size() + 1;
+    return target.substr(from, target.find('&', from) - from);
+}
+
+std::string encode_base64(const std::string& bytes)
+{
+    std::string out(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const int n =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                        reinterpret_cast<const unsigned char*>(bytes.data()),
+                        static_cast<int>(bytes.size()));
+    out.resize(static_cast<std::size_t>(n));
+    return out;
+}
+
+} // namespace
+
+platform_store::platform_store(net::event_loop& loop)
+    : server_(loop, [this](const seen_request& r) { return answer(r); })
+{
+}
+
+void platform_store::put(const std::string& key, const std::string& value)
+{
+    const change c{key, value, ++revision_, false};
+    items_[key] = c;
+    history_.push_back(c);
+}
+
+void platform_store::remove(const std::string& key)
+{
+    items_.erase(key);
+    history_.push_back({key, {}, ++revision_, true});
+}
+
+std::string platform_store::range(const std::string& prefix) const
+{
+    json items = json::array();
+    for (const auto& [key, c] : items_)
+        if (key.starts_with(prefix))
+            items.push_back({{"key", key},
+                             {"value", encode_base64(c.value)},
+                             {"revision", c.revision}});
+    return json{{"items", items}, {"currentRev", revision_}}.dump();
+}
+
+std::string platform_store::changes(const std::string& prefix,
+                                    std::uint64_t after) const
+{
+    json events = json::array();
+    for (const auto& c : history_) {
+        if (c.revision <= after || !c.key.starts_with(prefix))
+            continue;
+        json event{{"key", c.key}, {"revision", c.revision}};
+        if (c.deleted)
+            event["tombstone"] = true;
+        else
+            event["value"] = encode_base64(c.value);
+        events.push_back(std::move(event));
+    }
+    return json{{"events", events}, {"currentRev", revision_}}.dump();
+}
+
+script platform_store::answer(const seen_request& request)
+{
+    const std::string& target = request.head.target;
+    const std::string prefix = argument(target, "prefix");
+    if (down_)
+        return {{whole_answer(503, {}, ""), {}, then::go_on}};
+    if (target.starts_with("/-/kv-range"))
+        return {{whole_answer(200, {}, range(prefix)), {}, then::go_on}};
+    std::uint64_t after = 0;
+    const std::string text = argument(target, "after");
+    std::from_chars(text.data(), text.data() + text.size(), after);
+    if (after < compacted_)
+        return {{whole_answer(410, {}, ""), {}, then::go_on}};
+    return {{whole_answer(200, {}, changes(prefix, after)), watch_time,
+             then::go_on}};
+}
+
+} // namespace lovagegate::standins
--- /dev/null
+++ b/standins/site/platform_store.hpp
@@ -0,0 +1,54 @@
+#ifndef LOVAGEGATE_STANDINS_SITE_PLATFORM_STORE_HPP
+#define LOVAGEGATE_STANDINS_SITE_PLATFORM_STORE_HPP
+
+#include "standins/site/scripted_server.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace lovagegate::standins {
+
+/// Stand-in of the users' metadata store: range reads and watches. Its
+/// functions belong to the loop's thread.
+class platform_store
+{
+public:
+    explicit platform_store(net::event_loop& loop);
+
+    [[nodiscard]] std::uint16_t port() const { return server_.port(); }
+
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+
+    /// Calls get 503 while the store is down.
+    void set_down(bool down) { down_ = down; }
+
+    /// Forgets the history: watches from before get 410.
+    void compact() { compacted_ = revision_; }
+
+private:
+    struct change
+    {
+        std::string key;
+        std::string value;
+        std::uint64_t revision = 0;
+        bool deleted = false;
+    };
+
+    script answer(const seen_request& request);
+    [[nodiscard]] std::string range(const std::string& prefix) const;
+    [[nodiscard]] std::string changes(const std::string& prefix,
+                                      std::uint64_t after) const;
+
+    std::map<std::string, change> items_;
+    std::vector<change> history_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t compacted_ = 0;
+    bool down_ = false;
+    scripted_server server_;
+};
+
+} // namespace lovagegate::standins
+
+#endif
