Refuse a body by its declared length; let stand-ins answer in order

Cause: a request that declared a body over the bound waited for its bytes and ended with 408; the stand-in ran into a delayed answer when a next request came. Change: the declared length is checked with the head; steps of a script queue. Measured: the test of refused requests failed with 408 and passes.

--- a/src/lovagegate/gateway/caller_connection.cpp
+++ b/src/lovagegate/gateway/caller_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdio>
 
 namespace lovagegate::gateway {
@@ -94,7 +95,10 @@
     std::size_t bytes = 0;
     for (const auto& h : head.headers)
         bytes += h.name.size() + h.value.size();
-    if (bytes > limits.head_bytes)
+    std::size_t declared = 0;
+    const auto length = head.header("Content-Length");
+    std::from_chars(length.data(), length.data() + length.size(), declared);
+    if (bytes > limits.head_bytes || declared > limits.body_bytes)
         too_large_ = true;
 }
 
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -60,12 +60,13 @@
 std::vector<std::string> addresses(const std::vector<settings::endpoint>& list)
 {
     std::vector<std::string> out;
+    out.reserve(list.size());
     for (const auto& e : list)
         out.push_back(e.address);
     return out;
 }
 
-gateway_state make_state(boot_settings boot, std::mt19937_64& random)
+gateway_state make_state(const boot_settings& boot, std::mt19937_64& random)
 {
     const time_point now = net::event_loop::now().mono;
     return {boot,
--- a/standins/site/scripted_server.cpp
+++ b/standins/site/scripted_server.cpp
@@ -1,6 +1,7 @@
 #include "standins/site/scripted_server.hpp"
 
 #include <algorithm>
+#include <deque>
 
 namespace lovagegate::standins {
 
@@ -42,9 +43,12 @@
             const seen_request request{reader_.head(), std::move(body_)};
             body_.clear();
             reader_.start();
-            steps_ = server_.answer_(request);
-            std::ranges::reverse(steps_);
-            next_step();
+            // What is still to be sent to an earlier request goes first.
+            const bool idle = steps_.empty();
+            for (auto& step : server_.answer_(request))
+                steps_.push_back(std::move(step));
+            if (idle)
+                next_step();
         }
         return true;
     }
@@ -53,7 +57,7 @@
     {
         if (steps_.empty())
             return;
-        const duration delay = steps_.back().delay;
+        const duration delay = steps_.front().delay;
         if (delay == duration::zero()) {
             take_step();
             return;
@@ -66,8 +70,8 @@
 
     void take_step()
     {
-        const script_step step = std::move(steps_.back());
-        steps_.pop_back();
+        const script_step step = std::move(steps_.front());
+        steps_.pop_front();
         stream_.write(step.bytes);
         if (step.after == then::go_on) {
             next_step();
@@ -94,7 +98,7 @@
     net::message_reader reader_;
     net::tcp_stream stream_;
     std::string body_;
-    script steps_; ///< the next one last
+    std::deque<script_step> steps_; ///< still to be taken
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
@@ -111,8 +115,8 @@
 
 void scripted_server::drop(connection& c)
 {
-    const auto it = std::ranges::find(connections_, &c,
-                                      &std::unique_ptr<connection>::get);
+    const auto it =
+        std::ranges::find(connections_, &c, &std::unique_ptr<connection>::get);
     if (it == connections_.end())
         return;
     dropped_.splice(dropped_.end(), connections_, it);
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -1,4 +1,5 @@
 #include "lovagegate/gateway/gateway_daemon.hpp"
+#include "lovagegate/logging/log.hpp"
 #include "standins/site/platform_store.hpp"
 
 #include <catch2/catch.hpp>
@@ -38,8 +39,7 @@
 class caller
 {
 public:
-    explicit caller(std::uint16_t port)
-        : fd_(::socket(AF_INET, SOCK_STREAM, 0))
+    explicit caller(std::uint16_t port) : fd_(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in a{};
         a.sin_family = AF_INET;
@@ -224,6 +224,7 @@
 
     void start_gateway()
     {
+        logging::configure(settings::log_level::error);
         gateway::boot_settings s;
         s.instance = "n1";
         s.address = "127.0.0.1";
@@ -235,6 +236,7 @@
         s.metrics_port = free_port();
         s.store = {"127.0.0.1", store_port_};
         s.first_start = true;
+        s.stop_grace = 2s; // so that tests end soon
         std::promise<void> made;
         gateway_thread_ = std::thread([this, s, &made] {
             gateway::gateway_daemon daemon(s, [s] { return s; });
@@ -284,9 +286,8 @@
 /// Answers the fixture's first request, then as the test says.
 site::target_script warm(site::target_script fn)
 {
-    return [fn](const seen_request& r) {
-        return is_warm_up(r) ? good(r) : fn(r);
-    };
+    return
+        [fn](const seen_request& r) { return is_warm_up(r) ? good(r) : fn(r); };
 }
 
 std::string event(int id)
@@ -303,8 +304,7 @@
 
 } // namespace
 
-TEST_CASE("a request reaches its target unchanged and is answered",
-          "[gateway]")
+TEST_CASE("a request reaches its target unchanged and is answered", "[gateway]")
 {
     std::mutex mutex;
     seen_request seen;
@@ -313,9 +313,11 @@
                seen = r;
                return good(r, "the answer");
            })});
-    const auto a = s.ask(site::request(
-        "id1", "Transfer-Encoding: chunked\r\nX-Own: 7\r\nKv-From: x\r\n",
-        "POST") + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    const auto a = s.ask(
+        site::request(
+            "id1", "Transfer-Encoding: chunked\r\nX-Own: 7\r\nKv-From: x\r\n",
+            "POST") +
+        "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
     CHECK(a.head.status == 200);
     CHECK(a.complete);
     CHECK(a.body == "the answer");
@@ -331,11 +333,11 @@
 TEST_CASE("what may run once is not sent again after a reset", "[gateway]")
 {
     site s("non_idempotent", {warm([](const seen_request&) {
-               return script{{"", {}, then::reset}};
-           }),
-           warm([](const seen_request&) {
-               return script{{"", {}, then::reset}};
-           })});
+                                  return script{{"", {}, then::reset}};
+                              }),
+                              warm([](const seen_request&) {
+                                  return script{{"", {}, then::reset}};
+                              })});
     const auto a = s.ask(site::request("id1", "Content-Length: 0\r\n", "POST"));
     CHECK(a.head.status == 502);
     CHECK(s.runs == 1);
@@ -347,10 +349,10 @@
     std::atomic<int> asked{0};
     const auto first_refuses = warm([&](const seen_request& r) {
         if (++asked == 1)
-            return script{{whole_answer(503, {id_of(r), "X-Not-Executed: 1"},
-                                        ""),
-                           {},
-                           then::go_on}};
+            return script{
+                {whole_answer(503, {id_of(r), "X-Not-Executed: 1"}, ""),
+                 {},
+                 then::go_on}};
         return good(r);
     });
     site s("non_idempotent", {first_refuses, first_refuses});
@@ -402,15 +404,15 @@
 
 TEST_CASE("an answer to another request is passed over", "[gateway]")
 {
-    site s("idempotent", {warm([](const seen_request& r) {
-               return script{
-                   {whole_answer(200,
-                                 {"X-Attempt-Id: other", "X-Server-Seal: s"},
-                                 "not yours") +
-                        good(r, "yours").front().bytes,
-                    {},
-                    then::go_on}};
-           })});
+    site s(
+        "idempotent", {warm([](const seen_request& r) {
+            return script{
+                {whole_answer(200, {"X-Attempt-Id: other", "X-Server-Seal: s"},
+                              "not yours") +
+                     good(r, "yours").front().bytes,
+                 {},
+                 then::go_on}};
+        })});
     for (int i = 0; i < 3; ++i) {
         const auto a = s.ask(site::request("id" + std::to_string(i)));
         CHECK(a.body == "yours");
@@ -420,13 +422,12 @@
 TEST_CASE("a second answer is not taken for that of the next request",
           "[gateway]")
 {
-    site s("idempotent", {warm([](const seen_request& r) {
-               const auto bytes = good(r, r.head.header("X-Attempt-Id").data())
-                                      .front()
-                                      .bytes;
-               return script{{bytes, {}, then::go_on},
-                             {bytes, 2ms, then::go_on}};
-           })});
+    site s(
+        "idempotent", {warm([](const seen_request& r) {
+            const auto bytes =
+                good(r, r.head.header("X-Attempt-Id").data()).front().bytes;
+            return script{{bytes, {}, then::go_on}, {bytes, 2ms, then::go_on}};
+        })});
     caller c(s.callers_port());
     for (int i = 0; i < 20; ++i) {
         const auto id = "id" + std::to_string(i);
