Leave an engine that lacks an adapter after its owner was asked

Change: after a second 421 from one target the next one is taken. The first form also held the engine for unreachable; it no longer does.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -498,12 +498,17 @@
         fail(bad_request, "refused by the target");
         return;
     }
-    if (answer_.status == misdirected && !adapter_.empty()) {
-        // Evicted, another version, or another engine at the address: ask
-        // its owner before the next try.
+    const bool again = last_misdirected_ == target_;
+    if (answer_.status == misdirected && !adapter_.empty() && !again) {
+        // Evicted, or another version: its owner is asked before the next
+        // try. If that doesn't help, the owner is wrong as well.
+        last_misdirected_ = target_;
         s.places.on_absent(target_, adapter_, now);
     } else if (answer_.status == misdirected) {
-        s.places.on_unreachable(target_, now);
+        if (adapter_.empty())
+            s.places.on_unreachable(target_, now);
+        else
+            s.places.on_load_refused(target_, now);
         excluded_.push_back(target_);
     } else if (expected_ && sends_ < most_sends) {
         // The adapter takes longer than its owner thought.
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -99,9 +99,10 @@
     time_point deadline_{};     ///< of the route or the caller
     time_point silent_since_{}; ///< last byte from the target, or the send
     net::timer_id timer_ = 0;
-    std::uint64_t ask_ = 0; ///< open question for an adapter
-    std::string target_;    ///< that has the request now
-    std::string adapter_;   ///< MODEL/NAME, empty without one
+    std::uint64_t ask_ = 0;        ///< open question for an adapter
+    std::string target_;           ///< that has the request now
+    std::string last_misdirected_; ///< target that lacked the adapter
+    std::string adapter_;          ///< MODEL/NAME, empty without one
     std::unique_ptr<target_call> call_;
     std::vector<std::string> excluded_;
     event_splitter events_;
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -374,6 +374,21 @@
     CHECK_FALSE(a.head.header("Retry-After").empty());
 }
 
+TEST_CASE("a target that is another one than expected is tried once",
+          "[gateway]")
+{
+    std::atomic<int> first{0};
+    const auto misdirected = warm([&](const seen_request& r) {
+        ++first;
+        return script{{whole_answer(421, {id_of(r)}, ""), {}, then::go_on}};
+    });
+    site s("non_idempotent", {misdirected, misdirected});
+    const auto a = s.ask(site::request(
+        "id1", "Content-Length: 0\r\nX-Model-Name: m/a1\r\n", "POST"));
+    CHECK(a.head.status == 503);
+    CHECK(first <= 2);
+}
+
 TEST_CASE("an idempotent request is tried again after a failure", "[gateway]")
 {
     std::atomic<int> asked{0};
