Mend the linter's last findings

Cause: a copied parameter and a move without effect in the daemon. Change: these two. Conclusion: no change of behaviour.

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -91,11 +91,10 @@
 
 } // namespace
 
-gateway_daemon::gateway_daemon(boot_settings boot,
+gateway_daemon::gateway_daemon(const boot_settings& boot,
                                std::function<boot_settings()> reload)
     : read_settings_(std::move(reload)), random_(std::random_device{}()),
-      state_(make_state(std::move(boot), random_)), pool_(loop_),
-      control_pool_(loop_),
+      state_(make_state(boot, random_)), pool_(loop_), control_pool_(loop_),
       peers_(loop_, {state_.boot.address, state_.boot.peer_port},
              [this](const settings::endpoint& from, std::string_view data) {
                  on_datagram(from, data);
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -26,7 +26,8 @@
 public:
     /// @param boot settings of this process
     /// @param reload reads the settings again; throws if they are wrong
-    gateway_daemon(boot_settings boot, std::function<boot_settings()> reload);
+    gateway_daemon(const boot_settings& boot,
+                   std::function<boot_settings()> reload);
     ~gateway_daemon();
     gateway_daemon(const gateway_daemon&) = delete;
     gateway_daemon& operator=(const gateway_daemon&) = delete;
