Wait for a load also where the engine answers 421

Engines answer 421, not 503, to these, so the wait for slow loads did not see them, and the estimate of a load sank, since reports were taken to be 100 ms old at least. Change: a request that comes before its load waits and goes to the same engine again, whatever the refusal; the estimate counts a report as young as its answer; the flag ends with the choice that set it. The rule of leaving an engine after a second 421 stays for owners that are wrong. The wire's names of site_test.cpp move to standins/site/dialect, its fixture to a file of its own; the assertions are the same. Conclusion: the mechanism was mended, not the case.

--- a/src/lovagegate/gateway/engine_keeper.cpp
+++ b/src/lovagegate/gateway/engine_keeper.cpp
@@ -20,7 +20,7 @@
 constexpr duration want_timeout = 2s;
 /// An adapter used this lately has requests on the engine.
 constexpr duration in_use = 450ms;
-/// Age of what a report says.
+/// Age that a report has at most, while its answer came at once.
 constexpr duration report_age = 100ms;
 /// After a refused order: until a report tells why, or an unload has ended.
 constexpr duration order_pause = 120ms;
@@ -132,7 +132,8 @@
                 p.replacing = false;
             if (p.state == place_state::loading) {
                 p.last_use = now;
-                loads_.on_within(p.was_held, now - report_age - p.since);
+                // The report may be as young as its answer.
+                loads_.on_within(p.was_held, now - p.since);
             }
             p.version = version;
             p.state = place_state::resident;
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -44,6 +44,8 @@
 constexpr double busy_load = 0.9;
 /// Until a request is sent again whose adapter was expected too early.
 constexpr duration too_early_pause = 45ms;
+/// So often; then the load has failed, or the engine is full.
+constexpr std::uint32_t most_early_sends = 2;
 /// Callers that were refused come back when a slot may be free.
 constexpr duration refusal_pause = 700ms;
 constexpr duration startup_pause = 300ms;
@@ -225,6 +227,7 @@
         return;
     }
     target_ = choice->target;
+    expected_ = false;
     if (choice->resident) {
         send(choice->target);
         return;
@@ -498,31 +501,25 @@
         fail(bad_request, "refused by the target");
         return;
     }
-    const bool again = last_misdirected_ == target_;
-    if (answer_.status == misdirected && !adapter_.empty() && !again) {
-        // Evicted, or another version: its owner is asked before the next
-        // try. If that doesn't help, the owner is wrong as well.
-        last_misdirected_ = target_;
-        s.places.on_absent(target_, adapter_, now);
-    } else if (answer_.status == misdirected) {
-        if (adapter_.empty())
-            s.places.on_unreachable(target_, now);
-        else
-            s.places.on_load_refused(target_, now);
-        excluded_.push_back(target_);
-    } else if (expected_ && sends_ < most_sends) {
-        // The adapter takes longer than its owner thought.
-        s.counts.add("sends_too_early");
-        context_.adapters.on_too_early(target_, adapter_);
-        const auto alive = alive_;
-        context_.loop.call_later(too_early_pause,
-                                 [this, alive, target = target_] {
-                                     if (*alive && !done_)
-                                         send(target);
-                                 });
+    if (expected_ && early_sends_ < most_early_sends) {
+        wait_for_load();
         return;
-    } else {
+    }
+    const bool lacks_adapter =
+        answer_.status == misdirected && !adapter_.empty();
+    if (lacks_adapter)
+        s.places.on_absent(target_, adapter_, now);
+    else if (answer_.status == misdirected)
+        s.places.on_unreachable(target_, now);
+    else
         s.places.on_full(target_, now);
+    // Where an adapter was evicted, its owner is asked before the next try; if
+    // that doesn't help, the owner is wrong as well.
+    if (lacks_adapter && last_misdirected_ != target_) {
+        last_misdirected_ = target_;
+    } else {
+        if (lacks_adapter)
+            s.places.on_load_refused(target_, now);
         excluded_.push_back(target_);
     }
     if (sends_ >= most_sends) {
@@ -532,6 +529,18 @@
     try_next();
 }
 
+void forwarding::wait_for_load()
+{
+    ++early_sends_;
+    context_.state.counts.add("sends_too_early");
+    context_.adapters.on_too_early(target_, adapter_);
+    const auto alive = alive_;
+    context_.loop.call_later(too_early_pause, [this, alive, target = target_] {
+        if (*alive && !done_)
+            send(target);
+    });
+}
+
 void forwarding::retry_or(int status, std::string_view reason)
 {
     const bool sent = runs_ > 0;
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -65,6 +65,8 @@
     void send(const std::string& target);
     void leave_target();
     void on_rejected();
+    /// Sends the request again when the adapter should have been loaded.
+    void wait_for_load();
     void retry_or(int status, std::string_view reason);
     [[nodiscard]] bool may_run_again() const;
     void deliver_head(const net::message_head& head, bool whole);
@@ -108,9 +110,10 @@
     event_splitter events_;
     net::message_head answer_;
     answer_facts answer_facts_;
-    std::string buffer_;      ///< an answer that may still be replaced
-    std::uint32_t sends_ = 0; ///< requests that may have reached a target
-    std::uint32_t runs_ = 0;  ///< of those, not known as not run
+    std::string buffer_;            ///< an answer that may still be replaced
+    std::uint32_t early_sends_ = 0; ///< before their adapter was loaded
+    std::uint32_t sends_ = 0;       ///< requests that may have reached a target
+    std::uint32_t runs_ = 0;        ///< of those, not known as not run
     double load_at_choice_ = 0;
     bool at_target_ = false;  ///< counted as open at target_
     bool expected_ = false;   ///< the adapter was not reported yet
--- /dev/null
+++ b/standins/site/dialect.cpp
@@ -0,0 +1,203 @@
+#include "standins/site/dialect.hpp"
+
+#include "platform/words.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace lovagegate::standins {
+
+namespace {
+
+using nlohmann::json;
+namespace header = platform_wire::header;
+
+constexpr std::string_view signature = "s";
+
+std::string field(std::string_view name, std::string_view value)
+{
+    return std::string(name) + ": " + std::string(value);
+}
+
+std::string id_field(const seen_request& r)
+{
+    return field(header::attempt_id, attempt_id(r));
+}
+
+script at_once(std::string bytes)
+{
+    return {{std::move(bytes), {}, then::go_on}};
+}
+
+json engine_description()
+{
+    return {{"slots", 64},
+            {"weightsSize", 16800.0},
+            {"adapterSlots", 29},
+            {"models",
+             {{{"name", "m"},
+               {"weightsSize", 16100.0},
+               {"loadTimeS", 0.6},
+               {"adapterMb", 14.0}}}}};
+}
+
+} // namespace
+
+std::string config_text(const site_description& site)
+{
+    json service{{"name", "s"}, {"maxConnections", 50}};
+    if (site.engines)
+        service["engine"] = engine_description();
+    return json{{"version", site.version},
+                {"routes",
+                 {{{"name", "r"},
+                   {"host", "h"},
+                   {"prefix", site.prefix},
+                   {"kind", site.kind},
+                   {"timeoutMs", 15000},
+                   {"targetLatencyMs", 5000},
+                   {"priority", 1},
+                   {"service", "s"},
+                   {"maxAttempts", site.attempts},
+                   {"resumable", site.resumable}}}},
+                {"services", json::array({service})}}
+        .dump();
+}
+
+std::string entry_text(std::uint16_t port)
+{
+    return json{
+        {"service", "s"},   {"address", "127.0.0.1:" + std::to_string(port)},
+        {"zone", "z"},      {"slots", 6},
+        {"state", "ready"}, {"born", 1}}
+        .dump();
+}
+
+std::string request_text(const std::string& id, const std::string& more,
+                         const std::string& method)
+{
+    return method + " /p/x HTTP/1.1\r\nHost: h\r\n" + id_header(id) +
+           field(header::time_left_ms, "15000") + "\r\n" + more + "\r\n";
+}
+
+std::string id_header(const std::string& id)
+{
+    return field(header::attempt_id, id) + "\r\n";
+}
+
+std::string adapter_header(const std::string& adapter)
+{
+    return field(header::model, "m/" + adapter) + "\r\n";
+}
+
+std::string attempt_id(const net::message_head& head)
+{
+    return std::string(head.header(header::attempt_id));
+}
+
+std::string attempt_id(const seen_request& r)
+{
+    return attempt_id(r.head);
+}
+
+std::string resume_after(const seen_request& r)
+{
+    return std::string(r.head.header(header::last_event_id));
+}
+
+std::string expected_target(const seen_request& r)
+{
+    return std::string(r.head.header(header::expected_target));
+}
+
+bool asks_for(const seen_request& r, const std::string& adapter)
+{
+    return r.head.header(header::model) == "m/" + adapter;
+}
+
+bool is_order(const seen_request& r)
+{
+    return r.head.target == platform_wire::path::order;
+}
+
+bool is_report(const seen_request& r)
+{
+    return r.head.target == platform_wire::path::report;
+}
+
+std::string system_header()
+{
+    return field(header::system_only[5], "forged") + "\r\n";
+}
+
+bool has_system_header(const seen_request& r)
+{
+    return r.head.has(header::system_only[5]);
+}
+
+std::string signed_bytes(const std::string& id, int status,
+                         const std::string& body)
+{
+    return whole_answer(status,
+                        {field(header::attempt_id, id),
+                         field(header::target_signature, signature)},
+                        body);
+}
+
+script signed_answer(const seen_request& r, int status, const std::string& body)
+{
+    return at_once(signed_bytes(attempt_id(r), status, body));
+}
+
+script unsigned_answer(const seen_request& r, const std::string& body)
+{
+    constexpr int ok = 200;
+    return at_once(whole_answer(ok, {id_field(r)}, body));
+}
+
+script not_run(const seen_request& r, int status)
+{
+    return at_once(
+        whole_answer(status, {id_field(r), field(header::not_run, "1")}, ""));
+}
+
+script misdirected(const seen_request& r)
+{
+    constexpr int status = 421;
+    return at_once(whole_answer(status, {id_field(r)}, ""));
+}
+
+std::string stream_head(const seen_request& r)
+{
+    return "HTTP/1.1 200 OK\r\n" + id_field(r) + "\r\n" +
+           field(header::target_signature, signature) +
+           "\r\nContent-Type: text/event-stream\r\n\r\n";
+}
+
+std::string event(int id)
+{
+    const std::string number = std::to_string(id);
+    return "id: " + number + "\ndata: e" + number + "\n\n";
+}
+
+std::string promising_head(const seen_request& r, int bytes)
+{
+    return "HTTP/1.1 200 OK\r\n" + id_field(r) + "\r\n" +
+           field(header::target_signature, signature) +
+           "\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n";
+}
+
+script report_answer(const std::string& adapters_json)
+{
+    constexpr int ok = 200;
+    return at_once(whole_answer(
+        ok, {"Content-Type: application/json"},
+        R"({"models":[{"name":"m","version":1,"adapters":)" + adapters_json +
+            R"(}],"busy":false,"running":0,"waiting":0})"));
+}
+
+bool is_signed(const net::message_head& head)
+{
+    return head.header(header::target_signature) == signature;
+}
+
+} // namespace lovagegate::standins
--- /dev/null
+++ b/standins/site/dialect.hpp
@@ -0,0 +1,88 @@
+#ifndef LOVAGEGATE_STANDINS_SITE_DIALECT_HPP
+#define LOVAGEGATE_STANDINS_SITE_DIALECT_HPP
+
+#include "standins/site/scripted_server.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+/// What the users' platform, its callers and its targets say on the wire, for
+/// scripts and tests.
+namespace lovagegate::standins {
+
+/// One route to one service "s" with all targets.
+struct site_description
+{
+    std::string kind = "idempotent";
+    bool resumable = false;
+    int attempts = 2;
+    int version = 1;
+    std::string prefix = "/p/";
+    /// The targets are engines, which hold one model, "m", and adapters.
+    bool engines = false;
+};
+
+/// @return the operator's configuration
+[[nodiscard]] std::string config_text(const site_description& site);
+
+/// @return what a ready target publishes about itself
+[[nodiscard]] std::string entry_text(std::uint16_t port);
+
+/// @return a caller's request for the route, without a body
+/// @param more further headers, each with its line end
+[[nodiscard]] std::string request_text(const std::string& id,
+                                       const std::string& more = {},
+                                       const std::string& method = "GET");
+
+/// @return the header that bears an attempt's id
+[[nodiscard]] std::string id_header(const std::string& id);
+
+/// @return a header that asks for an adapter of model "m"
+[[nodiscard]] std::string adapter_header(const std::string& adapter);
+
+[[nodiscard]] std::string attempt_id(const net::message_head& head);
+[[nodiscard]] std::string attempt_id(const seen_request& r);
+/// @return id of the last event that the sender has, empty for none
+[[nodiscard]] std::string resume_after(const seen_request& r);
+[[nodiscard]] std::string expected_target(const seen_request& r);
+[[nodiscard]] bool asks_for(const seen_request& r, const std::string& adapter);
+[[nodiscard]] bool is_order(const seen_request& r);
+[[nodiscard]] bool is_report(const seen_request& r);
+
+/// @return a header that is the system's to set
+[[nodiscard]] std::string system_header();
+[[nodiscard]] bool has_system_header(const seen_request& r);
+
+/// @return the answer of a target that ran the request
+[[nodiscard]] script signed_answer(const seen_request& r, int status,
+                                   const std::string& body);
+/// @param id of the request that the answer is for
+[[nodiscard]] std::string signed_bytes(const std::string& id, int status,
+                                       const std::string& body);
+[[nodiscard]] script unsigned_answer(const seen_request& r,
+                                     const std::string& body);
+
+/// @return the answer of a target that did not run the request
+[[nodiscard]] script not_run(const seen_request& r, int status);
+
+/// @return the answer of a target that lacks what was asked for, or is another
+///         one than expected
+[[nodiscard]] script misdirected(const seen_request& r);
+
+/// @return head of an event stream that ends with its connection
+[[nodiscard]] std::string stream_head(const seen_request& r);
+[[nodiscard]] std::string event(int id);
+
+/// @return head of an answer that declares more bytes than follow
+[[nodiscard]] std::string promising_head(const seen_request& r, int bytes);
+
+/// @return an engine's report
+[[nodiscard]] script report_answer(const std::string& adapters_json);
+
+/// @return whether an answer bears a target's signature
+[[nodiscard]] bool is_signed(const net::message_head& head);
+
+} // namespace lovagegate::standins
+
+#endif
--- a/standins/site/platform_store.cpp
+++ b/standins/site/platform_store.cpp
@@ -1,5 +1,7 @@
 #include "standins/site/platform_store.hpp"
 
+#include "platform/words.hpp"
+
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
@@ -48,6 +50,16 @@
     history_.push_back(c);
 }
 
+void platform_store::put_config(const std::string& value)
+{
+    put(std::string(platform_wire::store_key::config), value);
+}
+
+void platform_store::put_target(const std::string& id, const std::string& value)
+{
+    put(std::string(platform_wire::store_key::targets) + id, value);
+}
+
 void platform_store::remove(const std::string& key)
 {
     items_.erase(key);
@@ -88,7 +100,7 @@
     const std::string prefix = argument(target, "prefix");
     if (down_)
         return {{whole_answer(503, {}, ""), {}, then::go_on}};
-    if (target.starts_with("/-/kv-range"))
+    if (target.starts_with(platform_wire::path::read_range))
         return {{whole_answer(200, {}, range(prefix)), {}, then::go_on}};
     std::uint64_t after = 0;
     const std::string text = argument(target, "after");
--- a/standins/site/platform_store.hpp
+++ b/standins/site/platform_store.hpp
@@ -19,6 +19,8 @@
     [[nodiscard]] std::uint16_t port() const { return server_.port(); }
 
     void put(const std::string& key, const std::string& value);
+    void put_config(const std::string& value);
+    void put_target(const std::string& id, const std::string& value);
     void remove(const std::string& key);
 
     /// Calls get 503 while the store is down.
--- a/tests/gateway/engine_keeper_test.cpp
+++ b/tests/gateway/engine_keeper_test.cpp
@@ -129,6 +129,31 @@
     CHECK(held.version == 3);
 }
 
+TEST_CASE("the estimate of a load does not fall below what loads take",
+          "[gateway]")
+{
+    // Reports may be as young as the answer that brings them.
+    const duration age = GENERATE(0ms, 50ms, 100ms);
+    constexpr duration load_time = 250ms;
+    engine_keeper keeper("e", small_engine(200));
+    time_point now{10s};
+    keeper.on_report(report_with({}), now);
+    std::vector<std::string> held;
+    for (int i = 0; i < 45; ++i) {
+        const auto name = "a" + std::to_string(i);
+        CHECK(keeper.want(adapter(name), now) == adapter_status::loading);
+        const auto orders = keeper.plan(now);
+        REQUIRE(orders.size() == 1);
+        keeper.on_order_done(orders.front(), order_outcome::accepted, now);
+        const auto ready = keeper.next_ready();
+        REQUIRE(ready);
+        CHECK(*ready - now >= load_time - 5ms);
+        held.push_back(name + "@1");
+        now += load_time + age;
+        keeper.on_report(report_with(held), now);
+    }
+}
+
 TEST_CASE("an adapter in use is not evicted, the least recently used is",
           "[gateway]")
 {
--- /dev/null
+++ b/tests/gateway/site_fixture.hpp
@@ -0,0 +1,239 @@
+#ifndef LOVAGEGATE_TESTS_GATEWAY_SITE_FIXTURE_HPP
+#define LOVAGEGATE_TESTS_GATEWAY_SITE_FIXTURE_HPP
+
+#include "lovagegate/gateway/gateway_daemon.hpp"
+#include "lovagegate/logging/log.hpp"
+#include "standins/site/dialect.hpp"
+#include "standins/site/platform_store.hpp"
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <future>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace lovagegate::gateway_test {
+
+using namespace lovagegate::standins;
+
+/// Longer than anything takes on a busy machine; only failures wait for it.
+constexpr auto patience = 20s;
+
+inline std::uint16_t free_port()
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(fd, reinterpret_cast<sockaddr*>(&a), sizeof a);
+    socklen_t size = sizeof a;
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&a), &size);
+    ::close(fd);
+    return ntohs(a.sin_port);
+}
+
+/// One connection of a caller, with blocking calls.
+class caller
+{
+public:
+    explicit caller(std::uint16_t port) : fd_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in a{};
+        a.sin_family = AF_INET;
+        a.sin_port = htons(port);
+        a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ::connect(fd_, reinterpret_cast<sockaddr*>(&a), sizeof a);
+        const timeval limit{patience.count(), 0};
+        ::setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    }
+    ~caller() { leave(); }
+    caller(const caller&) = delete;
+    caller& operator=(const caller&) = delete;
+
+    void send(const std::string& bytes)
+    {
+        ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
+    void leave()
+    {
+        if (fd_ >= 0)
+            ::close(fd_);
+        fd_ = -1;
+    }
+
+    struct answer
+    {
+        net::message_head head;
+        std::string body;
+        bool complete = false;
+    };
+
+    answer read()
+    {
+        net::message_reader reader(net::message_reader::kind::responses, 65536);
+        answer a;
+        std::array<char, 4096> buffer{};
+        for (;;) {
+            if (rest_.empty()) {
+                const auto n = ::recv(fd_, buffer.data(), buffer.size(), 0);
+                if (n <= 0)
+                    return a;
+                rest_.assign(buffer.data(), static_cast<std::size_t>(n));
+            }
+            const auto p = reader.read(
+                rest_, [&](net::message_head& h) { a.head = h; },
+                [&](std::string_view part) { a.body += part; });
+            rest_.erase(0, p.used);
+            if (p.complete || p.failure != net::parse_failure::none) {
+                a.complete = p.complete;
+                return a;
+            }
+        }
+    }
+
+private:
+    int fd_;
+    std::string rest_;
+};
+
+/// Marks the fixture's own requests.
+inline constexpr const char* warm_up_header = "X-Test: 1\r\n";
+
+/// The gateway between a caller, a store and scripted targets.
+class site
+{
+public:
+    using target_script = std::function<script(const seen_request&)>;
+
+    site(const site_description& description,
+         std::vector<target_script> targets)
+    {
+        std::promise<void> ready;
+        standins_thread_ = std::thread([&, this] {
+            net::event_loop loop;
+            platform_store store(loop);
+            std::vector<std::unique_ptr<scripted_server>> servers;
+            for (std::size_t i = 0; i < targets.size(); ++i) {
+                servers.push_back(std::make_unique<scripted_server>(
+                    loop, counted(targets[i])));
+                servers.back()->on_left = [this] { ++left; };
+                store.put_target("i-" + std::to_string(i),
+                                 entry_text(servers.back()->port()));
+            }
+            store.put_config(config_text(description));
+            store_ = &store;
+            loop_ = &loop;
+            store_port_ = store.port();
+            ready.set_value();
+            loop.run();
+        });
+        ready.get_future().wait();
+        start_gateway();
+    }
+
+    ~site()
+    {
+        stop();
+        loop_->stop();
+        standins_thread_.join();
+    }
+    site(const site&) = delete;
+    site& operator=(const site&) = delete;
+
+    caller::answer ask(const std::string& bytes)
+    {
+        caller c(callers_port_);
+        c.send(bytes);
+        return c.read();
+    }
+
+    /// Runs a change of the store on its thread.
+    void change(const std::function<void(platform_store&)>& fn)
+    {
+        std::promise<void> done;
+        loop_->post([&] {
+            fn(*store_);
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    void stop()
+    {
+        if (!gateway_thread_.joinable())
+            return;
+        daemon_->stop();
+        gateway_thread_.join();
+    }
+
+    [[nodiscard]] std::uint16_t callers_port() const { return callers_port_; }
+
+    std::atomic<int> runs{0};
+    std::atomic<int> left{0};
+
+private:
+    target_script counted(const target_script& fn)
+    {
+        return [this, fn](const seen_request& r) {
+            ++runs;
+            return fn(r);
+        };
+    }
+
+    void start_gateway()
+    {
+        logging::configure(settings::log_level::error);
+        gateway::boot_settings s;
+        s.instance = "n1";
+        s.address = "127.0.0.1";
+        s.failure_domain = "z";
+        s.callers = {"127.0.0.1", callers_port_ = free_port()};
+        s.readiness = {"127.0.0.1", free_port()};
+        s.control = {"127.0.0.1", free_port()};
+        s.peer_port = free_port();
+        s.metrics_port = free_port();
+        s.store = {"127.0.0.1", store_port_};
+        s.first_start = true;
+        s.stop_grace = 2s; // so that tests end soon
+        std::promise<void> made;
+        gateway_thread_ = std::thread([this, s, &made] {
+            gateway::gateway_daemon daemon(s, [s] { return s; });
+            daemon_ = &daemon;
+            made.set_value();
+            daemon.run();
+        });
+        made.get_future().wait();
+        // Until the configuration and the targets are known.
+        for (;;) {
+            const auto a = ask(request_text("warm-up", warm_up_header));
+            if (a.head.status != 503)
+                break;
+            std::this_thread::sleep_for(10ms);
+        }
+        runs = 0;
+        left = 0;
+    }
+
+    std::thread standins_thread_;
+    std::thread gateway_thread_;
+    net::event_loop* loop_ = nullptr;
+    platform_store* store_ = nullptr;
+    gateway::gateway_daemon* daemon_ = nullptr;
+    std::uint16_t store_port_ = 0;
+    std::uint16_t callers_port_ = 0;
+};
+
+/// Answers the fixture's own requests with success, others as the test says.
+inline site::target_script warm(site::target_script fn)
+{
+    return [fn = std::move(fn)](const seen_request& r) {
+        constexpr int ok = 200;
+        return r.head.has("X-Test") ? signed_answer(r, ok, "fine") : fn(r);
+    };
+}
+
+} // namespace lovagegate::gateway_test
+
+#endif
