Let adapters go back to engines that keep copies of them

Cause: an adapter that left its engine was loaded from the store again at another one; a new owner of an engine also took copies for store loads and answered 0.2 s late. Change: placement remembers what entries showed on each engine, up to five copies for each place, and tells a new owner.

--- a/src/lovagegate/gateway/adapter_desk.cpp
+++ b/src/lovagegate/gateway/adapter_desk.cpp
@@ -300,6 +300,7 @@
             continue;
         it = kept_.try_emplace(id, id, *s->engine).first;
         it->second.started_ms = t->entry.started_ms;
+        it->second.keeper.take_copies(state_.places.copies_at(id));
         for (const auto& [name, known] : state_.releases.all())
             it->second.keeper.on_release(known.release);
     }
--- a/src/lovagegate/gateway/engine_keeper.cpp
+++ b/src/lovagegate/gateway/engine_keeper.cpp
@@ -1,6 +1,7 @@
 #include "lovagegate/gateway/engine_keeper.hpp"
 
 #include "lovagegate/core/hash.hpp"
+#include "lovagegate/gateway/placement.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -24,8 +25,6 @@
 constexpr duration report_age = 100ms;
 /// After a refused order: until a report tells why, or an unload has ended.
 constexpr duration order_pause = 120ms;
-/// Copies that an engine is taken to keep of adapters that left it.
-constexpr std::size_t kept_copies = 120;
 /// Between two orders to load the same base model.
 constexpr duration model_order_pause = 3s;
 constexpr std::uint64_t model_hash_seed = 0x6d6f64;
@@ -230,10 +229,18 @@
 {
     std::erase(left_, name);
     left_.push_front(name);
-    if (left_.size() > kept_copies)
+    // The resident ones take copies as well.
+    const std::size_t most = (copies_per_slot - 1) * spec_.adapter_slots;
+    if (left_.size() > most)
         left_.pop_back();
 }
 
+void engine_keeper::take_copies(std::span<const std::string> names)
+{
+    for (const auto& name : names)
+        note_left(name);
+}
+
 bool engine_keeper::was_held(std::string_view name) const
 {
     return std::ranges::find(left_, name) != left_.end();
--- a/src/lovagegate/gateway/engine_keeper.hpp
+++ b/src/lovagegate/gateway/engine_keeper.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -48,6 +49,11 @@
 
     void set_spec(engine_spec spec) { spec_ = std::move(spec); }
 
+    /// Adapters that were seen on the engine before it was this instance's; it
+    /// may keep copies of them.
+    /// @param names MODEL/NAME, the last seen at the end
+    void take_copies(std::span<const std::string> names);
+
     /// Takes the engine's own report; nothing is ordered before the first.
     void on_report(const engine_report& report, time_point now);
 
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -237,6 +237,12 @@
 
 void forwarding::wait_for_adapter(const placement_choice& choice)
 {
+    logging::write(logging::level::info, "adapter_wanted",
+                   {{"request", facts_.attempt_id},
+                    {"target", choice.target},
+                    {"adapter", adapter_},
+                    {"rank", std::uint64_t{choice.rank}},
+                    {"passed_over", choice.passed_over}});
     const std::string target = choice.target;
     const std::uint64_t version = context_.state.releases.newest(
         adapter_, false, net::event_loop::now().mono);
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -382,7 +382,10 @@
                         {"revision", item.revision}});
     if (known != nullptr && known->entry.started_ms != entry->started_ms)
         pool_.forget(id);
-    state_.places.on_entry(*entry, now);
+    const service_spec* service = state_.routes.service(entry->service);
+    state_.places.on_entry(
+        *entry,
+        service && service->engine ? service->engine->adapter_slots : 0, now);
     state_.targets.put(std::move(*entry), now);
 }
 
--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -4,8 +4,8 @@
 #include "lovagegate/gateway/engine_keeper.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
-#include <limits>
 
 namespace lovagegate::gateway {
 
@@ -15,10 +15,16 @@
 constexpr double load_cost = 300;     ///< an adapter from the store, priced
 constexpr double load_wait_cost = 60; ///< its wait, within most objectives
 constexpr double load_wait_ms = 260;
+/// An adapter of which the engine keeps a copy loads ten times as fast.
+constexpr double copy_load_cost = 15;
+constexpr double copy_wait_ms = 35;
 /// The first engines in an adapter's order have had it before: they keep a
 /// copy, which loads ten times as fast and costs nothing.
 constexpr double rank_cost = 150;
 constexpr std::size_t ranks_apart = 3;
+/// Keeps requests of one key together where all else is equal.
+constexpr double rank_order_cost = 0.5;
+constexpr double us_per_ms = 1000;
 constexpr double other_domain_cost = 6;   ///< delay, and bytes that are priced
 constexpr double failure_cost = 1500;     ///< of a request that fails surely
 constexpr double last_resort_cost = 4000; ///< leaving targets come last
@@ -156,6 +162,7 @@
     belief& b = beliefs_[target];
     b.adapters[adapter] = version;
     b.known_since[adapter] = now;
+    b.copies[adapter] = now;
 }
 
 void placement::on_absent(const std::string& target, const std::string& adapter,
@@ -171,7 +178,33 @@
     beliefs_[target].no_loads_until = now + no_loads_for;
 }
 
-void placement::on_entry(const target_entry& entry, time_point now)
+void placement::forget_copies(belief& b, std::size_t adapter_slots)
+{
+    const std::size_t most = copies_per_slot * adapter_slots;
+    while (b.copies.size() > most) {
+        const auto oldest = std::ranges::min_element(
+            b.copies, {}, [](const auto& copy) { return copy.second; });
+        b.copies.erase(oldest);
+    }
+}
+
+std::vector<std::string> placement::copies_at(const std::string& target) const
+{
+    const auto b = beliefs_.find(target);
+    if (b == beliefs_.end())
+        return {};
+    std::vector<std::pair<time_point, std::string>> by_age;
+    for (const auto& [name, seen] : b->second.copies)
+        by_age.emplace_back(seen, name);
+    std::ranges::sort(by_age);
+    std::vector<std::string> out;
+    for (auto& [seen, name] : by_age)
+        out.push_back(std::move(name));
+    return out;
+}
+
+void placement::on_entry(const target_entry& entry, std::size_t adapter_slots,
+                         time_point now)
 {
     belief& b = beliefs_[entry.id];
     if (b.started_ms != entry.started_ms) {
@@ -193,9 +226,12 @@
     std::erase_if(b.adapters, [&](const auto& a) {
         return !b.known_since.contains(a.first) && !listed.contains(a.first);
     });
-    for (const auto& [name, version] : listed)
+    for (const auto& [name, version] : listed) {
+        b.copies[name] = now;
         if (!b.known_since.contains(name))
             b.adapters[name] = version;
+    }
+    forget_copies(b, adapter_slots);
 }
 
 void placement::forget(const std::string& target)
@@ -233,38 +269,72 @@
     return std::max(guess, static_cast<double>(b.open)) / all;
 }
 
+std::string_view
+target_cost::largest_excess(const target_cost& other) const noexcept
+{
+    const std::array<std::pair<double, std::string_view>, 6> parts{{
+        {crowding - other.crowding, "crowding"},
+        {load - other.load, "load"},
+        {rank - other.rank, "rank"},
+        {domain - other.domain, "domain"},
+        {failure - other.failure, "failure"},
+        {standing - other.standing, "standing"},
+    }};
+    return std::ranges::max_element(parts)->second;
+}
+
+std::vector<placement::candidate>
+placement::rank_targets(const placement_request& request,
+                        const std::string& key,
+                        std::span<const target_state* const> candidates)
+{
+    const auto key_hash = stable_hash(key, place_seed);
+    std::vector<candidate> order;
+    for (const target_state* t : candidates)
+        if (std::ranges::find(request.excluded, t->entry.id) ==
+            request.excluded.end())
+            order.push_back(
+                {t, combine_hash(key_hash,
+                                 stable_hash(t->entry.id, place_seed))});
+    std::ranges::sort(order, std::greater<>(), &candidate::weight);
+    return order;
+}
+
+double placement::standing_cost(const target_state& t, const belief& b,
+                                bool resident, time_point now) const
+{
+    double cost = 0;
+    if (!resident && now < b.no_loads_until)
+        cost += avoid_cost;
+    if (t.use(now) == target_use::last_resort)
+        cost += last_resort_cost;
+    if (now < b.avoid_until)
+        cost += avoid_cost;
+    if (now < b.full_until)
+        cost += full_cost;
+    return cost;
+}
+
 std::optional<placement_choice>
 placement::choose(const placement_request& request,
                   std::span<const target_state* const> candidates,
                   std::size_t instances, time_point now)
 {
-    struct ranked
-    {
-        const target_state* target;
-        std::uint64_t weight;
-    };
     const bool on_adapter =
         request.adapter && !request.adapter->adapter.empty();
     const std::string adapter =
         on_adapter
             ? adapter_name(request.adapter->model, request.adapter->adapter)
             : std::string();
-    const std::string affinity = on_adapter ? adapter : request.first_part;
-    std::vector<ranked> order;
-    for (const target_state* t : candidates)
-        if (std::ranges::find(request.excluded, t->entry.id) ==
-            request.excluded.end())
-            order.push_back(
-                {t, combine_hash(stable_hash(affinity, place_seed),
-                                 stable_hash(t->entry.id, place_seed))});
-    std::ranges::sort(order, std::greater<>(), &ranked::weight);
-
+    const std::string& key = on_adapter ? adapter : request.first_part;
+    const auto order = rank_targets(request, key, candidates);
     const double uses = on_adapter
                             ? (count_demand(adapter, now) - 1) * demand_share *
                                   static_cast<double>(instances)
                             : 0;
     std::optional<placement_choice> best;
-    double best_cost = std::numeric_limits<double>::max();
+    target_cost first_cost;
+    target_cost best_cost;
     std::uniform_real_distribution<double> jitter(0, noise);
     for (std::size_t rank = 0; rank < order.size(); ++rank) {
         const target_state& t = *order[rank].target;
@@ -275,36 +345,42 @@
         const bool resident =
             !on_adapter ||
             is_resident(t.entry.id, adapter, request.adapter->version);
-        double cost = crowding_cost(b, running, slots, now);
         double wait =
             running > slots ? (running - slots) / slots * mean_run_ms : 0;
-        if (!resident) {
+        target_cost cost;
+        cost.crowding = crowding_cost(b, running, slots, now);
+        if (!resident && b.copies.contains(adapter)) {
+            wait += copy_wait_ms;
+            cost.load = copy_load_cost;
+        } else if (!resident) {
             wait += load_wait_ms;
-            cost +=
-                load_wait_cost + load_cost / (1 + uses) +
+            cost.load = load_wait_cost + load_cost / (1 + uses);
+            cost.rank =
                 rank_cost * static_cast<double>(std::min(rank, ranks_apart));
-            if (now < b.no_loads_until)
-                cost += avoid_cost;
         }
-        if (on_adapter || !request.first_part.empty())
-            cost += static_cast<double>(rank) * 0.5;
+        if (!key.empty())
+            cost.rank += rank_order_cost * static_cast<double>(rank);
         if (t.entry.failure_domain != own_domain_)
-            cost += other_domain_cost;
-        cost += failure_cost * b.failure_share;
-        if (t.use(now) == target_use::last_resort)
-            cost += last_resort_cost;
-        if (now < b.avoid_until)
-            cost += avoid_cost;
-        if (now < b.full_until)
-            cost += full_cost;
-        if (cost >= best_cost)
+            cost.domain = other_domain_cost;
+        cost.failure = failure_cost * b.failure_share;
+        cost.standing = standing_cost(t, b, resident, now);
+        if (rank == 0)
+            first_cost = cost;
+        if (best && cost.sum() >= best_cost.sum())
             continue;
         best_cost = cost;
-        best =
-            placement_choice{t.entry.id, resident,
-                             duration(static_cast<duration::rep>(wait * 1000)),
-                             load, resident ? "resident" : "load"};
+        best = placement_choice{
+            t.entry.id,
+            resident,
+            duration(static_cast<duration::rep>(wait * us_per_ms)),
+            load,
+            rank,
+            {}};
     }
+    if (best)
+        best->passed_over = best->rank == 0
+                                ? "nothing"
+                                : first_cost.largest_excess(best_cost);
     return best;
 }
 
--- a/src/lovagegate/gateway/placement.hpp
+++ b/src/lovagegate/gateway/placement.hpp
@@ -35,7 +35,33 @@
     bool resident = true;     ///< the adapter is believed to be there
     duration expected_wait{}; ///< to the start of the run, by estimate
     double load = 0;          ///< requests there over its slots
-    const char* reason = "";  ///< what decided, for the log
+    std::size_t rank = 0;     ///< place in the order of the key's targets
+    /// What ruled the target out that comes first in that order; for the log.
+    std::string_view passed_over = "nothing";
+};
+
+/// Copies of adapters that an engine is taken to keep, resident or not, for
+/// each of its places: the users' engines keep six, those used last.
+constexpr std::size_t copies_per_slot = 5;
+
+/// What speaks against one target, in thousandths of what a late answer loses.
+struct target_cost
+{
+    double crowding = 0; ///< requests there, and the pace of their events
+    double load = 0;     ///< the adapter is to be loaded, from a copy or not
+    double rank = 0;     ///< engines further down have no copy of it
+    double domain = 0;   ///< delay and bytes between failure domains
+    double failure = 0;  ///< it failed requests
+    double standing = 0; ///< leaving, unreachable, full or taking no loads
+
+    [[nodiscard]] double sum() const noexcept
+    {
+        return crowding + load + rank + domain + failure + standing;
+    }
+
+    /// @return name of the part by which this cost exceeds another most
+    [[nodiscard]] std::string_view
+    largest_excess(const target_cost& other) const noexcept;
 };
 
 /// What this instance believes of each target, and the choice among them. Load
@@ -73,7 +99,14 @@
     void on_load_refused(const std::string& target, time_point now);
 
     /// Takes what a published entry lists.
-    void on_entry(const target_entry& entry, time_point now);
+    /// @param adapter_slots of the engine; zero for plain targets
+    void on_entry(const target_entry& entry, std::size_t adapter_slots,
+                  time_point now);
+
+    /// @return adapters, as MODEL/NAME, of which the target is believed to
+    ///         keep copies, resident or not; the last seen come last
+    [[nodiscard]] std::vector<std::string>
+    copies_at(const std::string& target) const;
 
     void forget(const std::string& target);
 
@@ -107,6 +140,8 @@
         time_point no_loads_until{};
         std::map<std::string, std::uint64_t, std::less<>> adapters;
         std::map<std::string, time_point, std::less<>> known_since;
+        /// Adapters that were there, by when they were last seen.
+        std::map<std::string, time_point, std::less<>> copies;
         std::int64_t started_ms = 0;
         double pace_ms = 0; ///< moving average of the gaps between events
         time_point pace_at{};
@@ -126,6 +161,20 @@
     [[nodiscard]] double load_of(const belief& b, std::uint32_t slots,
                                  std::size_t instances, time_point now) const;
 
+    /// A target that may be chosen, with its weight for the request's key.
+    struct candidate
+    {
+        const target_state* target;
+        std::uint64_t weight;
+    };
+
+    [[nodiscard]] static std::vector<candidate>
+    rank_targets(const placement_request& request, const std::string& key,
+                 std::span<const target_state* const> candidates);
+    static void forget_copies(belief& b, std::size_t adapter_slots);
+    [[nodiscard]] double standing_cost(const target_state& t, const belief& b,
+                                       bool resident, time_point now) const;
+
     std::string own_domain_;
     std::map<std::string, belief> beliefs_;
     std::unordered_map<std::string, demand> demands_;
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr std::size_t adapter_slots = 4;
+
 class engines
 {
 public:
@@ -138,12 +140,12 @@
     e.id = "e0";
     e.started_ms = 1;
     e.models = {{"m", {"a1@4"}}};
-    p.on_entry(e, now);
+    p.on_entry(e, adapter_slots, now);
     CHECK(p.is_resident("e0", "m/a1", 4));
     CHECK_FALSE(p.is_resident("e0", "m/a1", 5));
     e.started_ms = 2;
     e.models = {{"m", {}}};
-    p.on_entry(e, now);
+    p.on_entry(e, adapter_slots, now);
     CHECK_FALSE(p.is_resident("e0", "m/a1", 0));
 }
 
@@ -154,10 +156,44 @@
     target_entry e;
     e.id = "e0";
     e.models = {{"m", {"a1@1"}}};
-    p.on_entry(e, now);
+    p.on_entry(e, adapter_slots, now);
     p.on_absent("e0", "m/a1", now);
-    p.on_entry(e, now + 1s);
+    p.on_entry(e, adapter_slots, now + 1s);
     CHECK_FALSE(p.is_resident("e0", "m/a1", 0));
-    p.on_entry(e, now + 4s);
+    p.on_entry(e, adapter_slots, now + 4s);
     CHECK(p.is_resident("e0", "m/a1", 0));
 }
+
+TEST_CASE("an adapter goes back to an engine that keeps a copy of it",
+          "[gateway]")
+{
+    engines site(6);
+    placement p("z", 1);
+    const auto home = site.choose(p, "a1")->target;
+    target_entry other;
+    other.id = home == "e0" ? "e1" : "e0";
+    other.started_ms = 7;
+    other.models = {{"m", {"a1@1"}}};
+    p.on_entry(other, adapter_slots, site.now);
+    other.models = {{"m", {}}};
+    site.now += 4s;
+    p.on_entry(other, adapter_slots, site.now);
+    const auto choice = site.choose(p, "a1");
+    CHECK(choice->target == other.id);
+    CHECK_FALSE(choice->resident);
+}
+
+TEST_CASE("only the copies that were seen last are counted on", "[gateway]")
+{
+    placement p("z", 1);
+    target_entry e;
+    e.id = "e0";
+    for (int a = 0; a < 40; ++a) {
+        e.models = {{"m", {"a" + std::to_string(a) + "@1"}}};
+        p.on_entry(e, adapter_slots, time_point(std::chrono::seconds(a)));
+    }
+    const auto copies = p.copies_at("e0");
+    REQUIRE(copies.size() == copies_per_slot * adapter_slots);
+    CHECK(copies.back() == "m/a39");
+    CHECK(copies.front() == "m/a20");
+}
