Weigh the share of streams that pause too long on an engine

Change: instances tell an engine's owner how many streams ended and how many halted; claims carry the share.

--- a/src/lovagegate/gateway/adapter_desk.cpp
+++ b/src/lovagegate/gateway/adapter_desk.cpp
@@ -30,6 +30,9 @@
 /// 450 ms counts as idle.
 constexpr duration use_interval = 300ms;
 
+/// Weight of one stream in the share of halting ones: a busy engine ends about
+/// ten streams a second.
+constexpr double halting_weight = 0.05;
 /// Claims are compared at about the rate of heartbeats.
 constexpr duration update_interval = 250ms;
 
@@ -140,7 +143,14 @@
 void adapter_desk::note_use(const std::string& engine,
                             const std::string& adapter)
 {
-    ++uses_[engine][adapter];
+    ++uses_[engine].open[adapter];
+}
+
+void adapter_desk::note_stream(const std::string& engine, bool halted)
+{
+    engine_use& use = uses_[engine];
+    ++use.streams;
+    use.halting += halted ? 1U : 0U;
 }
 
 void adapter_desk::note_done(const std::string& engine,
@@ -149,20 +159,22 @@
     const auto on_engine = uses_.find(engine);
     if (on_engine == uses_.end())
         return;
-    const auto it = on_engine->second.find(adapter);
-    if (it != on_engine->second.end() && it->second > 0)
+    auto& open = on_engine->second.open;
+    const auto it = open.find(adapter);
+    if (it != open.end() && it->second > 0)
         --it->second;
 }
 
 void adapter_desk::flush_uses()
 {
     const time_point now = net::event_loop::now().mono;
-    for (auto& [engine, adapters] : uses_) {
-        adapter_use use{engine, {}};
-        for (const auto& [name, open] : adapters)
+    for (auto& [engine, mine] : uses_) {
+        adapter_use use{engine, {}, mine.streams, mine.halting};
+        mine.streams = mine.halting = 0;
+        for (const auto& [name, open] : mine.open)
             use.adapters.push_back(name);
-        std::erase_if(adapters, [](const auto& a) { return a.second == 0; });
-        if (use.adapters.empty())
+        std::erase_if(mine.open, [](const auto& a) { return a.second == 0; });
+        if (use.adapters.empty() && use.streams == 0)
             continue;
         if (state_.ownership.find(engine)) {
             on_message({}, use);
@@ -173,7 +185,7 @@
         if (owner)
             send_(*owner, use);
     }
-    std::erase_if(uses_, [](const auto& u) { return u.second.empty(); });
+    std::erase_if(uses_, [](const auto& u) { return u.second.open.empty(); });
 }
 
 void adapter_desk::on_message(const std::string& from, const adapter_ask& ask)
@@ -223,8 +235,13 @@
     if (it == kept_.end())
         return;
     const time_point now = net::event_loop::now().mono;
+    kept_engine& e = it->second;
     for (const auto& name : use.adapters)
-        it->second.keeper.on_use(name, now);
+        e.keeper.on_use(name, now);
+    for (std::uint32_t i = 0; i < use.streams; ++i) {
+        const double halted = i < use.halting ? 1 : 0;
+        e.halting += halting_weight * (halted - e.halting);
+    }
 }
 
 void adapter_desk::on_release(const adapter_release& release)
@@ -492,7 +509,7 @@
     constexpr std::uint64_t per_mille = 1000;
     std::vector<engine_claim> out;
     for (const auto& [id, o] : state_.ownership.all()) {
-        engine_claim c{id, o.token, now - o.last_order, 0, 0, 0};
+        engine_claim c{id, o.token, now - o.last_order, 0, 0, 0, 0};
         const auto it = kept_.find(id);
         if (it != kept_.end()) {
             const engine_report& r = it->second.keeper.report();
@@ -501,6 +518,8 @@
             if (r.kv_total > 0)
                 c.kv_permille = static_cast<std::uint32_t>(
                     r.kv_used * per_mille / r.kv_total);
+            c.halting_permille = static_cast<std::uint32_t>(
+                it->second.halting * static_cast<double>(per_mille));
         }
         out.push_back(std::move(c));
     }
--- a/src/lovagegate/gateway/adapter_desk.hpp
+++ b/src/lovagegate/gateway/adapter_desk.hpp
@@ -42,6 +42,10 @@
     void note_use(const std::string& engine, const std::string& adapter);
     void note_done(const std::string& engine, const std::string& adapter);
 
+    /// A stream of an engine ended.
+    /// @param halted it paused longer than its route allows
+    void note_stream(const std::string& engine, bool halted);
+
     /// A request came back since its adapter was not there yet.
     void on_too_early(const std::string& engine, const std::string& adapter);
 
@@ -86,6 +90,17 @@
         time_point next_report{};
         time_point wake{}; ///< when a load should be over, once asked for
         std::int64_t started_ms = 0;
+        double halting = 0; ///< share of the streams of all instances
+    };
+
+    /// What is told to the owner of an engine with the next message.
+    struct engine_use
+    {
+        /// Requests of this instance by adapter; those that ended stay with
+        /// zero until the owner was told once more.
+        std::map<std::string, std::uint32_t> open;
+        std::uint32_t streams = 0;
+        std::uint32_t halting = 0;
     };
 
     struct open_ask
@@ -123,9 +138,7 @@
     peer_sender send_;
     std::map<std::string, kept_engine> kept_;
     std::map<std::uint64_t, open_ask> asks_;
-    /// Requests of this instance on each adapter of each engine; those that
-    /// ended stay with zero until the owner was told once more.
-    std::map<std::string, std::map<std::string, std::uint32_t>> uses_;
+    std::map<std::string, engine_use> uses_;
     std::uint64_t last_number_ = 0;
     time_point last_use_flush_{};
     time_point last_update_{};
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -482,6 +482,10 @@
         deliver_whole();
     }
     s.counts.add("answers", "status", std::to_string(answer_.status));
+    if (streaming_out_)
+        context_.adapters.note_stream(
+            target, route_->max_event_gap > duration::zero() &&
+                        longest_gap_ > route_->max_event_gap);
     log_answer();
     if (context_.on_times)
         context_.on_times(*route_, first_byte_, elapsed());
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -22,7 +22,8 @@
 json write(const engine_claim& c)
 {
     return json::array({c.engine, c.token, c.since_last_order.count(),
-                        c.running, c.waiting, c.kv_permille});
+                        c.running, c.waiting, c.kv_permille,
+                        c.halting_permille});
 }
 
 json write(const member_record& m)
@@ -57,7 +58,8 @@
 
 json write(const adapter_use& m)
 {
-    return json::array({tag::adapter_use, m.engine, m.adapters});
+    return json::array(
+        {tag::adapter_use, m.engine, m.adapters, m.streams, m.halting});
 }
 
 json write(const crash_notice& m)
@@ -95,7 +97,8 @@
             duration(j.at(2).get<duration::rep>()),
             j.at(3).get<std::uint32_t>(),
             j.at(4).get<std::uint32_t>(),
-            j.at(5).get<std::uint32_t>()};
+            j.at(5).get<std::uint32_t>(),
+            j.at(6).get<std::uint32_t>()};
 }
 
 member_record read_member(const json& j)
@@ -148,7 +151,9 @@
                               j.at(4).get<std::uint64_t>()};
     case tag::adapter_use:
         return adapter_use{j.at(1).get<std::string>(),
-                           j.at(2).get<std::vector<std::string>>()};
+                           j.at(2).get<std::vector<std::string>>(),
+                           j.at(3).get<std::uint32_t>(),
+                           j.at(4).get<std::uint32_t>()};
     case tag::store_news:
         return read_news(j);
     case tag::crash_notice:
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -23,6 +23,9 @@
     std::uint32_t running = 0;   ///< requests, by the engine's last report
     std::uint32_t waiting = 0;
     std::uint32_t kv_permille = 0; ///< token memory in use
+    /// Of the streams that it served lately, from all instances, those that
+    /// paused longer than their route allows.
+    std::uint32_t halting_permille = 0;
 };
 
 /// What is passed on about one instance.
@@ -80,11 +83,15 @@
     std::uint64_t version = 0; ///< that is resident
 };
 
-/// Adapters that the sender's requests are running on.
+/// What the sender's requests do on an engine; for the instance that orders it.
 struct adapter_use
 {
     std::string engine;
-    std::vector<std::string> adapters; ///< MODEL/NAME
+    std::vector<std::string> adapters; ///< MODEL/NAME, with requests open
+    /// Streams that ended since the last message, and those of them that
+    /// paused longer than their route allows.
+    std::uint32_t streams = 0;
+    std::uint32_t halting = 0;
 };
 
 /// A request was at an engine when that engine crashed.
--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -25,6 +25,8 @@
 /// Keeps requests of one key together where all else is equal.
 constexpr double rank_order_cost = 0.5;
 constexpr double us_per_ms = 1000;
+constexpr double per_mille = 1000;
+constexpr double halting_cost = 1000; ///< of an answer that is late surely
 constexpr double other_domain_cost = 6;   ///< delay, and bytes that are priced
 constexpr double failure_cost = 1500;     ///< of a request that fails surely
 constexpr double last_resort_cost = 4000; ///< leaving targets come last
@@ -153,6 +155,7 @@
     b.reported = claim.running + claim.waiting;
     b.reported_at = now;
     b.sent_since = 0;
+    b.halting = claim.halting_permille / per_mille;
 }
 
 void placement::on_resident(const std::string& target,
@@ -272,8 +275,9 @@
 std::string_view
 target_cost::largest_excess(const target_cost& other) const noexcept
 {
-    const std::array<std::pair<double, std::string_view>, 6> parts{{
+    const std::array<std::pair<double, std::string_view>, 7> parts{{
         {crowding - other.crowding, "crowding"},
+        {halting - other.halting, "halting"},
         {load - other.load, "load"},
         {rank - other.rank, "rank"},
         {domain - other.domain, "domain"},
@@ -349,6 +353,8 @@
             running > slots ? (running - slots) / slots * mean_run_ms : 0;
         target_cost cost;
         cost.crowding = crowding_cost(b, running, slots, now);
+        if (now - b.reported_at < report_keeps)
+            cost.halting = halting_cost * b.halting;
         if (!resident && b.copies.contains(adapter)) {
             wait += copy_wait_ms;
             cost.load = copy_load_cost;
--- a/src/lovagegate/gateway/placement.hpp
+++ b/src/lovagegate/gateway/placement.hpp
@@ -48,6 +48,7 @@
 struct target_cost
 {
     double crowding = 0; ///< requests there, and the pace of their events
+    double halting = 0;  ///< its streams pause too long
     double load = 0;     ///< the adapter is to be loaded, from a copy or not
     double rank = 0;     ///< engines further down have no copy of it
     double domain = 0;   ///< delay and bytes between failure domains
@@ -56,7 +57,7 @@
 
     [[nodiscard]] double sum() const noexcept
     {
-        return crowding + load + rank + domain + failure + standing;
+        return crowding + halting + load + rank + domain + failure + standing;
     }
 
     /// @return name of the part by which this cost exceeds another most
@@ -132,6 +133,7 @@
         std::uint32_t open = 0;
         std::uint32_t reported = 0; ///< running and waiting
         std::uint32_t sent_since = 0;
+        double halting = 0; ///< share of its streams that pause too long
         time_point reported_at{};
         double failure_share = 0; ///< moving average, 0 to 1
         time_point avoid_until{};
--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -11,7 +11,7 @@
     heartbeat h;
     h.self = {"10.0.0.1", 7,    8,
               true,       9,    10,
-              11,         true, {{"e1", 12, 13ms, 14, 15, 16}}};
+              11,         true, {{"e1", 12, 13ms, 14, 15, 16, 17}}};
     h.others.push_back({"10.0.0.2", 1, 2, false, 3, 4, 5, false, {}});
     const auto back = decode(encode(h));
     REQUIRE(back);
@@ -24,6 +24,7 @@
     REQUIRE(got.self.claims.size() == 1);
     CHECK(got.self.claims.front().since_last_order == 13ms);
     CHECK(got.self.claims.front().kv_permille == 16);
+    CHECK(got.self.claims.front().halting_permille == 17);
     REQUIRE(got.others.size() == 1);
     CHECK(got.others.front().operator_revision == 4);
 }
@@ -37,6 +38,10 @@
         decode(encode(adapter_answer{5, "e", adapter_status::expected, 6}));
     REQUIRE(answer);
     CHECK(std::get<adapter_answer>(*answer).status == adapter_status::expected);
+    const auto use = decode(encode(adapter_use{"e", {"m/a"}, 7, 3}));
+    REQUIRE(use);
+    CHECK(std::get<adapter_use>(*use).streams == 7);
+    CHECK(std::get<adapter_use>(*use).halting == 3);
     const std::string bytes("\0\xff\x80", 3);
     const auto news = decode(
         encode(store_news{true, 1, 2, true, {{"servers/x", bytes, 2, false}}}));
@@ -49,7 +54,7 @@
     rc::check([](const std::string& bytes) { (void)decode(bytes); });
     rc::check([] {
         auto bytes = encode(heartbeat{
-            {"10.0.0.1", 1, 2, false, 3, 4, 5, false, {{"e", 1, 1ms, 1, 1, 1}}},
+            {"10.0.0.1", 1, 2, false, 3, 4, 5, false, {{"e", 1, 1ms, 1, 1, 1, 1}}},
             {}});
         const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
         bytes[at] = *rc::gen::arbitrary<char>();
