Load adapters where places for them are free

Change: claims carry the places that are free or evictable; placement adds a cost where few are left, less the loads that this instance asked for since.

--- a/src/lovagegate/gateway/adapter_desk.cpp
+++ b/src/lovagegate/gateway/adapter_desk.cpp
@@ -509,7 +509,7 @@
     constexpr std::uint64_t per_mille = 1000;
     std::vector<engine_claim> out;
     for (const auto& [id, o] : state_.ownership.all()) {
-        engine_claim c{id, o.token, now - o.last_order, 0, 0, 0, 0};
+        engine_claim c{id, o.token, now - o.last_order, 0, 0, 0, 0, 0};
         const auto it = kept_.find(id);
         if (it != kept_.end()) {
             const engine_report& r = it->second.keeper.report();
@@ -518,6 +518,8 @@
             if (r.kv_total > 0)
                 c.kv_permille = static_cast<std::uint32_t>(
                     r.kv_used * per_mille / r.kv_total);
+            c.free_places = static_cast<std::uint32_t>(
+                it->second.keeper.free_places(now));
             c.halting_permille = static_cast<std::uint32_t>(
                 it->second.halting * static_cast<double>(per_mille));
         }
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -23,7 +23,7 @@
 {
     return json::array({c.engine, c.token, c.since_last_order.count(),
                         c.running, c.waiting, c.kv_permille,
-                        c.halting_permille});
+                        c.halting_permille, c.free_places});
 }
 
 json write(const member_record& m)
@@ -98,7 +98,8 @@
             j.at(3).get<std::uint32_t>(),
             j.at(4).get<std::uint32_t>(),
             j.at(5).get<std::uint32_t>(),
-            j.at(6).get<std::uint32_t>()};
+            j.at(6).get<std::uint32_t>(),
+            j.at(7).get<std::uint32_t>()};
 }
 
 member_record read_member(const json& j)
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -26,6 +26,7 @@
     /// Of the streams that it served lately, from all instances, those that
     /// paused longer than their route allows.
     std::uint32_t halting_permille = 0;
+    std::uint32_t free_places = 0; ///< adapters that could be loaded at once
 };
 
 /// What is passed on about one instance.
--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t ranks_apart = 3;
 /// Keeps requests of one key together where all else is equal.
 constexpr double rank_order_cost = 0.5;
+/// An adapter waits for the end of runs where no place is free.
+constexpr double no_place_cost = 500;
 constexpr double us_per_ms = 1000;
 constexpr double per_mille = 1000;
 constexpr double halting_cost = 1000; ///< of an answer that is late surely
@@ -156,6 +158,8 @@
     b.reported_at = now;
     b.sent_since = 0;
     b.halting = claim.halting_permille / per_mille;
+    b.free_places = claim.free_places;
+    b.loads_since = 0;
 }
 
 void placement::on_resident(const std::string& target,
@@ -275,10 +279,11 @@
 std::string_view
 target_cost::largest_excess(const target_cost& other) const noexcept
 {
-    const std::array<std::pair<double, std::string_view>, 7> parts{{
+    const std::array<std::pair<double, std::string_view>, 8> parts{{
         {crowding - other.crowding, "crowding"},
         {halting - other.halting, "halting"},
         {load - other.load, "load"},
+        {place - other.place, "place"},
         {rank - other.rank, "rank"},
         {domain - other.domain, "domain"},
         {failure - other.failure, "failure"},
@@ -304,6 +309,15 @@
     return order;
 }
 
+double placement::place_cost(const belief& b, time_point now)
+{
+    if (now - b.reported_at >= report_keeps)
+        return 0;
+    const double left =
+        b.free_places > b.loads_since ? b.free_places - b.loads_since : 0;
+    return no_place_cost / (1 + left);
+}
+
 double placement::standing_cost(const target_state& t, const belief& b,
                                 bool resident, time_point now) const
 {
@@ -355,6 +369,8 @@
         cost.crowding = crowding_cost(b, running, slots, now);
         if (now - b.reported_at < report_keeps)
             cost.halting = halting_cost * b.halting;
+        if (!resident)
+            cost.place = place_cost(b, now);
         if (!resident && b.copies.contains(adapter)) {
             wait += copy_wait_ms;
             cost.load = copy_load_cost;
@@ -383,6 +399,8 @@
             rank,
             {}};
     }
+    if (best && !best->resident)
+        ++beliefs_[best->target].loads_since;
     if (best)
         best->passed_over = best->rank == 0
                                 ? "nothing"
--- a/src/lovagegate/gateway/placement.hpp
+++ b/src/lovagegate/gateway/placement.hpp
@@ -50,6 +50,7 @@
     double crowding = 0; ///< requests there, and the pace of their events
     double halting = 0;  ///< its streams pause too long
     double load = 0;     ///< the adapter is to be loaded, from a copy or not
+    double place = 0;    ///< few places for adapters are free
     double rank = 0;     ///< engines further down have no copy of it
     double domain = 0;   ///< delay and bytes between failure domains
     double failure = 0;  ///< it failed requests
@@ -57,7 +58,7 @@
 
     [[nodiscard]] double sum() const noexcept
     {
-        return crowding + halting + load + rank + domain + failure + standing;
+        return crowding + halting + load + place + rank + domain + failure + standing;
     }
 
     /// @return name of the part by which this cost exceeds another most
@@ -134,6 +135,8 @@
         std::uint32_t reported = 0; ///< running and waiting
         std::uint32_t sent_since = 0;
         double halting = 0; ///< share of its streams that pause too long
+        std::uint32_t free_places = 0; ///< for adapters
+        std::uint32_t loads_since = 0; ///< own ones, since the last claim
         time_point reported_at{};
         double failure_share = 0; ///< moving average, 0 to 1
         time_point avoid_until{};
@@ -174,6 +177,7 @@
     rank_targets(const placement_request& request, const std::string& key,
                  std::span<const target_state* const> candidates);
     static void forget_copies(belief& b, std::size_t adapter_slots);
+    [[nodiscard]] static double place_cost(const belief& b, time_point now);
     [[nodiscard]] double standing_cost(const target_state& t, const belief& b,
                                        bool resident, time_point now) const;
 
--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -11,7 +11,7 @@
     heartbeat h;
     h.self = {"10.0.0.1", 7,    8,
               true,       9,    10,
-              11,         true, {{"e1", 12, 13ms, 14, 15, 16, 17}}};
+              11,         true, {{"e1", 12, 13ms, 14, 15, 16, 17, 18}}};
     h.others.push_back({"10.0.0.2", 1, 2, false, 3, 4, 5, false, {}});
     const auto back = decode(encode(h));
     REQUIRE(back);
@@ -25,6 +25,7 @@
     CHECK(got.self.claims.front().since_last_order == 13ms);
     CHECK(got.self.claims.front().kv_permille == 16);
     CHECK(got.self.claims.front().halting_permille == 17);
+    CHECK(got.self.claims.front().free_places == 18);
     REQUIRE(got.others.size() == 1);
     CHECK(got.others.front().operator_revision == 4);
 }
@@ -54,7 +55,7 @@
     rc::check([](const std::string& bytes) { (void)decode(bytes); });
     rc::check([] {
         auto bytes = encode(heartbeat{
-            {"10.0.0.1", 1, 2, false, 3, 4, 5, false, {{"e", 1, 1ms, 1, 1, 1, 1}}},
+            {"10.0.0.1", 1, 2, false, 3, 4, 5, false, {{"e", 1, 1ms, 1, 1, 1, 1, 1}}},
             {}});
         const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
         bytes[at] = *rc::gen::arbitrary<char>();
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -81,7 +81,7 @@
     const auto home = site.choose(p, "a1")->target;
     for (int i = 0; i < 6; ++i) {
         const auto id = "e" + std::to_string(i);
-        p.on_load({id, 1, {}, id == home ? 25U : 10U, 0, 0, 0}, site.now);
+        p.on_load({id, 1, {}, id == home ? 25U : 10U, 0, 0, 0, 9}, site.now);
     }
     CHECK(site.choose(p, "a1")->target == home);
 }
@@ -94,7 +94,7 @@
     p.on_resident(home, "m/a1", 1, site.now);
     for (int i = 0; i < 6; ++i) {
         const auto id = "e" + std::to_string(i);
-        p.on_load({id, 1, {}, id == home ? 64U : 5U, id == home ? 60U : 0U, 0, 0},
+        p.on_load({id, 1, {}, id == home ? 64U : 5U, id == home ? 60U : 0U, 0, 0, 9},
                   site.now);
     }
     CHECK(site.choose(p, "a1")->target != home);
@@ -205,10 +205,24 @@
     placement p("z", 1);
     const auto home = site.choose(p, "a1")->target;
     p.on_resident(home, "m/a1", 1, site.now);
-    p.on_load({home, 1, {}, 20, 0, 0, 100}, site.now);
+    p.on_load({home, 1, {}, 20, 0, 0, 100, 9}, site.now);
     CHECK(site.choose(p, "a1")->target == home); // one in ten
-    p.on_load({home, 1, {}, 20, 0, 0, 800}, site.now);
+    p.on_load({home, 1, {}, 20, 0, 0, 800, 9}, site.now);
     CHECK(site.choose(p, "a1")->target != home);
     site.now += 10s; // the owner is silent: what it said is too old
     CHECK(site.choose(p, "a1")->target == home);
 }
+
+TEST_CASE("an adapter is loaded where places are free", "[gateway]")
+{
+    engines site(6);
+    placement p("z", 1);
+    const auto home = site.choose(p, "a1")->target;
+    for (int i = 0; i < 6; ++i) {
+        const auto id = "e" + std::to_string(i);
+        p.on_load({id, 1, {}, 10, 0, 0, 0, id == home ? 0U : 9U}, site.now);
+    }
+    CHECK(site.choose(p, "a1")->target != home);
+    p.on_resident(home, "m/a1", 1, site.now); // needs no place
+    CHECK(site.choose(p, "a1")->target == home);
+}
