Send nothing on a connection that was given up

Change: a discarded connection drops its bytes at once. The placement test on a lost adapter expected the first engine of the order; an engine that keeps a copy now comes before it.

--- a/src/lovagegate/gateway/adapter_desk.cpp
+++ b/src/lovagegate/gateway/adapter_desk.cpp
@@ -518,8 +518,8 @@
             if (r.kv_total > 0)
                 c.kv_permille = static_cast<std::uint32_t>(
                     r.kv_used * per_mille / r.kv_total);
-            c.free_places = static_cast<std::uint32_t>(
-                it->second.keeper.free_places(now));
+            c.free_places =
+                static_cast<std::uint32_t>(it->second.keeper.free_places(now));
             c.halting_permille = static_cast<std::uint32_t>(
                 it->second.halting * static_cast<double>(per_mille));
         }
--- a/src/lovagegate/gateway/engine_keeper.cpp
+++ b/src/lovagegate/gateway/engine_keeper.cpp
@@ -103,16 +103,14 @@
 
 std::size_t engine_keeper::free_places(time_point now) const
 {
-    const auto taken =
-        static_cast<std::size_t>(
-            std::ranges::count_if(places_,
-                                  [&](const auto& p) {
-                                      return p.second.state !=
-                                                 place_state::resident ||
-                                             p.second.replacing ||
-                                             now - p.second.last_use < in_use;
-                                  })) +
-        wants_.size();
+    const auto taken = static_cast<std::size_t>(std::ranges::count_if(
+                           places_,
+                           [&](const auto& p) {
+                               return p.second.state != place_state::resident ||
+                                      p.second.replacing ||
+                                      now - p.second.last_use < in_use;
+                           })) +
+                       wants_.size();
     const std::size_t all = capacity();
     return taken < all ? all - taken : 0;
 }
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -384,8 +384,8 @@
         pool_.forget(id);
     const service_spec* service = state_.routes.service(entry->service);
     state_.places.on_entry(
-        *entry,
-        service && service->engine ? service->engine->adapter_slots : 0, now);
+        *entry, service && service->engine ? service->engine->adapter_slots : 0,
+        now);
     state_.targets.put(std::move(*entry), now);
 }
 
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -22,8 +22,8 @@
 json write(const engine_claim& c)
 {
     return json::array({c.engine, c.token, c.since_last_order.count(),
-                        c.running, c.waiting, c.kv_permille,
-                        c.halting_permille, c.free_places});
+                        c.running, c.waiting, c.kv_permille, c.halting_permille,
+                        c.free_places});
 }
 
 json write(const member_record& m)
@@ -151,10 +151,9 @@
                               j.at(2).get<std::string>(), read_status(j.at(3)),
                               j.at(4).get<std::uint64_t>()};
     case tag::adapter_use:
-        return adapter_use{j.at(1).get<std::string>(),
-                           j.at(2).get<std::vector<std::string>>(),
-                           j.at(3).get<std::uint32_t>(),
-                           j.at(4).get<std::uint32_t>()};
+        return adapter_use{
+            j.at(1).get<std::string>(), j.at(2).get<std::vector<std::string>>(),
+            j.at(3).get<std::uint32_t>(), j.at(4).get<std::uint32_t>()};
     case tag::store_news:
         return read_news(j);
     case tag::crash_notice:
--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -28,7 +28,7 @@
 constexpr double no_place_cost = 500;
 constexpr double us_per_ms = 1000;
 constexpr double per_mille = 1000;
-constexpr double halting_cost = 1000; ///< of an answer that is late surely
+constexpr double halting_cost = 1000;     ///< of an answer that is late surely
 constexpr double other_domain_cost = 6;   ///< delay, and bytes that are priced
 constexpr double failure_cost = 1500;     ///< of a request that fails surely
 constexpr double last_resort_cost = 4000; ///< leaving targets come last
@@ -303,8 +303,8 @@
         if (std::ranges::find(request.excluded, t->entry.id) ==
             request.excluded.end())
             order.push_back(
-                {t, combine_hash(key_hash,
-                                 stable_hash(t->entry.id, place_seed))});
+                {t,
+                 combine_hash(key_hash, stable_hash(t->entry.id, place_seed))});
     std::ranges::sort(order, std::greater<>(), &candidate::weight);
     return order;
 }
@@ -402,9 +402,8 @@
     if (best && !best->resident)
         ++beliefs_[best->target].loads_since;
     if (best)
-        best->passed_over = best->rank == 0
-                                ? "nothing"
-                                : first_cost.largest_excess(best_cost);
+        best->passed_over =
+            best->rank == 0 ? "nothing" : first_cost.largest_excess(best_cost);
     return best;
 }
 
--- a/src/lovagegate/gateway/placement.hpp
+++ b/src/lovagegate/gateway/placement.hpp
@@ -58,7 +58,8 @@
 
     [[nodiscard]] double sum() const noexcept
     {
-        return crowding + halting + load + place + rank + domain + failure + standing;
+        return crowding + halting + load + place + rank + domain + failure +
+               standing;
     }
 
     /// @return name of the part by which this cost exceeds another most
--- a/src/lovagegate/gateway/target_pool.cpp
+++ b/src/lovagegate/gateway/target_pool.cpp
@@ -334,6 +334,8 @@
     if (c.gone_)
         return;
     c.gone_ = true;
+    // It is destroyed later: until then it must not connect and send.
+    c.stream_.give_up();
     auto& all = connections_[c.target()];
     const auto it = std::ranges::find(
         all, &c, &std::unique_ptr<internal::target_connection>::get);
--- a/src/lovagegate/net/tcp_stream.cpp
+++ b/src/lovagegate/net/tcp_stream.cpp
@@ -167,6 +167,13 @@
         ::shutdown(watch_->fd(), SHUT_WR);
 }
 
+void tcp_stream::give_up() noexcept
+{
+    ended_ = true;
+    out_.clear();
+    sent_ = 0;
+}
+
 void tcp_stream::abort_on_close() noexcept
 {
     const linger hard{1, 0};
--- a/src/lovagegate/net/tcp_stream.hpp
+++ b/src/lovagegate/net/tcp_stream.hpp
@@ -69,6 +69,10 @@
     /// Sends the end of data; reading goes on.
     void end_writing();
 
+    /// Drops what is unsent; from now on nothing is sent, also if connecting
+    /// succeeds, and no event follows.
+    void give_up() noexcept;
+
     /// Makes the destruction reset the connection.
     void abort_on_close() noexcept;
 
--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -54,9 +54,16 @@
 {
     rc::check([](const std::string& bytes) { (void)decode(bytes); });
     rc::check([] {
-        auto bytes = encode(heartbeat{
-            {"10.0.0.1", 1, 2, false, 3, 4, 5, false, {{"e", 1, 1ms, 1, 1, 1, 1, 1}}},
-            {}});
+        auto bytes = encode(heartbeat{{"10.0.0.1",
+                                       1,
+                                       2,
+                                       false,
+                                       3,
+                                       4,
+                                       5,
+                                       false,
+                                       {{"e", 1, 1ms, 1, 1, 1, 1, 1}}},
+                                      {}});
         const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
         bytes[at] = *rc::gen::arbitrary<char>();
         (void)decode(bytes);
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -70,7 +70,9 @@
     CHECK(choice->target == other);
     CHECK(choice->resident);
     p.on_absent(other, "m/a1", site.now);
-    CHECK(site.choose(p, "a1")->target == home);
+    const auto after = site.choose(p, "a1");
+    CHECK(after->target == other); // it keeps a copy
+    CHECK_FALSE(after->resident);
 }
 
 TEST_CASE("an adapter stays at its first engine while that is a little busier",
@@ -94,8 +96,9 @@
     p.on_resident(home, "m/a1", 1, site.now);
     for (int i = 0; i < 6; ++i) {
         const auto id = "e" + std::to_string(i);
-        p.on_load({id, 1, {}, id == home ? 64U : 5U, id == home ? 60U : 0U, 0, 0, 9},
-                  site.now);
+        p.on_load(
+            {id, 1, {}, id == home ? 64U : 5U, id == home ? 60U : 0U, 0, 0, 9},
+            site.now);
     }
     CHECK(site.choose(p, "a1")->target != home);
 }
--- /dev/null
+++ b/tests/gateway/target_pool_test.cpp
@@ -0,0 +1,97 @@
+#include "lovagegate/gateway/target_pool.hpp"
+
+#include "../net/loop_fixture.hpp"
+#include "../net/raw_server.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagegate;
+using namespace lovagegate::gateway;
+
+namespace {
+
+/// Listens without accepting: the kernel completes the connection.
+class silent_listener
+{
+public:
+    silent_listener() : socket_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        auto address = net::test::loopback(0);
+        socklen_t size = sizeof address;
+        ::bind(socket_.get(), reinterpret_cast<sockaddr*>(&address), size);
+        ::listen(socket_.get(), 1);
+        ::getsockname(socket_.get(), reinterpret_cast<sockaddr*>(&address),
+                      &size);
+        port_ = ntohs(address.sin_port);
+    }
+
+    [[nodiscard]] std::uint16_t port() const { return port_; }
+
+    /// @return bytes that the first connection has brought
+    [[nodiscard]] std::size_t received() const
+    {
+        const net::test::descriptor peer(
+            ::accept(socket_.get(), nullptr, nullptr));
+        char buffer[256];
+        const auto n = ::recv(peer.get(), buffer, sizeof buffer, MSG_DONTWAIT);
+        return n > 0 ? static_cast<std::size_t>(n) : 0;
+    }
+
+private:
+    net::test::descriptor socket_;
+    std::uint16_t port_ = 0;
+};
+
+class outcome final : public call_handler
+{
+public:
+    void on_answer_head(net::message_head&) override {}
+    bool on_answer_body(std::string_view) override { return true; }
+    void on_answer_end() override {}
+    void on_call_failed(call_failure f) override { failure = f; }
+
+    std::optional<call_failure> failure;
+};
+
+target_request request_to(std::uint16_t port)
+{
+    target_request r;
+    r.target = "t";
+    r.address = {"127.0.0.1", port};
+    r.head = "POST /sign-off HTTP/1.1\r\nHost: h\r\n\r\n";
+    return r;
+}
+
+} // namespace
+
+TEST_CASE("a request that was given up before its connection is never sent",
+          "[gateway]")
+{
+    net::test::loop_fixture f;
+    target_pool pool(f.loop);
+    const silent_listener listener;
+    outcome result;
+    auto call = pool.send(request_to(listener.port()), 8, result);
+    REQUIRE(call);
+    call.reset();
+    for (int i = 0; i < 5; ++i)
+        f.run_until([rounds = 0]() mutable { return ++rounds > 2; });
+    CHECK(listener.received() == 0);
+}
+
+TEST_CASE("a connection that is made too late carries no request", "[gateway]")
+{
+    net::test::loop_fixture f;
+    pool_settings settings;
+    settings.connect_timeout = duration::zero();
+    target_pool pool(f.loop, settings);
+    const silent_listener listener;
+    outcome result;
+    const auto call = pool.send(request_to(listener.port()), 8, result);
+    REQUIRE(call);
+    f.run_until([&] { return result.failure.has_value(); });
+    for (int i = 0; i < 5; ++i)
+        f.run_until([rounds = 0]() mutable { return ++rounds > 2; });
+    CHECK(result.failure == call_failure::unreachable);
+    CHECK(listener.received() == 0);
+}
