Spread heartbeats mostly within failure domains

Change: small fleets, which hear each other directly, tell of others every third time and without claims; large fleets send to members of the own domain, and one heartbeat of the own domain to the outside.

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -176,6 +176,7 @@
         page_server(state_.boot.address, state_.boot.metrics_port);
     listener_ = std::make_unique<net::tcp_listener>(
         loop_, state_.boot.callers, [this](int fd) { accept_caller(fd); });
+    state_.members.self().failure_domain = state_.boot.failure_domain;
     last_tick_ = time_with_suspension();
     every(tick_interval, [this] { tick(); });
     every(look_interval, [this] { look_at_connections(); });
@@ -392,7 +393,12 @@
 void gateway_daemon::send_to_peer(const std::string& address,
                                   const peer_message& message)
 {
-    const std::string datagram = encode(message);
+    send_datagram(address, encode(message));
+}
+
+void gateway_daemon::send_datagram(const std::string& address,
+                                   std::string_view datagram)
+{
     state_.counts.add("peer_datagrams_sent");
     state_.counts.add("peer_bytes_sent", datagram.size());
     peers_.send({address, state_.boot.peer_port}, datagram);
@@ -450,12 +456,10 @@
     self.store_silent =
         operator_reader_.is_failing() || target_reader_.is_failing();
     update_store_duty(now.mono);
-    const auto out = state_.members.next(now.mono);
-    const std::string datagram = encode(out.message);
-    for (const auto& address : out.to) {
-        state_.counts.add("peer_datagrams_sent");
-        state_.counts.add("peer_bytes_sent", datagram.size());
-        peers_.send({address, state_.boot.peer_port}, datagram);
+    for (const auto& out : state_.members.next(now.mono)) {
+        const std::string datagram = encode(out.message);
+        for (const auto& address : out.to)
+            send_datagram(address, datagram);
     }
     pull_from_peer(now.mono);
 }
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -50,6 +50,7 @@
     void start_request(const caller_ptr& caller, caller_message message);
     void on_datagram(const settings::endpoint& from, std::string_view data);
     void send_to_peer(const std::string& address, const peer_message& message);
+    void send_datagram(const std::string& address, std::string_view datagram);
     void beat();
     void tick();
     void look_at_connections();
--- a/src/lovagegate/gateway/member_table.cpp
+++ b/src/lovagegate/gateway/member_table.cpp
@@ -15,8 +15,9 @@
 
 duration member_table::silence() const
 {
-    return members_.size() <= settings_.fan_out ? settings_.direct_silence
-                                                : settings_.indirect_silence;
+    return members_.size() <= settings_.small_fleet
+               ? settings_.direct_silence
+               : settings_.indirect_silence;
 }
 
 bool member_table::take(const member_record& r, bool direct, time_point now)
@@ -36,7 +37,10 @@
         r.start == known.record.start && r.beat > known.record.beat;
     if (!restarted && !newer)
         return false;
+    auto claims = std::move(known.record.claims);
     known.record = r;
+    if (r.brief && !restarted)
+        known.record.claims = std::move(claims);
     known.heard = now;
     return silent || restarted;
 }
@@ -90,45 +94,103 @@
     return 2 * heard > known;
 }
 
-void member_table::add_records(outgoing& out, time_point now)
+void member_table::add_records(outgoing& out, member_list from,
+                               std::size_t most, bool brief)
 {
-    // Also where all get this directly: those that no seed names are only
-    // known from others.
-    std::vector<const member*> live;
-    for (const auto& [address, m] : members_)
-        if (now - m.heard <= silence())
-            live.push_back(&m);
-    std::ranges::shuffle(live, random_);
-    live.resize(std::min(live.size(), settings_.passed_on));
-    for (const member* m : live)
+    std::ranges::shuffle(from, random_);
+    from.resize(std::min(from.size(), most));
+    for (const member* m : from) {
         out.message.others.push_back(m->record);
+        member_record& told = out.message.others.back();
+        if (!brief)
+            continue;
+        told.brief = true;
+        told.claims.clear();
+    }
 }
 
-member_table::outgoing member_table::next(time_point now)
+void member_table::add_receivers(outgoing& out, member_list from,
+                                 std::size_t most)
+{
+    std::ranges::shuffle(from, random_);
+    from.resize(std::min(from.size(), most));
+    for (const member* m : from)
+        out.to.push_back(m->record.address);
+}
+
+std::vector<std::string> member_table::silent_ones(time_point now)
 {
-    ++self_.beat;
-    outgoing out;
-    out.message.self = self_;
-    std::erase_if(members_, [&](const auto& m) {
-        return now - m.second.heard > settings_.remember &&
-               std::ranges::find(seeds_, m.first) == seeds_.end();
-    });
-    std::vector<std::string> live;
     std::vector<std::string> silent;
     for (const auto& [address, m] : members_)
-        (now - m.heard <= silence() ? live : silent).push_back(address);
+        if (now - m.heard > silence())
+            silent.push_back(address);
     for (const auto& seed : seeds_)
         if (seed != self_.address && !members_.contains(seed))
             silent.push_back(seed);
-    add_records(out, now);
-    std::ranges::shuffle(live, random_);
-    live.resize(std::min(live.size(), settings_.fan_out));
-    // A silent one may be back, or a partition may have healed.
     std::ranges::shuffle(silent, random_);
     constexpr std::size_t tried_again = 3;
     silent.resize(std::min(silent.size(), tried_again));
-    out.to = std::move(live);
-    out.to.insert(out.to.end(), silent.begin(), silent.end());
+    return silent;
+}
+
+member_table::outgoing member_table::to_small_fleet(member_list live)
+{
+    outgoing out{{self_, {}}, {}};
+    if (self_.beat % settings_.introduce_every == 0)
+        add_records(out, live, settings_.passed_on, true);
+    add_receivers(out, std::move(live), settings_.small_fleet);
+    return out;
+}
+
+member_table::outgoing member_table::to_near(const member_list& near,
+                                             member_list all)
+{
+    outgoing out{{self_, {}}, {}};
+    add_records(out, std::move(all), settings_.passed_on, false);
+    add_receivers(out, near, settings_.near_fan_out);
+    return out;
+}
+
+member_table::outgoing member_table::to_far(member_list near, member_list far)
+{
+    // Each failure domain tells the others mostly of itself; its members pass
+    // on what they hear from outside.
+    outgoing out{{self_, {}}, {}};
+    const bool few = near.size() < settings_.few_members;
+    add_records(out, std::move(near), settings_.passed_on, false);
+    add_records(out, far, settings_.far_passed_on, true);
+    add_receivers(out, std::move(far),
+                  few ? settings_.far_fan_out_of_few : settings_.far_fan_out);
+    return out;
+}
+
+std::vector<member_table::outgoing> member_table::next(time_point now)
+{
+    ++self_.beat;
+    std::erase_if(members_, [&](const auto& m) {
+        return now - m.second.heard > settings_.remember &&
+               std::ranges::find(seeds_, m.first) == seeds_.end();
+    });
+    member_list live;
+    member_list near;
+    member_list far;
+    for (const auto& [address, m] : members_) {
+        if (now - m.heard > silence())
+            continue;
+        live.push_back(&m);
+        (m.record.failure_domain == self_.failure_domain ? near : far)
+            .push_back(&m);
+    }
+    std::vector<outgoing> out;
+    if (live.size() <= settings_.small_fleet) {
+        out.push_back(to_small_fleet(std::move(live)));
+    } else {
+        out.push_back(to_near(near, std::move(live)));
+        out.push_back(to_far(std::move(near), std::move(far)));
+    }
+    // A silent one may be back, or a partition may have healed.
+    const auto silent = silent_ones(now);
+    out.back().to.insert(out.back().to.end(), silent.begin(), silent.end());
     return out;
 }
 
--- a/src/lovagegate/gateway/member_table.hpp
+++ b/src/lovagegate/gateway/member_table.hpp
@@ -18,15 +18,29 @@
 {
     /// Between two heartbeats of one instance.
     duration interval = 400ms;
-    /// Each heartbeat goes to at most so many members.
-    std::size_t fan_out = 8;
+    /// Fleets up to so many others send each heartbeat to all of them.
+    std::size_t small_fleet = 8;
+    /// In small fleets, each so many heartbeats tell of the others: those that
+    /// no seed names are known from them only.
+    std::uint64_t introduce_every = 3;
+    /// In larger fleets: members of the own failure domain, and of others, that
+    /// get a heartbeat. Bytes between failure domains are priced.
+    std::size_t near_fan_out = 8;
+    std::size_t far_fan_out = 1;
+    /// The same for failure domains with few members, which must be heard too.
+    std::size_t far_fan_out_of_few = 3;
+    std::size_t few_members = 10;
     /// Records of others in a heartbeat.
-    std::size_t passed_on = 20;
+    std::size_t passed_on = 32;
+    /// Records of far members in a heartbeat that leaves the failure domain:
+    /// members of one domain may know of each other only from outside.
+    std::size_t far_passed_on = 6;
     /// Silence after which a member that sends here directly is not counted:
     /// three heartbeats, one of which may be lost.
     duration direct_silence = 1300ms;
-    /// The same where news come over others.
-    duration indirect_silence = 2600ms;
+    /// The same where news come over others: eight heartbeats, in which a
+    /// hundred members hear of each other.
+    duration indirect_silence = 3200ms;
     /// Silent members count so long for the majority.
     duration remember = 10s;
 };
@@ -70,8 +84,8 @@
         std::vector<std::string> to;
     };
 
-    /// Makes the next heartbeat; call it once in each interval.
-    [[nodiscard]] outgoing next(time_point now);
+    /// Makes the next heartbeats; call it once in each interval.
+    [[nodiscard]] std::vector<outgoing> next(time_point now);
 
     /// @return whether a member was heard of lately and isn't leaving
     [[nodiscard]] bool is_alive(const member& m, time_point now) const;
@@ -95,7 +109,15 @@
 private:
     bool take(const member_record& r, bool direct, time_point now);
     [[nodiscard]] duration silence() const;
-    void add_records(outgoing& out, time_point now);
+    using member_list = std::vector<const member*>;
+
+    [[nodiscard]] std::vector<std::string> silent_ones(time_point now);
+    [[nodiscard]] outgoing to_small_fleet(member_list live);
+    [[nodiscard]] outgoing to_near(const member_list& near, member_list all);
+    [[nodiscard]] outgoing to_far(member_list near, member_list far);
+    void add_records(outgoing& out, member_list from, std::size_t most,
+                     bool brief);
+    void add_receivers(outgoing& out, member_list from, std::size_t most);
 
     member_record self_;
     std::vector<std::string> seeds_;
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -42,6 +42,9 @@
     std::uint64_t operator_revision = 0;
     std::uint64_t target_revision = 0;
     bool store_silent = false; ///< the store doesn't answer it
+    std::string failure_domain;
+    /// The claims are left out; those known from before go on.
+    bool brief = false;
     std::vector<engine_claim> claims;
 };
 
