Give a popular adapter as many first engines as it fills

One adapter gets a fifth of all requests; reports of load are over a second old in a fleet of 60, so that all instances took the same engine. Change: the demand of an adapter says how many engines it needs, and each instance chooses among these by chance, within a cost of 250.

--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -53,6 +53,12 @@
 constexpr duration demand_time = 8s;
 constexpr double demand_share = 0.25;
 constexpr std::size_t most_demands = 20000;
+/// Part of an engine's slots that one adapter is meant to fill; those with more
+/// requests have several engines as their first ones.
+constexpr double home_fill = 0.5;
+/// Chooses among these engines: what is known of their load is a second old,
+/// so that all instances would take the same one.
+constexpr double spread_cost = 250;
 /// Weight of one answer in the share of failures.
 constexpr double failure_weight = 0.25;
 constexpr double success_weight = 0.08;
@@ -309,6 +315,19 @@
     return order;
 }
 
+std::size_t placement::homes_for(double recent,
+                                 std::span<const candidate> order)
+{
+    if (order.empty())
+        return 0;
+    const double slots = std::max(1U, order.front().target->entry.slots);
+    const double running =
+        recent * mean_run_ms / to_ms(demand_time); // at the same time
+    const auto homes =
+        static_cast<std::size_t>(std::ceil(running / (slots * home_fill)));
+    return std::clamp<std::size_t>(homes, 1, order.size());
+}
+
 double placement::place_cost(const belief& b, time_point now)
 {
     if (now - b.reported_at >= report_keeps)
@@ -346,14 +365,17 @@
             : std::string();
     const std::string& key = on_adapter ? adapter : request.first_part;
     const auto order = rank_targets(request, key, candidates);
-    const double uses = on_adapter
-                            ? (count_demand(adapter, now) - 1) * demand_share *
-                                  static_cast<double>(instances)
-                            : 0;
+    const double recent =
+        on_adapter ? count_demand(adapter, now) * static_cast<double>(instances)
+                   : 0;
+    const double uses =
+        std::max(0.0, recent - static_cast<double>(instances)) * demand_share;
+    const std::size_t homes = homes_for(recent, order);
     std::optional<placement_choice> best;
     target_cost first_cost;
     target_cost best_cost;
     std::uniform_real_distribution<double> jitter(0, noise);
+    std::uniform_real_distribution<double> spread(0, spread_cost);
     for (std::size_t rank = 0; rank < order.size(); ++rank) {
         const target_state& t = *order[rank].target;
         const belief& b = beliefs_[t.entry.id];
@@ -377,10 +399,13 @@
         } else if (!resident) {
             wait += load_wait_ms;
             cost.load = load_wait_cost + load_cost / (1 + uses);
+            const std::size_t apart = rank < homes ? 0 : rank + 1 - homes;
             cost.rank =
-                rank_cost * static_cast<double>(std::min(rank, ranks_apart));
+                rank_cost * static_cast<double>(std::min(apart, ranks_apart));
         }
-        if (!key.empty())
+        if (homes > 1 && rank < homes)
+            cost.rank += spread(random_);
+        else if (!key.empty())
             cost.rank += rank_order_cost * static_cast<double>(rank);
         if (t.entry.failure_domain != own_domain_)
             cost.domain = other_domain_cost;
--- a/src/lovagegate/gateway/placement.hpp
+++ b/src/lovagegate/gateway/placement.hpp
@@ -178,6 +178,10 @@
     rank_targets(const placement_request& request, const std::string& key,
                  std::span<const target_state* const> candidates);
     static void forget_copies(belief& b, std::size_t adapter_slots);
+    /// @param recent requests of all instances for the adapter
+    /// @return engines that the adapter needs
+    [[nodiscard]] static std::size_t
+    homes_for(double recent, std::span<const candidate> order);
     [[nodiscard]] static double place_cost(const belief& b, time_point now);
     [[nodiscard]] double standing_cost(const target_state& t, const belief& b,
                                        bool resident, time_point now) const;
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -229,3 +229,35 @@
     p.on_resident(home, "m/a1", 1, site.now); // needs no place
     CHECK(site.choose(p, "a1")->target == home);
 }
+
+TEST_CASE("requests for one popular adapter spread before reports show it",
+          "[gateway]")
+{
+    // 60 instances ask 80 times a second for one adapter; engines have 64
+    // slots and requests last 1.5 s: 120 run at once, and no report comes.
+    engines site(12);
+    constexpr std::size_t instances = 60;
+    constexpr auto between = 750ms;
+    std::vector<placement> fleet;
+    for (std::size_t i = 0; i < instances; ++i)
+        fleet.emplace_back("z", i);
+    std::map<std::string, int> chosen;
+    placement_request r;
+    r.service = "llm";
+    r.adapter = adapter_ref{"m", "a1", 0};
+    for (int round = 0; round < 20; ++round) {
+        site.now += between;
+        for (auto& p : fleet) {
+            const auto choice = p.choose(
+                r, site.directory.usable("llm", site.now), instances, site.now);
+            p.on_resident(choice->target, "m/a1", 1, site.now);
+            if (round >= 10)
+                ++chosen[choice->target];
+        }
+    }
+    int most = 0;
+    for (const auto& [target, n] : chosen)
+        most = std::max(most, n);
+    // 600 requests in 7.5 s: an engine whose share is over 320 is over-full.
+    CHECK(most < 320);
+}
