Expect a queue from 0.8 of an engine's slots

Change: cost of a queue from 0.8 of the slots; a popular adapter fills 0.35 of an engine instead of 0.5.

--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -36,6 +36,9 @@
 constexpr double full_cost = 300;         ///< refused a request a moment ago
 constexpr double noise = 0.06;            ///< of the load, so none herds
 constexpr double mean_run_ms = 1500;      ///< a slot of a full engine is held
+/// Part of the slots from which the next request may have to wait: reports of
+/// load are late.
+constexpr double busy_part = 0.8;
 /// Running requests at which the prompts of those that arrive meanwhile keep
 /// an engine reading without a pause, so that all its streams are late.
 constexpr double crowded = 45;
@@ -55,7 +58,7 @@
 constexpr std::size_t most_demands = 20000;
 /// Part of an engine's slots that one adapter is meant to fill; those with more
 /// requests have several engines as their first ones.
-constexpr double home_fill = 0.5;
+constexpr double home_fill = 0.35;
 /// Chooses among these engines: what is known of their load is a second old,
 /// so that all instances would take the same one.
 constexpr double spread_cost = 250;
@@ -122,8 +125,8 @@
                                 time_point now)
 {
     double cost = crowded_cost * (running / crowded) * (running / crowded);
-    if (running > slots)
-        cost += (running - slots) / slots * mean_run_ms;
+    if (running > busy_part * slots)
+        cost += (running - busy_part * slots) / slots * mean_run_ms;
     if (now - b.pace_at < gap_keeps)
         cost += gap_cost * std::max(0.0, b.pace_ms - calm_gap_ms);
     return cost;
