--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,11 @@
 ASAN ?= build-asan
 GENERATOR := -G Ninja
 
-.PHONY: all packages build asan run test unit lint fuzz format clean
+# Checkouts in different folders share what was compiled.
+export CCACHE_BASEDIR := $(CURDIR)
+export CCACHE_NOHASHDIR := 1
+
+.PHONY: all packages build server asan run test unit lint fuzz format clean
 
 all: build
 
@@ -14,6 +18,10 @@
 	@cmake -S . -B $(BUILD) $(GENERATOR) >/dev/null
 	@cmake --build $(BUILD)
 
+server: packages
+	@cmake -S . -B $(BUILD) $(GENERATOR) >/dev/null
+	@cmake --build $(BUILD) --target lovagegate
+
 asan: packages
 	@cmake -S . -B $(ASAN) $(GENERATOR) -DCMAKE_BUILD_TYPE=Debug \
 	    -DCMAKE_CXX_FLAGS=-O1 -DLOVAGEGATE_SANITIZE=ON >/dev/null
@@ -25,10 +33,11 @@
 unit: build
 	@cd $(BUILD) && ctest --output-on-failure -j 4
 
-lint: build
+lint: server
 	@tools/lint.sh $(BUILD)
 
-test: build asan lint
+# The tests themselves are built once, under the sanitizers.
+test: server asan lint
 	@cd $(ASAN) && ctest --output-on-failure -j 4
 
 fuzz: build
--- a/src/lovagegate/gateway/engine_ownership.hpp
+++ b/src/lovagegate/gateway/engine_ownership.hpp
@@ -5,6 +5,7 @@
 #include "lovagegate/core/time.hpp"
 #include "lovagegate/gateway/member_table.hpp"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <span>
@@ -21,9 +22,16 @@
 class engine_ownership
 {
 public:
+    /// What an instance that starts must expect of orders before its start.
+    enum class start_kind : std::uint8_t
+    {
+        first,  ///< the whole system starts: nobody has ordered before
+        fenced, ///< engines refuse the tokens of earlier owners
+        unfenced
+    };
+
     /// @param lease least pause between orders of two instances
-    /// @param first_start the whole system starts: nobody has ordered before
-    engine_ownership(duration lease, bool first_start, time_point now);
+    engine_ownership(duration lease, start_kind start, time_point now);
 
     /// An engine that this instance orders.
     struct owned
@@ -85,6 +93,7 @@
     std::map<std::string, fencing_token, std::less<>> highest_token_;
     std::map<std::string, time_point, std::less<>> candidate_since_;
     time_point no_order_before_;
+    time_point no_order_in_large_fleet_before_; ///< news take longer there
 };
 
 } // namespace lovagegate::gateway
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -49,6 +49,10 @@
 /// Callers that were refused come back when a slot may be free.
 constexpr duration refusal_pause = 700ms;
 constexpr duration startup_pause = 300ms;
+/// After a start, requests wait so long for the first configuration: an eighth
+/// of the shortest time that callers of the users' sites have.
+constexpr duration longest_config_wait = 75ms;
+constexpr duration config_look = 15ms;
 constexpr double whole_percent = 100;
 /// Lowest urgency that engines know.
 constexpr std::uint32_t lowest_priority = 9;
@@ -123,6 +127,22 @@
 void forwarding::start()
 {
     watch_caller();
+    begin();
+}
+
+void forwarding::begin()
+{
+    if (context_.state.routes.version() == 0 &&
+        elapsed() < longest_config_wait) {
+        // The store answers in milliseconds; a refusal would cost the caller
+        // more.
+        const auto alive = alive_;
+        context_.loop.call_later(config_look, [this, alive] {
+            if (*alive && !done_)
+                begin();
+        });
+        return;
+    }
     if (accept())
         try_next();
 }
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -58,6 +58,8 @@
     void on_answer_end() override;
     void on_call_failed(call_failure f) override;
 
+    /// Waits for the first configuration, then tries the first target.
+    void begin();
     bool accept();
     [[nodiscard]] const std::string& pick_service() const;
     void try_next();
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -66,6 +66,14 @@
     return out;
 }
 
+engine_ownership::start_kind kind_of_start(const boot_settings& boot)
+{
+    if (boot.first_start)
+        return engine_ownership::start_kind::first;
+    return boot.engines_check_fencing ? engine_ownership::start_kind::fenced
+                                      : engine_ownership::start_kind::unfenced;
+}
+
 gateway_state make_state(const boot_settings& boot, std::mt19937_64& random)
 {
     const time_point now = net::event_loop::now().mono;
@@ -74,7 +82,7 @@
             target_directory(boot.drain_after_notice),
             member_table(boot.address, start_number(), addresses(boot.seeds),
                          random()),
-            engine_ownership(boot.lease, boot.first_start, now),
+            engine_ownership(boot.lease, kind_of_start(boot), now),
             placement(boot.failure_domain, random()),
             retry_budget(boot.retry_ratio, boot.retry_slack, boot.retry_window),
             {},
--- a/src/lovagegate/gateway/member_table.cpp
+++ b/src/lovagegate/gateway/member_table.cpp
@@ -15,9 +15,7 @@
 
 duration member_table::silence() const
 {
-    return members_.size() <= settings_.small_fleet
-               ? settings_.direct_silence
-               : settings_.indirect_silence;
+    return is_large() ? settings_.indirect_silence : settings_.direct_silence;
 }
 
 bool member_table::take(const member_record& r, bool direct, time_point now)
@@ -136,7 +134,8 @@
 member_table::outgoing member_table::to_small_fleet(member_list live)
 {
     outgoing out{{self_, {}}, {}};
-    if (self_.beat % settings_.introduce_every == 0)
+    if (self_.beat <= settings_.first_heartbeats ||
+        self_.beat % settings_.introduce_every == 0)
         add_records(out, live, settings_.passed_on, true);
     add_receivers(out, std::move(live), settings_.small_fleet);
     return out;
--- a/src/lovagegate/gateway/member_table.hpp
+++ b/src/lovagegate/gateway/member_table.hpp
@@ -23,6 +23,8 @@
     /// In small fleets, each so many heartbeats tell of the others: those that
     /// no seed names are known from them only.
     std::uint64_t introduce_every = 3;
+    /// The first heartbeats after a start all do.
+    std::uint64_t first_heartbeats = 6;
     /// In larger fleets: members of the own failure domain, and of others, that
     /// get a heartbeat. Bytes between failure domains are priced.
     std::size_t near_fan_out = 8;
@@ -97,6 +99,12 @@
     ///         it lately heard
     [[nodiscard]] bool has_majority(time_point now) const;
 
+    /// @return whether members hear of each other over others
+    [[nodiscard]] bool is_large() const noexcept
+    {
+        return members_.size() > settings_.small_fleet;
+    }
+
     /// @return live members and this one; at least one
     [[nodiscard]] std::size_t count(time_point now) const;
 
--- a/tests/gateway/engine_ownership_test.cpp
+++ b/tests/gateway/engine_ownership_test.cpp
@@ -20,15 +20,17 @@
     explicit owners(int size)
     {
         for (int i = 1; i <= size; ++i)
-            start("10.0.0." + std::to_string(i), true);
+            start("10.0.0." + std::to_string(i), start_kind::first);
     }
 
-    void start(const std::string& address, bool first_start)
+    using start_kind = engine_ownership::start_kind;
+
+    void start(const std::string& address, start_kind kind)
     {
         auto seeds = std::vector<std::string>{"10.0.0.1", "10.0.0.2"};
         nodes_[address] = std::make_unique<node>(
             node{member_table(address, ++starts_, seeds, starts_),
-                 engine_ownership(lease, first_start, now_)});
+                 engine_ownership(lease, kind, now_)});
     }
 
     void kill(const std::string& address) { nodes_.erase(address); }
@@ -204,7 +206,7 @@
     owners fleet(3);
     fleet.run(5s);
     const auto before = fleet.who("e1");
-    fleet.start("10.0.0.7", false);
+    fleet.start("10.0.0.7", owners::start_kind::unfenced);
     fleet.run(9s);
     CHECK(fleet.who("e1") == before);
     CHECK(fleet.shortest_turn() == 1h);
@@ -217,13 +219,45 @@
     fleet.run(5s);
     for (int i = 1; i <= 4; ++i) {
         fleet.kill("10.0.0." + std::to_string(i));
-        fleet.start("10.0.0." + std::to_string(i), false);
+        fleet.start("10.0.0." + std::to_string(i),
+                    owners::start_kind::unfenced);
     }
     fleet.run(9s);
     CHECK(fleet.who("e1").size() == 1);
     CHECK(fleet.shortest_turn() >= lease);
 }
 
+TEST_CASE(
+    "after a restart of all, engines that check fences get owners at once",
+    "[gateway]")
+{
+    owners fleet(4);
+    fleet.run(5s);
+    for (int i = 1; i <= 4; ++i) {
+        fleet.kill("10.0.0." + std::to_string(i));
+        fleet.start("10.0.0." + std::to_string(i), owners::start_kind::fenced);
+    }
+    for (int i = 0; i < 200; ++i) {
+        fleet.run(10ms);
+        for (const auto* engine : {"e1", "e2", "e3"})
+            REQUIRE(fleet.who(engine).size() <= 1); // never two owners
+    }
+    CHECK(fleet.who("e1").size() == 1);
+}
+
+TEST_CASE("a single restart doesn't take engines of live owners", "[gateway]")
+{
+    owners fleet(4);
+    fleet.run(5s);
+    const auto before = fleet.who("e1");
+    const std::string other =
+        before.front() == "10.0.0.3" ? "10.0.0.4" : "10.0.0.3";
+    fleet.kill(other);
+    fleet.start(other, owners::start_kind::fenced);
+    fleet.run(9s);
+    CHECK(fleet.who("e1") == before);
+}
+
 TEST_CASE("tokens grow over a takeover by an instance whose clock is behind",
           "[gateway]")
 {
