Pass on more records in heartbeats of large fleets

Cause: another random path of the test with 100 members in 11 failure domains gave one false silence.

--- a/src/lovagegate/gateway/member_table.hpp
+++ b/src/lovagegate/gateway/member_table.hpp
@@ -33,10 +33,10 @@
     std::size_t far_fan_out_of_few = 3;
     std::size_t few_members = 10;
     /// Records of others in a heartbeat.
-    std::size_t passed_on = 32;
+    std::size_t passed_on = 40;
     /// Records of far members in a heartbeat that leaves the failure domain:
     /// members of one domain may know of each other only from outside.
-    std::size_t far_passed_on = 6;
+    std::size_t far_passed_on = 12;
     /// Silence after which a member that sends here directly is not counted:
     /// three heartbeats, one of which may be lost.
     duration direct_silence = 1300ms;
--- a/tests/gateway/member_table_test.cpp
+++ b/tests/gateway/member_table_test.cpp
@@ -13,13 +13,13 @@
 class small_fleet
 {
 public:
-    explicit small_fleet(int size, int domains = 1)
+    explicit small_fleet(int size, int domains = 1, std::uint64_t seed = 0)
     {
         for (int i = 1; i <= size; ++i) {
             const std::string address = "10.0.0." + std::to_string(i);
             tables_.emplace(address,
                             member_table(address, 1, {"10.0.0.1"},
-                                         static_cast<std::uint64_t>(i)));
+                                         seed + static_cast<std::uint64_t>(i)));
             tables_.at(address).self().failure_domain =
                 "domain-" + std::to_string(i % domains);
         }
