Ask the owner again when a request came before its adapter

Change: the request asks the owner again, which tries after a third of the time that the load took so far, or at the report that shows the adapter.

--- a/src/lovagegate/gateway/adapter_desk.cpp
+++ b/src/lovagegate/gateway/adapter_desk.cpp
@@ -97,12 +97,13 @@
 }
 
 std::uint64_t adapter_desk::ensure(const std::string& engine,
-                                   const adapter_ref& wanted,
+                                   const adapter_ref& wanted, bool was_absent,
                                    answer_handler done)
 {
     const time_point now = net::event_loop::now().mono;
     const std::uint64_t number = ++last_number_;
-    asks_.emplace(number, open_ask{engine, wanted, std::move(done), now, {}});
+    asks_.emplace(
+        number, open_ask{engine, wanted, was_absent, std::move(done), now, {}});
     send_ask(number, asks_.at(number), now);
     return asks_.contains(number) ? number : 0;
 }
@@ -110,7 +111,8 @@
 void adapter_desk::send_ask(std::uint64_t number, open_ask& ask, time_point now)
 {
     ask.last_sent = now;
-    const adapter_ask message{number, ask.engine, ask.wanted};
+    const adapter_ask message{number, ask.engine, ask.wanted, ask.was_absent};
+    ask.was_absent = false; // said once
     if (state_.ownership.find(ask.engine)) {
         on_message({}, message);
         return;
@@ -198,6 +200,9 @@
         return;
     }
     kept_engine& e = it->second;
+    if (ask.was_absent)
+        e.keeper.on_too_early(
+            adapter_name(ask.wanted.model, ask.wanted.adapter), now);
     const auto status = e.keeper.want(ask.wanted, now);
     if (status != adapter_status::loading) {
         const auto held =
@@ -398,14 +403,6 @@
     });
 }
 
-void adapter_desk::on_too_early(const std::string& engine,
-                                const std::string& adapter)
-{
-    const auto it = kept_.find(engine);
-    if (it != kept_.end())
-        it->second.keeper.on_too_early(adapter, net::event_loop::now().mono);
-}
-
 void adapter_desk::give_order(const std::string& id, kept_engine& e,
                               const engine_order& order)
 {
--- a/src/lovagegate/gateway/adapter_desk.hpp
+++ b/src/lovagegate/gateway/adapter_desk.hpp
@@ -30,10 +30,11 @@
     ~adapter_desk();
 
     /// Asks for an adapter on an engine.
+    /// @param was_absent a request came back since it was not there yet
     /// @param done runs once, later or at once, unless cancelled
     /// @return for cancel(); 0 if done has run
     std::uint64_t ensure(const std::string& engine, const adapter_ref& wanted,
-                         answer_handler done);
+                         bool was_absent, answer_handler done);
 
     void cancel(std::uint64_t number);
 
@@ -46,9 +47,6 @@
     /// @param halted it paused longer than its route allows
     void note_stream(const std::string& engine, bool halted);
 
-    /// A request came back since its adapter was not there yet.
-    void on_too_early(const std::string& engine, const std::string& adapter);
-
     void on_message(const std::string& from, const adapter_ask& ask);
     void on_message(const std::string& from, const adapter_answer& answer);
     void on_message(const std::string& from, const adapter_use& use);
@@ -107,6 +105,7 @@
     {
         std::string engine;
         adapter_ref wanted;
+        bool was_absent = false;
         answer_handler done;
         time_point since{};
         time_point last_sent{};
--- a/src/lovagegate/gateway/engine_keeper.cpp
+++ b/src/lovagegate/gateway/engine_keeper.cpp
@@ -21,6 +21,11 @@
 constexpr duration want_timeout = 2s;
 /// An adapter used this lately has requests on the engine.
 constexpr duration in_use = 450ms;
+/// A load that takes longer than expected is tried again after a part of the
+/// time that it took so far: many at once share the store's rate.
+constexpr int next_look_part = 3;
+constexpr duration least_next_look = 30ms;
+constexpr duration longest_next_look = 300ms;
 /// Age that a report has at most, while its answer came at once.
 constexpr duration report_age = 100ms;
 /// After a refused order: until a report tells why, or an unload has ended.
@@ -236,7 +241,11 @@
     if (it == places_.end() || it->second.state != place_state::loading ||
         now < it->second.ready_at)
         return;
-    loads_.on_longer_than(it->second.was_held, now - it->second.since);
+    place& p = it->second;
+    const duration under_way = now - p.since;
+    loads_.on_longer_than(p.was_held, under_way);
+    p.ready_at = now + std::clamp(under_way / next_look_part, least_next_look,
+                                  longest_next_look);
 }
 
 void engine_keeper::note_left(const std::string& name)
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -42,10 +42,9 @@
 constexpr duration least_slow_answer = 150ms;
 /// Engines above this load are slow without being faulty.
 constexpr double busy_load = 0.9;
-/// Until a request is sent again whose adapter was expected too early.
-constexpr duration too_early_pause = 45ms;
-/// So often; then the load has failed, or the engine is full.
-constexpr std::uint32_t most_early_sends = 2;
+/// Sends before the adapter was there; then the load has failed, or the engine
+/// is full.
+constexpr std::uint32_t most_early_sends = 3;
 /// Callers that were refused come back when a slot may be free.
 constexpr duration refusal_pause = 700ms;
 constexpr duration startup_pause = 300ms;
@@ -252,25 +251,24 @@
         send(choice->target);
         return;
     }
-    wait_for_adapter(*choice);
-}
-
-void forwarding::wait_for_adapter(const placement_choice& choice)
-{
     logging::write(logging::level::info, "adapter_wanted",
                    {{"request", facts_.attempt_id},
-                    {"target", choice.target},
+                    {"target", choice->target},
                     {"adapter", adapter_},
-                    {"rank", std::uint64_t{choice.rank}},
-                    {"passed_over", choice.passed_over}});
-    const std::string target = choice.target;
+                    {"rank", std::uint64_t{choice->rank}},
+                    {"passed_over", choice->passed_over}});
+    wait_for_adapter(choice->target, false);
+}
+
+void forwarding::wait_for_adapter(const std::string& target, bool was_absent)
+{
     const std::uint64_t version = context_.state.releases.newest(
         adapter_, false, net::event_loop::now().mono);
     const adapter_ref wanted{facts_.model, facts_.adapter,
                              facts_.version != 0 ? facts_.version : version};
     const auto alive = alive_;
     const auto number = context_.adapters.ensure(
-        target, wanted,
+        target, wanted, was_absent,
         [this, target, alive](adapter_status status, std::uint64_t held) {
             if (!*alive || done_)
                 return;
@@ -532,7 +530,9 @@
         return;
     }
     if (expected_ && early_sends_ < most_early_sends) {
-        wait_for_load();
+        ++early_sends_;
+        s.counts.add("sends_too_early");
+        wait_for_adapter(std::string(target_), true);
         return;
     }
     const bool lacks_adapter =
@@ -559,18 +559,6 @@
     try_next();
 }
 
-void forwarding::wait_for_load()
-{
-    ++early_sends_;
-    context_.state.counts.add("sends_too_early");
-    context_.adapters.on_too_early(target_, adapter_);
-    const auto alive = alive_;
-    context_.loop.call_later(too_early_pause, [this, alive, target = target_] {
-        if (*alive && !done_)
-            send(target);
-    });
-}
-
 void forwarding::retry_or(int status, std::string_view reason)
 {
     const bool sent = runs_ > 0;
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -63,12 +63,11 @@
     bool accept();
     [[nodiscard]] const std::string& pick_service() const;
     void try_next();
-    void wait_for_adapter(const placement_choice& choice);
+    /// @param was_absent a send came back since the adapter was not there yet
+    void wait_for_adapter(const std::string& target, bool was_absent);
     void send(const std::string& target);
     void leave_target();
     void on_rejected();
-    /// Sends the request again when the adapter should have been loaded.
-    void wait_for_load();
     void retry_or(int status, std::string_view reason);
     [[nodiscard]] bool may_run_again() const;
     void deliver_head(const net::message_head& head, bool whole);
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -47,7 +47,7 @@
 json write(const adapter_ask& m)
 {
     return json::array({tag::adapter_ask, m.number, m.engine, m.wanted.model,
-                        m.wanted.adapter, m.wanted.version});
+                        m.wanted.adapter, m.wanted.version, m.was_absent});
 }
 
 json write(const adapter_answer& m)
@@ -147,7 +147,8 @@
                            j.at(2).get<std::string>(),
                            {j.at(3).get<std::string>(),
                             j.at(4).get<std::string>(),
-                            j.at(5).get<std::uint64_t>()}};
+                            j.at(5).get<std::uint64_t>()},
+                           j.at(6).get<bool>()};
     case tag::adapter_answer:
         return adapter_answer{j.at(1).get<std::uint64_t>(),
                               j.at(2).get<std::string>(), read_status(j.at(3)),
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -69,6 +69,7 @@
     std::uint64_t number = 0; ///< of the sender; the answer repeats it
     std::string engine;
     adapter_ref wanted;
+    bool was_absent = false; ///< the engine lacked it a moment ago
 };
 
 enum class adapter_status : std::uint8_t
--- a/tests/gateway/engine_keeper_test.cpp
+++ b/tests/gateway/engine_keeper_test.cpp
@@ -247,3 +247,29 @@
         RC_ASSERT(!engine.overloaded());
     });
 }
+
+TEST_CASE("a load that takes longer is not tried again at once", "[gateway]")
+{
+    // Sends before the adapter is there use up the budget of repeats: the
+    // times between them grow with the time that the load takes.
+    time_point now{10s};
+    engine_keeper k("e", small_engine(4));
+    k.on_report(report_with({}), now);
+    REQUIRE(k.want(adapter("a1"), now) == adapter_status::loading);
+    const auto orders = k.plan(now);
+    REQUIRE(orders.size() == 1);
+    k.on_order_done(orders.front(), order_outcome::accepted, now);
+    const time_point begin = now;
+    const time_point over = begin + 1s;
+    int sends = 0;
+    for (; now < over; now += 5ms) {
+        if (k.want(adapter("a1"), now) != adapter_status::expected)
+            continue;
+        ++sends;
+        k.on_too_early("m/a1", now);
+        CHECK(k.want(adapter("a1"), now) == adapter_status::loading);
+    }
+    CHECK(sends <= 5); // every 45 ms it would be 15
+    now += 300ms;
+    CHECK(k.want(adapter("a1"), now) == adapter_status::expected);
+}
--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -43,9 +43,10 @@
 
 TEST_CASE("questions, answers and news arrive as they were sent", "[gateway]")
 {
-    const auto ask = decode(encode(adapter_ask{5, "e", {"m", "a", 6}}));
+    const auto ask = decode(encode(adapter_ask{5, "e", {"m", "a", 6}, true}));
     REQUIRE(ask);
     CHECK(std::get<adapter_ask>(*ask).wanted.version == 6);
+    CHECK(std::get<adapter_ask>(*ask).was_absent);
     const auto answer =
         decode(encode(adapter_answer{5, "e", adapter_status::expected, 6}));
     REQUIRE(answer);
