Wait after a start until all members have met

Change: fenced engines are ordered after 1.6 s, and only if a seed is heard and all members know as many members; else after the lease. A test with 60 members failed first (two owners after 1.0 s).

--- a/src/lovagegate/gateway/engine_ownership.cpp
+++ b/src/lovagegate/gateway/engine_ownership.cpp
@@ -15,8 +15,8 @@
 constexpr duration silent_owner_goes_on = 1500ms;
 /// The views of two candidates differ for about this long.
 constexpr duration settle = 900ms;
-/// After a start, the members of a small fleet have heard of each other and of
-/// each other's claims: four heartbeats.
+/// After a start, the members of a small fleet hear of each other and of each
+/// other's claims within four heartbeats.
 constexpr duration meeting_time = 1600ms;
 /// Low bits of a token, different on each instance.
 constexpr unsigned instance_bits = 10;
@@ -50,10 +50,13 @@
 
 engine_ownership::engine_ownership(duration lease, start_kind start,
                                    time_point now)
-    : lease_(lease),
-      no_order_before_(start == start_kind::unfenced ? now + lease + order_delay
-                                                     : now)
+    : lease_(lease), no_order_before_(now), no_order_unmet_before_(now)
 {
+    if (start == start_kind::first)
+        return;
+    no_order_unmet_before_ = now + lease + order_delay;
+    no_order_before_ = start == start_kind::fenced ? now + meeting_time
+                                                   : no_order_unmet_before_;
 }
 
 const engine_ownership::owned*
@@ -158,10 +161,9 @@
     }
     const auto [since, added] = candidate_since_.emplace(engine, now.mono);
     const auto foreign = last_foreign_order_.find(engine);
-    time_point free_from =
-        members.is_large()
-            ? std::max(no_order_before_, no_order_in_large_fleet_before_)
-            : no_order_before_;
+    time_point free_from = no_order_before_;
+    if (now.mono < no_order_unmet_before_ && !members.all_have_met(now.mono))
+        free_from = no_order_unmet_before_;
     if (foreign != last_foreign_order_.end())
         free_from = std::max(free_from, foreign->second + lease_ + order_delay);
     if (now.mono < free_from || now.mono - since->second < settle)
--- a/src/lovagegate/gateway/engine_ownership.hpp
+++ b/src/lovagegate/gateway/engine_ownership.hpp
@@ -93,7 +93,8 @@
     std::map<std::string, fencing_token, std::less<>> highest_token_;
     std::map<std::string, time_point, std::less<>> candidate_since_;
     time_point no_order_before_;
-    time_point no_order_in_large_fleet_before_; ///< news take longer there
+    /// The same while members may not know of each other.
+    time_point no_order_unmet_before_;
 };
 
 } // namespace lovagegate::gateway
--- a/src/lovagegate/gateway/member_table.cpp
+++ b/src/lovagegate/gateway/member_table.cpp
@@ -79,6 +79,23 @@
         }));
 }
 
+bool member_table::all_have_met(time_point now) const
+{
+    if (is_large())
+        return false;
+    const std::uint64_t known = count(now);
+    bool hears_seed = std::ranges::find(seeds_, self_.address) != seeds_.end();
+    for (const auto& [address, m] : members_) {
+        if (!is_alive(m, now))
+            continue;
+        if (m.record.members != known)
+            return false;
+        hears_seed =
+            hears_seed || std::ranges::find(seeds_, address) != seeds_.end();
+    }
+    return hears_seed && known > 1;
+}
+
 bool member_table::has_majority(time_point now) const
 {
     std::size_t heard = 1;
@@ -166,6 +183,7 @@
 std::vector<member_table::outgoing> member_table::next(time_point now)
 {
     ++self_.beat;
+    self_.members = count(now);
     std::erase_if(members_, [&](const auto& m) {
         return now - m.second.heard > settings_.remember &&
                std::ranges::find(seeds_, m.first) == seeds_.end();
--- a/src/lovagegate/gateway/member_table.hpp
+++ b/src/lovagegate/gateway/member_table.hpp
@@ -105,6 +105,10 @@
         return members_.size() > settings_.small_fleet;
     }
 
+    /// @return whether this is a small fleet and all members know each other:
+    ///         a seed is heard, and all know as many members
+    [[nodiscard]] bool all_have_met(time_point now) const;
+
     /// @return live members and this one; at least one
     [[nodiscard]] std::size_t count(time_point now) const;
 
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -33,7 +33,8 @@
         claims.push_back(write(c));
     return json::array({m.address, m.start, m.beat, m.leaving, m.config_version,
                         m.operator_revision, m.target_revision, m.store_silent,
-                        m.failure_domain, m.brief, std::move(claims)});
+                        m.failure_domain, m.members, m.brief,
+                        std::move(claims)});
 }
 
 json write(const heartbeat& m)
@@ -114,8 +115,9 @@
     m.target_revision = j.at(6).get<std::uint64_t>();
     m.store_silent = j.at(7).get<bool>();
     m.failure_domain = j.at(8).get<std::string>();
-    m.brief = j.at(9).get<bool>();
-    for (const json& c : j.at(10))
+    m.members = j.at(9).get<std::uint64_t>();
+    m.brief = j.at(10).get<bool>();
+    for (const json& c : j.at(11))
         m.claims.push_back(read_claim(c));
     return m;
 }
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -43,6 +43,7 @@
     std::uint64_t target_revision = 0;
     bool store_silent = false; ///< the store doesn't answer it
     std::string failure_domain;
+    std::uint64_t members = 0; ///< live ones that it knows, with itself
     /// The claims are left out; those known from before go on.
     bool brief = false;
     std::vector<engine_claim> claims;
--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -210,10 +210,12 @@
     if (b == beliefs_.end())
         return {};
     std::vector<std::pair<time_point, std::string>> by_age;
+    by_age.reserve(b->second.copies.size());
     for (const auto& [name, seen] : b->second.copies)
         by_age.emplace_back(seen, name);
     std::ranges::sort(by_age);
     std::vector<std::string> out;
+    out.reserve(by_age.size());
     for (auto& [seen, name] : by_age)
         out.push_back(std::move(name));
     return out;
--- a/tests/gateway/engine_ownership_test.cpp
+++ b/tests/gateway/engine_ownership_test.cpp
@@ -245,6 +245,24 @@
     CHECK(fleet.who("e1").size() == 1);
 }
 
+TEST_CASE("after a restart of all, large fleets don't have two owners either",
+          "[gateway]")
+{
+    owners fleet(60);
+    fleet.run(6s);
+    for (int i = 1; i <= 60; ++i) {
+        fleet.kill("10.0.0." + std::to_string(i));
+        fleet.start("10.0.0." + std::to_string(i), owners::start_kind::fenced);
+    }
+    for (int i = 0; i < 80; ++i) {
+        CAPTURE(i);
+        fleet.run(100ms);
+        for (const auto* engine : {"e1", "e2", "e3", "e4"})
+            REQUIRE(fleet.who(engine).size() <= 1);
+    }
+    CHECK(fleet.who("e1").size() == 1);
+}
+
 TEST_CASE("a single restart doesn't take engines of live owners", "[gateway]")
 {
     owners fleet(4);
--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -9,19 +9,11 @@
 TEST_CASE("a heartbeat arrives as it was sent", "[gateway]")
 {
     heartbeat h;
-    h.self = {"10.0.0.1",
-              7,
-              8,
-              true,
-              9,
-              10,
-              11,
-              true,
-              "rijeka-a",
-              true,
-              {{"e1", 12, 13ms, 14, 15, 16, 17, 18}}};
+    h.self = {"10.0.0.1", 7,  8,    true,
+              9,          10, 11,   true,
+              "rijeka-a", 12, true, {{"e1", 12, 13ms, 14, 15, 16, 17, 18}}};
     h.others.push_back(
-        {"10.0.0.2", 1, 2, false, 3, 4, 5, false, "", false, {}});
+        {"10.0.0.2", 1, 2, false, 3, 4, 5, false, "", 1, false, {}});
     const auto back = decode(encode(h));
     REQUIRE(back);
     const auto& got = std::get<heartbeat>(*back);
@@ -30,6 +22,7 @@
     CHECK(got.self.leaving);
     CHECK(got.self.store_silent);
     CHECK(got.self.failure_domain == "rijeka-a");
+    CHECK(got.self.members == 12);
     CHECK(got.self.brief);
     CHECK(got.self.target_revision == 11);
     REQUIRE(got.self.claims.size() == 1);
@@ -68,7 +61,7 @@
     rc::check([](const std::string& bytes) { (void)decode(bytes); });
     rc::check([] {
         heartbeat h;
-        h.self = {"10.0.0.1", 1, 2, false, 3, 4, 5, false, "z", false, {}};
+        h.self = {"10.0.0.1", 1, 2, false, 3, 4, 5, false, "z", 1, false, {}};
         h.self.claims = {{"e", 1, 1ms, 1, 1, 1, 1, 1}};
         auto bytes = encode(h);
         const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
