--- a/src/lovagegate/gateway/member_table.cpp
+++ b/src/lovagegate/gateway/member_table.cpp
@@ -4,6 +4,18 @@
 
 namespace lovagegate::gateway {
 
+namespace {
+
+/// Keeps at most so many of a list, by chance.
+template <typename T>
+void keep_some(std::vector<T>& list, std::size_t most, std::mt19937_64& random)
+{
+    std::ranges::shuffle(list, random);
+    list.resize(std::min(list.size(), most));
+}
+
+} // namespace
+
 member_table::member_table(std::string self, incarnation start,
                            std::vector<std::string> seeds,
                            std::uint64_t random_seed, member_settings settings)
@@ -112,8 +124,7 @@
 void member_table::add_records(outgoing& out, member_list from,
                                std::size_t most, bool brief)
 {
-    std::ranges::shuffle(from, random_);
-    from.resize(std::min(from.size(), most));
+    keep_some(from, most, random_);
     for (const member* m : from) {
         out.message.others.push_back(m->record);
         member_record& told = out.message.others.back();
@@ -127,8 +138,7 @@
 void member_table::add_receivers(outgoing& out, member_list from,
                                  std::size_t most)
 {
-    std::ranges::shuffle(from, random_);
-    from.resize(std::min(from.size(), most));
+    keep_some(from, most, random_);
     for (const member* m : from)
         out.to.push_back(m->record.address);
 }
@@ -142,9 +152,8 @@
     for (const auto& seed : seeds_)
         if (seed != self_.address && !members_.contains(seed))
             silent.push_back(seed);
-    std::ranges::shuffle(silent, random_);
     constexpr std::size_t tried_again = 3;
-    silent.resize(std::min(silent.size(), tried_again));
+    keep_some(silent, tried_again, random_);
     return silent;
 }
 
