Log each closing of a caller's connection that leaves something unfinished

No line named the moment and the reason. caller_closed gives the reason, the state of the request, and the bytes that were not read or not sent; a counter by reason counts all closings. No decision changes.

--- a/src/lovagegate/gateway/caller_connection.cpp
+++ b/src/lovagegate/gateway/caller_connection.cpp
@@ -22,6 +22,25 @@
 
 } // namespace
 
+std::string_view to_string(closing c) noexcept
+{
+    switch (c) {
+    case closing::caller_left:
+        return "caller_left";
+    case closing::idle:
+        return "idle";
+    case closing::stopping:
+        return "stopping";
+    case closing::last_answer:
+        return "last_answer";
+    case closing::cut:
+        return "cut";
+    case closing::process_ended:
+        return "process_ended";
+    }
+    return "invalid";
+}
+
 caller_connection::caller_connection(caller_context& context, int fd)
     : context_(context),
       reader_(net::message_reader::kind::requests, longest_head),
@@ -199,7 +218,7 @@
         return;
     stream_.abort_on_close();
     left_ = nullptr;
-    done();
+    done(closing::cut);
 }
 
 void caller_connection::on_end(net::stream_end)
@@ -207,7 +226,7 @@
     const auto guard = shared_from_this();
     const auto left = std::move(left_);
     left_ = nullptr;
-    done();
+    done(lingering_ ? closing::last_answer : closing::caller_left);
     if (left)
         left();
 }
@@ -227,12 +246,12 @@
     const duration age = now - since_;
     if (lingering_) {
         if (age > linger_limit)
-            done();
+            done(closing::last_answer);
         return;
     }
     if (!reader_.started()) {
         if (age > limits.idle_timeout)
-            close();
+            close(closing::idle);
         return;
     }
     if (!reader_.head_complete() && age > limits.head_timeout)
@@ -241,18 +260,27 @@
         refuse(408, "the body took too long");
 }
 
-void caller_connection::close()
+void caller_connection::close(closing why)
 {
     if (!busy_)
-        done();
+        done(why);
+}
+
+void caller_connection::end_with_process()
+{
+    left_ = nullptr;
+    done(closing::process_ended);
 }
 
-void caller_connection::done()
+void caller_connection::done(closing why)
 {
     if (done_)
         return;
     done_ = true;
     drained_ = nullptr;
+    context_.on_closed({why, attempt_id_, busy_,
+                        busy_ ? 0 : unread_.size() + body_.size(),
+                        stream_.unsent()});
     context_.on_done(*this);
 }
 
--- a/src/lovagegate/gateway/caller_connection.hpp
+++ b/src/lovagegate/gateway/caller_connection.hpp
@@ -7,6 +7,8 @@
 #include "lovagegate/net/http_message.hpp"
 #include "lovagegate/net/tcp_stream.hpp"
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -23,6 +25,30 @@
     time_point arrived{}; ///< of its last byte
 };
 
+/// Why a connection of a caller was closed.
+enum class closing : std::uint8_t
+{
+    caller_left,   ///< by the caller, or the network broke it
+    idle,          ///< no request came for too long
+    stopping,      ///< the instance stops and takes nothing more
+    last_answer,   ///< its last answer was announced as such
+    cut,           ///< the answer could not be completed
+    process_ended, ///< the process ends
+};
+
+/// @return the name used in counters and logs
+[[nodiscard]] std::string_view to_string(closing c) noexcept;
+
+/// What a connection leaves when it is closed.
+struct closing_facts
+{
+    closing why;
+    std::string_view attempt_id; ///< of the last request
+    bool answering = false;      ///< the request has no whole answer
+    std::size_t read = 0;        ///< bytes of a request that isn't whole
+    std::size_t unsent = 0;      ///< bytes of answers that were not sent
+};
+
 class caller_connection;
 using caller_ptr = std::shared_ptr<caller_connection>;
 
@@ -38,6 +64,8 @@
     std::function<bool()> closing;
     /// A connection is done; it is destroyed from the loop.
     std::function<void(caller_connection&)> on_done;
+    /// Told before on_done().
+    std::function<void(const closing_facts&)> on_closed;
     /// A request was refused before it was whole.
     std::function<void(std::string_view reason)> on_bad_request;
 };
@@ -86,7 +114,10 @@
     void check(time_point now);
 
     /// Closes an idle connection.
-    void close();
+    void close(closing why);
+
+    /// Closes the connection in any state.
+    void end_with_process();
 
     [[nodiscard]] std::string peer() const { return stream_.peer_address(); }
 
@@ -99,7 +130,7 @@
     void dispatch();
     void refuse(int status, std::string_view reason);
     void finish_answer();
-    void done();
+    void done(closing why);
 
     caller_context& context_;
     net::message_reader reader_;
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -158,6 +158,7 @@
                           ended_callers_.push_back(std::move(it->second));
                           callers_.erase(it);
                       },
+                      [this](const closing_facts& f) { note_closing(f); },
                       [this](std::string_view reason) {
                           state_.counts.add("bad_requests", "reason", reason);
                       }},
@@ -235,6 +236,7 @@
     logging::write(logging::level::info, "stopped",
                    {{"instance", state_.boot.instance},
                     {"open", std::uint64_t{requests_.size()}}});
+    close_callers();
 }
 
 void gateway_daemon::stop() noexcept
@@ -298,6 +300,29 @@
     callers_.emplace(c.get(), c);
 }
 
+void gateway_daemon::note_closing(const closing_facts& facts)
+{
+    state_.counts.add("caller_connections_closed", "reason",
+                      to_string(facts.why));
+    if (!facts.answering && facts.read == 0 && facts.unsent == 0)
+        return;
+    logging::write(logging::level::info, "caller_closed",
+                   {{"request", facts.attempt_id},
+                    {"reason", to_string(facts.why)},
+                    {"answering", facts.answering ? "yes" : "no"},
+                    {"bytes_read", std::uint64_t{facts.read}},
+                    {"bytes_unsent", std::uint64_t{facts.unsent}}});
+}
+
+void gateway_daemon::close_callers()
+{
+    std::vector<caller_ptr> all;
+    for (const auto& [p, c] : callers_)
+        all.push_back(c);
+    for (const auto& c : all)
+        c->end_with_process();
+}
+
 void gateway_daemon::start_request(const caller_ptr& caller,
                                    caller_message message)
 {
@@ -511,7 +536,7 @@
         if (c->is_idle())
             idle.push_back(c);
     for (const auto& c : idle)
-        c->close();
+        c->close(closing::stopping);
 }
 
 void gateway_daemon::update_store_duty(time_point now)
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -48,6 +48,8 @@
     [[nodiscard]] bool many_vanished(const std::string& service,
                                      time_point now);
     void accept_caller(int fd);
+    void note_closing(const closing_facts& facts);
+    void close_callers();
     void start_request(const caller_ptr& caller, caller_message message);
     void on_datagram(const settings::endpoint& from, std::string_view data);
     void send_to_peer(const std::string& address, const peer_message& message);
