Send the rest of what a socket takes only in parts

Callers (and targets) saw the first part of a message and then silence: what the socket did not take at once was kept, its second part was sent from the writable callback, and the wish for another callback made there was dropped by the library, which clears it after the callback. The rest left only when something else was written; an answer's end never did.

Evidence: a scratch run wrote 2 MB into a narrow socket, 16,128 bytes arrived. Excluded: flow control of reading, which is applied after the callback. A wish made within the callback is now repeated from the loop.

--- a/src/lovagegate/net/internal/watched_descriptor.cpp
+++ b/src/lovagegate/net/internal/watched_descriptor.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <libwebsockets.h>
+#include <memory>
 #include <unistd.h>
 
 namespace lovagegate::net::internal {
@@ -13,13 +14,18 @@
 struct watched_descriptor::registration
 {
     descriptor_handler* handler = nullptr;
+    event_loop* loop = nullptr;
     ::lws* wsi = nullptr;
     int fd = -1;
     bool in_callback = false;
+    bool in_on_writable = false;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    bool wanted_again = false; ///< want_writable() came within on_writable()
 
     static int on_event(::lws* wsi, lws_callback_reasons reason, void*, void*,
                         std::size_t);
     int serve(lws_callback_reasons reason);
+    void want_again();
     void closed();
 };
 
@@ -28,12 +34,29 @@
     if (handler == nullptr)
         return -1;
     in_callback = true;
-    if (reason == LWS_CALLBACK_RAW_RX_FILE)
+    if (reason == LWS_CALLBACK_RAW_RX_FILE) {
         handler->on_readable();
-    else
+    } else {
+        in_on_writable = true;
         handler->on_writable();
+        in_on_writable = false;
+    }
     in_callback = false;
-    return handler == nullptr ? -1 : 0;
+    if (handler == nullptr)
+        return -1;
+    if (wanted_again)
+        want_again();
+    return 0;
+}
+
+/// The library drops a wish that is made within the callback it answers.
+void watched_descriptor::registration::want_again()
+{
+    wanted_again = false;
+    loop->call_later(duration::zero(), [weak = std::weak_ptr(alive), this] {
+        if (weak.lock() && wsi != nullptr)
+            lws_callback_on_writable(wsi);
+    });
 }
 
 void watched_descriptor::registration::closed()
@@ -93,8 +116,11 @@
 
 watched_descriptor::watched_descriptor(event_loop& loop, int fd,
                                        descriptor_handler& handler)
-    : registration_(new registration{&handler, nullptr, fd, false})
+    : registration_(new registration)
 {
+    registration_->handler = &handler;
+    registration_->loop = &loop;
+    registration_->fd = fd;
     lws_vhost* const vhost =
         descriptor_vhost(loop.native(), registration::on_event);
     lws_sock_file_fd_type file{};
@@ -130,8 +156,10 @@
 
 void watched_descriptor::want_writable()
 {
-    if (registration_->wsi)
-        lws_callback_on_writable(registration_->wsi);
+    if (registration_->wsi == nullptr)
+        return;
+    registration_->wanted_again = registration_->in_on_writable;
+    lws_callback_on_writable(registration_->wsi);
 }
 
 void watched_descriptor::watch_reading(bool on)
