Answer requests that are still open when a stop ends

Callers saw their connection closed without an answer: when the grace time was nearly over the process ended with requests open, and nobody answered them.

Cause: the end of the loop looks at the time only; what is open was dropped with the process. A request that waits in its engine's queue then has no engine at work on it, so nothing excuses the close. The new test fails before: no answer at all; now a whole 504. Change: 0.8 s before the grace time ends each open request gets its final answer: not run (503) if no target has it, 504 if one has, a cut stream otherwise.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -146,6 +146,12 @@
         try_next();
 }
 
+void forwarding::give_up()
+{
+    if (!done_)
+        refuse("the instance ends");
+}
+
 void forwarding::watch_caller()
 {
     caller_->on_left([this] {
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -49,6 +49,9 @@
     /// Begins; the request may end at once.
     void start();
 
+    /// Gives the caller a final answer now, since the instance ends.
+    void give_up();
+
     /// @return whether a target may be at work on it
     [[nodiscard]] bool is_open() const noexcept { return !done_; }
 
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -27,8 +27,10 @@
 /// The platform takes an instance out after two unanswered questions, a second
 /// apart.
 constexpr duration out_of_rotation = 2300ms;
+/// Left of the grace time when requests that are still open are answered.
+constexpr duration give_up_margin = 800ms;
 /// Left of the grace time when the process ends at the latest.
-constexpr duration end_margin = 700ms;
+constexpr duration end_margin = 400ms;
 /// Another instance is asked for all that it knows if it is ahead for so long.
 constexpr duration pull_after = 300ms;
 /// One that reads the store itself hears of changes with its next watch.
@@ -275,6 +277,8 @@
     state_.members.self().claims = adapters_.claims(now.mono);
     state_.members.self().leaving = true;
     adapters_.stop("stopping", now);
+    loop_.call_later(state_.boot.stop_grace - give_up_margin,
+                     [this] { give_up_requests(); });
     const auto all = state_.members.alive(now.mono);
     heartbeat last{state_.members.self(), {}};
     ++state_.members.self().beat;
@@ -284,6 +288,16 @@
             send_to_peer(address, last);
 }
 
+bool gateway_daemon::is_past_rotation(time_point now) const
+{
+    return state_.stopping && now - stop_since_ > rotation_time();
+}
+
+duration gateway_daemon::rotation_time() const
+{
+    return std::min(out_of_rotation, state_.boot.stop_grace - give_up_margin);
+}
+
 bool gateway_daemon::may_end() const
 {
     if (!state_.stopping)
@@ -291,7 +305,17 @@
     const duration since = net::event_loop::now().mono - stop_since_;
     if (since > state_.boot.stop_grace - end_margin)
         return true;
-    return since > out_of_rotation && requests_.empty();
+    return since > rotation_time() && requests_.empty()
+}
+
+void gateway_daemon::give_up_requests()
+{
+    // Each leaves the map as it ends.
+    std::vector<forwarding*> open;
+    for (const auto& [p, f] : requests_)
+        open.push_back(p);
+    for (auto* const f : open)
+        f->give_up();
 }
 
 void gateway_daemon::accept_caller(int fd)
@@ -515,7 +539,7 @@
 void gateway_daemon::look_at_connections()
 {
     const time_point now = net::event_loop::now().mono;
-    if (state_.stopping && now - stop_since_ > out_of_rotation)
+    if (is_past_rotation(now))
         take_no_more();
     std::vector<caller_ptr> all;
     for (const auto& [p, c] : callers_)
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -73,6 +73,11 @@
     [[nodiscard]] std::string metrics_page() const;
     void begin_stop();
     [[nodiscard]] bool may_end() const;
+    /// @return after this time of a stop no caller is sent here any more
+    [[nodiscard]] duration rotation_time() const;
+    [[nodiscard]] bool is_past_rotation(time_point now) const;
+    /// Answers what is still open when the grace time is nearly over.
+    void give_up_requests();
     void do_reload();
     void every(duration interval, std::function<void()> fn);
     [[nodiscard]] std::unique_ptr<net::http_server>
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -331,6 +331,25 @@
     stopper.join();
 }
 
+TEST_CASE("a request that is open when a stop ends is answered", "[gateway]")
+{
+    std::promise<void> reached;
+    site s({.kind = "non_idempotent"}, {warm([&](const seen_request& r) {
+               reached.set_value();
+               auto answer = good(r);
+               answer.front().delay = 60s;
+               return answer;
+           })});
+    caller c(s.callers_port());
+    c.send(request_text("id1", no_body, "POST"));
+    reached.get_future().wait();
+    std::thread stopper([&] { s.stop(); });
+    const auto a = c.read();
+    CHECK(a.complete);
+    CHECK(a.head.status == 504);
+    stopper.join();
+}
+
 TEST_CASE("what is no request is refused, and nothing reaches a target",
           "[gateway]")
 {
