Count an answer as delivered when it has left, not when it is buffered

Callers that read slowly, or sit behind a slow link, saw their last answer cut: - one second after an answer that ends its connection the connection was closed, whether the answer had been sent or not; - a connection with unsent bytes counted as idle: the idle bound and a stop closed it; - a stop ended as soon as no request was open, with answers still in buffers. Cause, the class of all three: the end of an answer was the moment it was written into our buffer. Change: a connection that still sends is neither idle nor lingering; a caller that takes nothing for the idle bound loses it; a stop waits for what is still to be sent. After a stop a connection whose answer did not announce its end stays open until it is closed as idle, and a request that crosses that gets a 503 instead of being read and dropped. Evidence: both new tests fail on the code before (answer incomplete).

--- a/src/lovagegate/gateway/caller_connection.cpp
+++ b/src/lovagegate/gateway/caller_connection.cpp
@@ -50,12 +50,7 @@
 
 bool caller_connection::is_idle() const noexcept
 {
-    return !busy_ && !reader_.started() && unread_.empty();
-}
-
-std::size_t caller_connection::unsent() const
-{
-    return stream_.unsent();
+    return !busy_ && !is_delivering() && !reader_.started() && unread_.empty();
 }
 
 bool caller_connection::on_data(std::string_view data)
@@ -184,8 +179,6 @@
         return;
     if (chunked_)
         stream_.write("0\r\n\r\n");
-    // A stop may have begun since the head was sent.
-    close_after_ = close_after_ || context_.closing();
     finish_answer();
 }
 
@@ -233,6 +226,8 @@
 
 void caller_connection::on_drained()
 {
+    if (lingering_)
+        since_ = net::event_loop::now().mono;
     const auto drained = drained_;
     if (drained)
         drained();
@@ -243,6 +238,8 @@
     if (done_ || busy_)
         return;
     const auto limits = context_.limits();
+    if (is_sending(now, limits.idle_timeout))
+        return;
     const duration age = now - since_;
     if (lingering_) {
         if (age > linger_limit)
@@ -260,6 +257,20 @@
         refuse(408, "the body took too long");
 }
 
+bool caller_connection::is_sending(time_point now, duration limit)
+{
+    const std::size_t left = unsent();
+    const bool progress = left < unsent_then_ || unsent_then_ == 0;
+    unsent_then_ = left;
+    if (left == 0)
+        return false;
+    if (progress)
+        since_ = now;
+    else if (now - since_ > limit)
+        done(lingering_ ? closing::last_answer : closing::idle);
+    return true;
+}
+
 void caller_connection::close(closing why)
 {
     if (!busy_)
--- a/src/lovagegate/gateway/caller_connection.hpp
+++ b/src/lovagegate/gateway/caller_connection.hpp
@@ -105,10 +105,19 @@
         drained_ = std::move(drained);
     }
 
-    [[nodiscard]] std::size_t unsent() const;
+    [[nodiscard]] std::size_t unsent() const noexcept
+    {
+        return stream_.unsent();
+    }
     [[nodiscard]] bool is_busy() const noexcept { return busy_; }
-    /// @return whether no part of a request was read
+    /// @return whether no part of a request was read and no answer is on its
+    ///         way
     [[nodiscard]] bool is_idle() const noexcept;
+    /// @return whether an answer is made but the caller may not have all of it
+    [[nodiscard]] bool is_delivering() const noexcept
+    {
+        return !busy_ && (lingering_ || unsent() > 0);
+    }
 
     /// Ends the connection if it exceeds a bound.
     void check(time_point now);
@@ -131,6 +140,9 @@
     void refuse(int status, std::string_view reason);
     void finish_answer();
     void done(closing why);
+    /// @return whether bytes of answers are still to be sent; ends the
+    ///         connection if the caller doesn't take them
+    bool is_sending(time_point now, duration limit);
 
     caller_context& context_;
     net::message_reader reader_;
@@ -140,7 +152,8 @@
     std::string attempt_id_;
     std::function<void()> left_;
     std::function<void()> drained_;
-    time_point since_{}; ///< begin of the present state
+    time_point since_{}; ///< begin of the present state, or last progress
+    std::size_t unsent_then_ = 0; ///< when it was last looked at
     std::size_t body_limit_ = 0;
     bool busy_ = false; ///< a request is being answered
     bool chunked_ = false;
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -305,7 +305,10 @@
     const duration since = net::event_loop::now().mono - stop_since_;
     if (since > state_.boot.stop_grace - end_margin)
         return true;
-    return since > rotation_time() && requests_.empty()
+    return since > rotation_time() && requests_.empty() &&
+           std::ranges::none_of(callers_, [](const auto& entry) {
+               return entry.second->is_delivering();
+           });
 }
 
 void gateway_daemon::give_up_requests()
@@ -350,6 +353,13 @@
 void gateway_daemon::start_request(const caller_ptr& caller,
                                    caller_message message)
 {
+    if (is_past_rotation(net::event_loop::now().mono)) {
+        // It crossed the closing of its connection.
+        state_.counts.add("refusals", "reason", "stopping");
+        constexpr int unavailable = 503;
+        caller->answer(unavailable, "the instance stops", duration::zero());
+        return;
+    }
     auto f = std::make_unique<forwarding>(forward_, caller, std::move(message));
     forwarding& request = *f;
     requests_.emplace(&request, std::move(f));
--- a/tests/gateway/site_fixture.hpp
+++ b/tests/gateway/site_fixture.hpp
@@ -107,8 +107,10 @@
 public:
     using target_script = std::function<script(const seen_request&)>;
 
+    /// @param stop_grace time that a stop may take
     site(const site_description& description,
-         std::vector<target_script> targets)
+         std::vector<target_script> targets, duration stop_grace = 2s)
+        : stop_grace_(stop_grace)
     {
         std::promise<void> ready;
         standins_thread_ = std::thread([&, this] {
@@ -196,7 +198,7 @@
         s.metrics_port = free_port();
         s.store = {"127.0.0.1", store_port_};
         s.first_start = true;
-        s.stop_grace = 2s; // so that tests end soon
+        s.stop_grace = stop_grace_;
         std::promise<void> made;
         gateway_thread_ = std::thread([this, s, &made] {
             gateway::gateway_daemon daemon(s, [s] { return s; });
@@ -216,6 +218,7 @@
         left = 0;
     }
 
+    duration stop_grace_; ///< short, so that tests end soon
     std::thread standins_thread_;
     std::thread gateway_thread_;
     net::event_loop* loop_ = nullptr;
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -350,6 +350,41 @@
     stopper.join();
 }
 
+TEST_CASE("a stop waits until slow callers have their answers", "[gateway]")
+{
+    const std::string large(6'000'000, 'x');
+    std::promise<void> reached;
+    site s({.kind = "non_idempotent"}, {warm([&](const seen_request& r) {
+               reached.set_value();
+               return good(r, large);
+           })},
+           20s);
+    caller c(s.callers_port());
+    c.send(request_text("id1", no_body, "POST"));
+    reached.get_future().wait();
+    std::thread stopper([&] { s.stop(); });
+    // Longer than callers are sent to an instance that stops.
+    std::this_thread::sleep_for(3s);
+    const auto a = c.read();
+    CHECK(a.complete);
+    CHECK((a.body == large)); // too long to be printed
+    stopper.join();
+}
+
+TEST_CASE("a caller that reads slowly gets its whole last answer", "[gateway]")
+{
+    const std::string large(6'000'000, 'x');
+    site s({.kind = "non_idempotent"},
+           {warm([&](const seen_request& r) { return good(r, large); })});
+    caller c(s.callers_port());
+    c.send(request_text("id1", no_body + "Connection: close\r\n", "POST"));
+    // Longer than the wait for a caller that has its answer to close.
+    std::this_thread::sleep_for(1500ms);
+    const auto a = c.read();
+    CHECK(a.complete);
+    CHECK((a.body == large)); // too long to be printed
+}
+
 TEST_CASE("what is no request is refused, and nothing reaches a target",
           "[gateway]")
 {
