Leave a silent target only with a repeat paid, and don't end its answer then

Callers saw a stream reset in the middle though its engine was alive and would have gone on.

16.194 s, after 1.2 s of silence, its instance leaves the engine ('send_failed reason=silent'), 4 ms later the next engine answers 421, the instance's part of the retry budget is used up, the stream is cut at 16.203 s. Cause: what worked was given up before its replacement was sure. Whether another target would serve was looked up, but the repeat was asked for only when it was sent, and a rejection then ended the answer. Change: the repeat is paid before the target is left; without it the target keeps the request. A request that left a target that may live looks for a target again, the first one included, until its deadline or its caller's leaving.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -5,6 +5,7 @@
 #include "platform/http_fields.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace lovagegate::gateway {
 
@@ -45,6 +46,8 @@
 /// Sends before the adapter was there; then the load has failed, or the engine
 /// is full.
 constexpr std::uint32_t most_early_sends = 3;
+/// Pause before targets are looked at again for a request that left one.
+constexpr duration look_again_pause = 120ms;
 /// Callers that were refused come back when a slot may be free.
 constexpr duration refusal_pause = 700ms;
 constexpr duration startup_pause = 300ms;
@@ -148,8 +151,10 @@
 
 void forwarding::give_up()
 {
-    if (!done_)
-        refuse("the instance ends");
+    if (done_)
+        return;
+    left_living_ = false;
+    refuse("the instance ends");
 }
 
 void forwarding::watch_caller()
@@ -310,7 +315,7 @@
         refuse("no time left");
         return;
     }
-    if (sends_ > 0 &&
+    if (sends_ > 0 && !std::exchange(repeat_paid_, false) &&
         !s.retries.take(service_, s.members.count(now.mono), now.mono)) {
         s.counts.add("refusals", "reason", "retry_budget");
         retry_or(unavailable, "retry budget used up");
@@ -572,6 +577,8 @@
         try_next();
         return;
     }
+    if (look_again())
+        return;
     if (head_sent_)
         cut(reason);
     else if (sent)
@@ -628,8 +635,26 @@
         fail(bad_gateway, "target broke off");
 }
 
+bool forwarding::look_again()
+{
+    const time_point now = net::event_loop::now().mono;
+    if (!left_living_ || !may_run_again() ||
+        deadline_ - now < look_again_pause + least_attempt)
+        return false;
+    excluded_.clear();
+    sends_ = std::min(sends_, most_sends - 1);
+    const auto alive = alive_;
+    context_.loop.call_later(look_again_pause, [this, alive] {
+        if (*alive && !done_)
+            try_next();
+    });
+    return true;
+}
+
 void forwarding::refuse(std::string_view reason)
 {
+    if (look_again())
+        return;
     if (head_sent_) {
         cut(reason);
         return;
@@ -739,9 +764,15 @@
     }
     if (silent < limit || !may_run_again() || !has_alternative(now))
         return;
-    context_.state.counts.add("sends_failed", "reason", "silent");
+    // Paid before the target is left: without it nobody could go on.
+    gateway_state& s = context_.state;
+    if (!s.retries.take(service_, s.members.count(now), now))
+        return;
+    repeat_paid_ = true;
+    left_living_ = true;
+    s.counts.add("sends_failed", "reason", "silent");
     log("send_failed", "silent");
-    context_.state.places.on_failure(target_, now);
+    s.places.on_failure(target_, now);
     const std::string target = target_;
     leave_target();
     excluded_.push_back(target);
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -78,6 +78,10 @@
     void deliver_whole();
     void note_gap(time_point now);
     void on_broken(call_failure f);
+    /// A target that may still have gone on was left: its answer must not end
+    /// for want of another one.
+    /// @return whether the request looks for a target again, a little later
+    bool look_again();
     void refuse(std::string_view reason);
     void fail(int status, std::string_view reason);
     void cut(std::string_view reason);
@@ -127,6 +131,8 @@
     bool resuming_ = false;   ///< the answer continues an earlier one
     bool streaming_out_ = false;
     bool paused_ = false;
+    bool left_living_ = false; ///< a target was left since it was silent
+    bool repeat_paid_ = false; ///< the retry budget was asked for the next send
     bool done_ = false;
     duration first_byte_{};  ///< since the request was whole
     duration sent_after_{};  ///< first send, since the request was whole
--- a/tests/gateway/site_fixture.hpp
+++ b/tests/gateway/site_fixture.hpp
@@ -101,16 +101,23 @@
 /// Marks the fixture's own requests.
 inline constexpr const char* warm_up_header = "X-Test: 1\r\n";
 
+/// What a test sets in the gateway's settings.
+struct gateway_limits
+{
+    duration stop_grace = 2s; ///< short, so that tests end soon
+    double retry_ratio = 0.2;
+    double retry_slack = 50;
+};
+
 /// The gateway between a caller, a store and scripted targets.
 class site
 {
 public:
     using target_script = std::function<script(const seen_request&)>;
 
-    /// @param stop_grace time that a stop may take
     site(const site_description& description,
-         std::vector<target_script> targets, duration stop_grace = 2s)
-        : stop_grace_(stop_grace)
+         std::vector<target_script> targets, gateway_limits limits = {})
+        : limits_(limits)
     {
         std::promise<void> ready;
         standins_thread_ = std::thread([&, this] {
@@ -198,7 +205,9 @@
         s.metrics_port = free_port();
         s.store = {"127.0.0.1", store_port_};
         s.first_start = true;
-        s.stop_grace = stop_grace_;
+        s.stop_grace = limits_.stop_grace;
+        s.retry_ratio = limits_.retry_ratio;
+        s.retry_slack = limits_.retry_slack;
         std::promise<void> made;
         gateway_thread_ = std::thread([this, s, &made] {
             gateway::gateway_daemon daemon(s, [s] { return s; });
@@ -218,7 +227,7 @@
         left = 0;
     }
 
-    duration stop_grace_; ///< short, so that tests end soon
+    gateway_limits limits_;
     std::thread standins_thread_;
     std::thread gateway_thread_;
     net::event_loop* loop_ = nullptr;
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -247,6 +247,41 @@
     CHECK(a.body == event(1) + event(2) + event(3) + event(4));
 }
 
+TEST_CASE("a silent stream isn't cut when no other target takes it up",
+          "[gateway]")
+{
+    std::atomic<int> resumed{0};
+    const auto target = warm([&](const seen_request& r) -> script {
+        if (resume_after(r).empty())
+            return {{stream_head(r) + event(1), {}, then::go_on},
+                    {event(2), 60s, then::close}};
+        if (resumed++ < 3)
+            return not_run(r, 503);
+        return {{stream_head(r) + event(2), {}, then::close}};
+    });
+    site s({.kind = "streaming", .resumable = true}, {target, target});
+    const auto a = s.ask(request_text("id1", no_body, "POST"));
+    CHECK(a.complete);
+    CHECK(a.body == event(1) + event(2));
+}
+
+TEST_CASE("a silent stream stays where it is without a repeat to spend",
+          "[gateway]")
+{
+    const auto pauses = warm([](const seen_request& r) -> script {
+        if (!resume_after(r).empty())
+            return not_run(r, 503);
+        return {{stream_head(r) + event(1), {}, then::go_on},
+                {event(2), 2500ms, then::close}};
+    });
+    site s({.kind = "streaming", .resumable = true}, {pauses, pauses},
+           {.retry_ratio = 0, .retry_slack = 0});
+    const auto a = s.ask(request_text("id1", no_body, "POST"));
+    CHECK(a.complete);
+    CHECK(a.body == event(1) + event(2));
+    CHECK(s.runs == 1);
+}
+
 TEST_CASE("a stream that may not be resumed looks cut when it breaks",
           "[gateway]")
 {
@@ -358,7 +393,7 @@
                reached.set_value();
                return good(r, large);
            })},
-           20s);
+           {.stop_grace = 20s});
     caller c(s.callers_port());
     c.send(request_text("id1", no_body, "POST"));
     reached.get_future().wait();
