Take an engine's load only from records that are news

Callers of large fleets waited at engines that were taken for idle: a heartbeat passes on up to 40 records, most of them older than what the receiver knows, and the load in each was taken as if it had just been reported; it also cleared the count of own sends since the report. Test: a record that is not newer has no claims to take.

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -481,16 +481,14 @@
     }
     const time_point now = net::event_loop::now().mono;
     if (const auto* h = std::get_if<heartbeat>(&*message)) {
-        if (state_.members.on_heartbeat(*h, from.address, now))
+        const auto heard = state_.members.on_heartbeat(*h, from.address, now);
+        if (heard.joined)
             logging::write(
                 logging::level::info, "members",
                 {{"from", from.address},
                  {"live", std::uint64_t{state_.members.count(now)}}});
-        for (const auto& c : h->self.claims)
+        for (const auto& c : heard.claims)
             state_.places.on_load(c, now);
-        for (const auto& o : h->others)
-            for (const auto& c : o.claims)
-                state_.places.on_load(c, now);
     } else if (const auto* ask = std::get_if<adapter_ask>(&*message)) {
         adapters_.on_message(from.address, *ask);
     } else if (const auto* answer = std::get_if<adapter_answer>(&*message)) {
--- a/src/lovagegate/gateway/member_table.cpp
+++ b/src/lovagegate/gateway/member_table.cpp
@@ -30,14 +30,17 @@
     return is_large() ? settings_.indirect_silence : settings_.direct_silence;
 }
 
-bool member_table::take(const member_record& r, bool direct, time_point now)
+void member_table::take(const member_record& r, bool direct, time_point now,
+                        heard_news& out)
 {
     if (r.address == self_.address || r.address.empty())
-        return false;
+        return;
     const auto it = members_.find(r.address);
     if (it == members_.end()) {
         members_.emplace(r.address, member{r, now});
-        return true;
+        out.joined = true;
+        out.claims.insert(out.claims.end(), r.claims.begin(), r.claims.end());
+        return;
     }
     member& known = it->second;
     const bool silent = now - known.heard > silence();
@@ -46,24 +49,27 @@
     const bool newer =
         r.start == known.record.start && r.beat > known.record.beat;
     if (!restarted && !newer)
-        return false;
+        return;
+    out.claims.insert(out.claims.end(), r.claims.begin(), r.claims.end());
     auto claims = std::move(known.record.claims);
     known.record = r;
     if (r.brief && !restarted)
         known.record.claims = std::move(claims);
     known.heard = now;
-    return silent || restarted;
+    out.joined = out.joined || silent || restarted;
 }
 
-bool member_table::on_heartbeat(const heartbeat& h, std::string_view from,
-                                time_point now)
+member_table::heard_news member_table::on_heartbeat(const heartbeat& h,
+                                                    std::string_view from,
+                                                    time_point now)
 {
+    heard_news out;
     if (h.self.address != from)
-        return false;
-    bool changed = take(h.self, true, now);
+        return out;
+    take(h.self, true, now, out);
     for (const auto& r : h.others)
-        changed = take(r, false, now) || changed;
-    return changed;
+        take(r, false, now, out);
+    return out;
 }
 
 bool member_table::is_alive(const member& m, time_point now) const
--- a/src/lovagegate/gateway/member_table.hpp
+++ b/src/lovagegate/gateway/member_table.hpp
@@ -74,10 +74,18 @@
     member_record& self() noexcept { return self_; }
     [[nodiscard]] const member_record& self() const noexcept { return self_; }
 
+    /// What a heartbeat told.
+    struct heard_news
+    {
+        bool joined = false; ///< a member is new or back
+        /// Of the records that were not known or older before: many are passed
+        /// on after newer ones have come another way.
+        std::vector<engine_claim> claims;
+    };
+
     /// @param from address of the sender
-    /// @return whether a member is new or back
-    bool on_heartbeat(const heartbeat& h, std::string_view from,
-                      time_point now);
+    heard_news on_heartbeat(const heartbeat& h, std::string_view from,
+                            time_point now);
 
     /// One heartbeat and where to send it.
     struct outgoing
@@ -119,7 +127,8 @@
     }
 
 private:
-    bool take(const member_record& r, bool direct, time_point now);
+    void take(const member_record& r, bool direct, time_point now,
+              heard_news& out);
     [[nodiscard]] duration silence() const;
     using member_list = std::vector<const member*>;
 
--- a/tests/gateway/member_table_test.cpp
+++ b/tests/gateway/member_table_test.cpp
@@ -98,7 +98,7 @@
     member_table table("10.0.0.1", 1, {}, 7);
     heartbeat h;
     h.self.address = "10.0.0.2";
-    CHECK_FALSE(table.on_heartbeat(h, "10.0.0.9", time_point{1s}));
+    CHECK_FALSE(table.on_heartbeat(h, "10.0.0.9", time_point{1s}).joined);
     CHECK(table.all().empty());
 }
 
@@ -114,7 +114,7 @@
     table.on_heartbeat(h, "10.0.0.2", time_point{1s});
     h.self.start = 400;
     h.self.beat = 1;
-    CHECK(table.on_heartbeat(h, "10.0.0.2", time_point{2s}));
+    CHECK(table.on_heartbeat(h, "10.0.0.2", time_point{2s}).joined);
     CHECK(table.all().at("10.0.0.2").record.start == 400);
 }
 
@@ -151,3 +151,29 @@
     CHECK(table.all().at("10.0.0.2").record.beat == 2);
     CHECK(table.all().at("10.0.0.2").record.claims.size() == 1);
 }
+
+TEST_CASE("an engine's load isn't taken from a record that is older than what "
+          "is known",
+          "[gateway]")
+{
+    member_table table("10.0.0.1", 1, {}, 1);
+    const auto record = [](std::string address, std::uint64_t beat) {
+        member_record r;
+        r.address = std::move(address);
+        r.start = 1;
+        r.beat = beat;
+        return r;
+    };
+    const auto tell = [&](std::uint64_t beat) {
+        member_record told = record("10.0.0.3", beat);
+        engine_claim claim;
+        claim.engine = "e";
+        told.claims.push_back(claim);
+        const heartbeat h{record("10.0.0.2", beat), {told}};
+        return table.on_heartbeat(h, "10.0.0.2", time_point{1s}).claims.size();
+    };
+    CHECK(tell(5) == 1);
+    CHECK(tell(4) == 0);
+    CHECK(tell(5) == 0);
+    CHECK(tell(6) == 1);
+}
