Share the allowance of repeats among the instances that were heard lately

Trace: the log of frontend-rijeka-a-9: at 8.7 s its link is choked and it hears one other instance of 84, so it takes half of the allowance of the whole fleet for its own part (84 repeats instead of 2); others do the same. Cause: the allowance was divided by the instances that are heard now, which go on spending when they are not heard. A restarted process knew neither the others nor what the one before it had spent. Change: the most instances of the last minute count; after a restart the fixed allowance rests for one window. Both tests fail with the old arithmetic (84 repeats against 1; one granted).

--- a/src/lovagegate/gateway/retry_budget.cpp
+++ b/src/lovagegate/gateway/retry_budget.cpp
@@ -10,15 +10,29 @@
 /// Part of the bound that is used: instances count apart, and requests and
 /// repeats of one window may lie on either side of its edge.
 constexpr double usable_part = 0.8;
+/// Instances that are no longer heard share the allowance for so long.
+constexpr duration instances_kept = 60s;
 
 } // namespace
 
-retry_budget::retry_budget(double ratio, double slack, duration window)
+retry_budget::retry_budget(double ratio, double slack, duration window,
+                           time_point slack_from)
     : ratio_(ratio), slack_(slack),
-      bucket_(std::max<duration>(window / buckets, 1ms))
+      bucket_(std::max<duration>(window / buckets, 1ms)),
+      slack_from_(slack_from)
 {
 }
 
+double retry_budget::own_slack(std::size_t instances, time_point now)
+{
+    if (instances >= most_instances_ || now - most_at_ > instances_kept) {
+        most_instances_ = std::max<std::size_t>(1, instances);
+        most_at_ = now;
+    }
+    return now < slack_from_ ? 0
+                             : slack_ / static_cast<double>(most_instances_);
+}
+
 retry_budget::usage& retry_budget::advance(std::string_view service,
                                            time_point now)
 {
@@ -51,9 +65,9 @@
         std::accumulate(u.requests.begin(), u.requests.end(), 0.0);
     const double repeats =
         std::accumulate(u.repeats.begin(), u.repeats.end(), 0.0);
-    const double own_slack =
-        slack_ / static_cast<double>(std::max<std::size_t>(1, instances));
-    if (repeats + 1 > usable_part * (ratio_ * requests + own_slack))
+    const double allowed =
+        usable_part * (ratio_ * requests + own_slack(instances, now));
+    if (repeats + 1 > allowed)
         return false;
     ++u.repeats[static_cast<std::size_t>(u.newest) % buckets];
     return true;
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -192,6 +192,34 @@
     }
 }
 
+TEST_CASE("an instance that hears nobody keeps to its part of the repeats",
+          "[gateway]")
+{
+    constexpr std::size_t instances = 85;
+    constexpr double slack = 210;
+    retry_budget budget(0.2, slack, 10s);
+    time_point now{100s};
+    const auto repeats = [&](std::size_t heard) {
+        std::size_t n = 0;
+        while (budget.take("s", heard, now))
+            ++n;
+        return n;
+    };
+    const std::size_t own_part = repeats(instances);
+    CHECK(static_cast<double>(own_part) <= slack / instances);
+    now += 20s;
+    CHECK(repeats(2) <= own_part);
+}
+
+TEST_CASE("a restarted instance uses no fixed allowance of repeats at first",
+          "[gateway]")
+{
+    const time_point start{100s};
+    retry_budget budget(0.2, 58, 10s, start + 10s);
+    CHECK_FALSE(budget.take("s", 1, start + 1s));
+    CHECK(budget.take("s", 1, start + 11s));
+}
+
 TEST_CASE("the third crash ends a request", "[gateway]")
 {
     crash_suspects suspects;
