Ask a silent engine whether it lives before its stream is moved

Change: a begun stream that is silent for 0.9 s makes its instance ask the engine for its report, which needs no slot. An engine that answers keeps the stream; one that says nothing for 0.3 s is left as before, at 1.2 s. Also, found by the same review: an engine's 400 to a resumption was written as a second head into the begun answer; a failure within an answer now cuts it, and a rejected resumption looks on.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -32,9 +32,10 @@
 constexpr duration least_attempt = 30ms;
 /// Sends of one request that targets refused without running it.
 constexpr std::uint32_t most_sends = 4;
-/// A stream without an event for so long is taken up at another engine, if it
-/// may be resumed: callers leave after two seconds.
-constexpr duration stalled_stream = 1200ms;
+/// The engine of a stream without an event for so long is asked whether it
+/// lives; if not, another one takes the stream up, if it may be resumed.
+/// Callers leave after two seconds.
+constexpr duration stalled_stream = 900ms;
 /// The same for its first event, where the engine isn't overloaded.
 constexpr duration slow_first_event = 1300ms;
 /// An idempotent request without an answer is sent elsewhere after this many
@@ -344,16 +345,11 @@
     request.attempt_id = facts_.attempt_id;
     request.is_head_method = message_.head.method == "HEAD";
     request.avoid_stale = !may_repeat();
-    const service_spec* spec = s.routes.service(service_);
-    constexpr std::size_t default_connections = 64;
-    const std::size_t limit = spec && spec->max_connections > 0
-                                  ? spec->max_connections
-                                  : default_connections;
     answer_ = {};
     answer_facts_ = {};
     rejected_ = discarding_ = streaming_out_ = false;
     buffer_.clear();
-    call_ = context_.pool.send(request, limit, *this);
+    call_ = context_.pool.send(request, connection_limit(), *this);
     if (!call_) {
         s.counts.add("sends_failed", "reason", "no_connection");
         excluded_.push_back(target);
@@ -373,12 +369,21 @@
     arm_timer();
 }
 
+std::size_t forwarding::connection_limit() const
+{
+    constexpr std::size_t default_connections = 64;
+    const service_spec* spec = context_.state.routes.service(service_);
+    return spec && spec->max_connections > 0 ? spec->max_connections
+                                             : default_connections;
+}
+
 void forwarding::leave_target()
 {
     if (!at_target_)
         return;
     at_target_ = false;
     call_.reset();
+    probe_.reset();
     context_.state.places.on_left(target_);
     if (!adapter_.empty())
         context_.adapters.note_done(target_, adapter_);
@@ -536,7 +541,7 @@
         --runs_;
     s.counts.add("rejections", "status", std::to_string(answer_.status));
     log("rejected", std::to_string(answer_.status));
-    if (answer_.status == bad_request) {
+    if (answer_.status == bad_request && !head_sent_) {
         fail(bad_request, "refused by the target");
         return;
     }
@@ -673,6 +678,10 @@
 
 void forwarding::fail(int status, std::string_view reason)
 {
+    if (head_sent_) {
+        cut(reason);
+        return;
+    }
     context_.state.counts.add("failures", "reason", reason);
     log("failed", reason);
     caller_->answer(status, reason);
@@ -764,6 +773,41 @@
     }
     if (silent < limit || !may_run_again() || !has_alternative(now))
         return;
+    if (head_sent_)
+        ask_for_life(now);
+    else
+        leave_silent(now);
+}
+
+void forwarding::ask_for_life(time_point now)
+{
+    const target_state* t = context_.state.targets.find(target_);
+    if (probe_ || t == nullptr)
+        return;
+    context_.state.counts.add("liveness_probes");
+    probe_ = std::make_unique<liveness_probe>(
+        context_.loop, context_.pool, t->entry, connection_limit(),
+        [this, asked = now, alive = alive_](bool lives) {
+            // Not from here: the probe would be destroyed in its own callback.
+            context_.loop.call_later(
+                duration::zero(), [this, asked, lives, alive] {
+                    if (!*alive || done_)
+                        return;
+                    probe_.reset();
+                    // An event may have come meanwhile.
+                    if (!call_ || silent_since_ > asked)
+                        return;
+                    const time_point later = net::event_loop::now().mono;
+                    if (lives)
+                        silent_since_ = later;
+                    else
+                        leave_silent(later);
+                });
+        });
+}
+
+void forwarding::leave_silent(time_point now)
+{
     // Paid before the target is left: without it nobody could go on.
     gateway_state& s = context_.state;
     if (!s.retries.take(service_, s.members.count(now), now))
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -6,6 +6,7 @@
 #include "lovagegate/gateway/caller_request.hpp"
 #include "lovagegate/gateway/event_splitter.hpp"
 #include "lovagegate/gateway/gateway_state.hpp"
+#include "lovagegate/gateway/liveness_probe.hpp"
 #include "lovagegate/gateway/target_pool.hpp"
 
 #include <functional>
@@ -89,6 +90,12 @@
     void arm_timer();
     void on_timer();
     void on_silence(time_point now);
+    /// Asks whether the target of a begun stream lives, once for each silence.
+    void ask_for_life(time_point now);
+    /// @return most connections to the target
+    [[nodiscard]] std::size_t connection_limit() const;
+    /// Leaves a silent target for another one, if a repeat may be sent.
+    void leave_silent(time_point now);
     /// @return whether another target would serve at once
     [[nodiscard]] bool has_alternative(time_point now);
     [[nodiscard]] placement_request placement_needs(time_point now) const;
@@ -114,6 +121,7 @@
     std::string last_misdirected_; ///< target that lacked the adapter
     std::string adapter_;          ///< MODEL/NAME, empty without one
     std::unique_ptr<target_call> call_;
+    std::unique_ptr<liveness_probe> probe_;
     std::vector<std::string> excluded_;
     event_splitter events_;
     net::message_head answer_;
--- /dev/null
+++ b/src/lovagegate/gateway/liveness_probe.cpp
@@ -0,0 +1,37 @@
+#include "lovagegate/gateway/liveness_probe.hpp"
+
+#include "platform/http_fields.hpp"
+
+namespace lovagegate::gateway {
+
+namespace {
+
+/// Reports need no slot: an engine that lives answers in milliseconds.
+constexpr duration answer_limit = 300ms;
+constexpr std::size_t longest_report = std::size_t{256} * 1024;
+
+target_request report_request(const target_entry& target)
+{
+    target_request request;
+    request.target = target.id;
+    request.address = target.address;
+    request.head =
+        platform_wire::write_report_head(to_string(target.address), target.id);
+    return request;
+}
+
+} // namespace
+
+liveness_probe::liveness_probe(net::event_loop& loop, target_pool& pool,
+                               const target_entry& target,
+                               std::size_t connections, done_handler done)
+    : call_(std::make_unique<short_call>(
+          loop, pool, report_request(target), connections, answer_limit,
+          longest_report,
+          [done = std::move(done)](const short_call::result& r) {
+              done(r.status != 0);
+          }))
+{
+}
+
+} // namespace lovagegate::gateway
