Take a resumed stream up again when its next engine breaks off early

Callers' streams were cut though attempts, repeats and time were left: whether an answer is a stream was read from a flag that each resend clears, so that a reset before the resumed answer's head counted as a broken plain answer. The route says what it is.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -626,7 +626,7 @@
     }
     excluded_.push_back(target_);
     events_.drop_rest();
-    if (head_sent_ && !streaming_out_) {
+    if (head_sent_ && !is_stream()) {
         cut("answer broke off");
         return;
     }
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -283,6 +283,27 @@
     CHECK(a.body == event(1) + event(2));
 }
 
+TEST_CASE("a stream goes on when the engine that takes it up breaks off "
+          "before its answer",
+          "[gateway]")
+{
+    std::atomic<int> resumed{0};
+    const auto target = warm([&](const seen_request& r) -> script {
+        if (resume_after(r).empty())
+            return {{stream_head(r) + event(1), {}, then::go_on},
+                    {"", 50ms, then::reset}};
+        if (resumed++ < 1)
+            return {{"", {}, then::reset}};
+        return {{stream_head(r) + event(2), {}, then::close}};
+    });
+    site s({.kind = "streaming", .resumable = true, .attempts = 3},
+           {target, target, target});
+    const auto a = s.ask(request_text("id1", no_body, "POST"));
+    CHECK(resumed == 2);
+    CHECK(a.complete);
+    CHECK(a.body == event(1) + event(2));
+}
+
 TEST_CASE("a refused resumption is not written into the begun stream",
           "[gateway]")
 {
