Go on with what waits for adapters while an instance stops

Callers of a stopping instance hung: its tick, which repeats questions for adapters and ends those that nobody answers, rested from SIGTERM on. Change: the part that requests need goes on; a question that its owner hasn't heard of for 0.6 s is refused at once, so that another engine is tried; the margins before the end of the grace time are at most a part of it.

--- a/src/lovagegate/gateway/adapter_desk.cpp
+++ b/src/lovagegate/gateway/adapter_desk.cpp
@@ -114,6 +114,7 @@
     const adapter_ask message{number, ask.engine, ask.wanted, ask.was_absent};
     ask.was_absent = false; // said once
     if (state_.ownership.find(ask.engine)) {
+        ask.heard = true;
         on_message({}, message);
         return;
     }
@@ -227,7 +228,8 @@
     if (it == asks_.end() || it->second.engine != answer.engine)
         return;
     if (answer.status == adapter_status::loading) {
-        // Heard: no need to ask again until the load must be over.
+        // No need to ask again until the load must be over.
+        it->second.heard = true;
         it->second.last_sent = net::event_loop::now().mono + ask_silence;
         return;
     }
@@ -474,15 +476,21 @@
         poll(id, e, now.mono);
         work(id, e, now.mono);
     }
-    if (now.mono - last_use_flush_ >= use_interval) {
-        last_use_flush_ = now.mono;
+    tick_requests(now.mono);
+}
+
+void adapter_desk::tick_requests(time_point now)
+{
+    if (now - last_use_flush_ >= use_interval) {
+        last_use_flush_ = now;
         flush_uses();
     }
     std::vector<std::uint64_t> again;
     std::vector<std::uint64_t> over;
     for (const auto& [number, ask] : asks_) {
-        const duration silent = now.mono - ask.last_sent;
-        if (now.mono - ask.since > ask_limit)
+        const duration silent = now - ask.last_sent;
+        const duration age = now - ask.since;
+        if (age > ask_limit || (!ask.heard && age > ask_silence))
             over.push_back(number);
         else if (silent > ask_again)
             again.push_back(number);
@@ -491,7 +499,7 @@
         finish(number, adapter_status::refused, 0);
     for (const auto number : again)
         if (const auto it = asks_.find(number); it != asks_.end())
-            send_ask(number, it->second, now.mono);
+            send_ask(number, it->second, now);
 }
 
 void adapter_desk::stop(const std::string& reason, instant now)
--- a/src/lovagegate/gateway/adapter_desk.hpp
+++ b/src/lovagegate/gateway/adapter_desk.hpp
@@ -57,6 +57,10 @@
     /// Looks at claims, reports and open questions; call it every tick.
     void tick(instant now);
 
+    /// The part of tick() that requests of this instance need, also when it
+    /// orders no engines any more.
+    void tick_requests(time_point now);
+
     /// Gives all engines up.
     void stop(const std::string& reason, instant now);
 
@@ -109,6 +113,7 @@
         answer_handler done;
         time_point since{};
         time_point last_sent{};
+        bool heard = false; ///< its owner has said that it is on it
     };
 
     void update_owned(instant now);
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -27,10 +27,13 @@
 /// The platform takes an instance out after two unanswered questions, a second
 /// apart.
 constexpr duration out_of_rotation = 2300ms;
-/// Left of the grace time when requests that are still open are answered.
+/// Left of the grace time when requests that are still open are answered, and
+/// at most this part of it.
 constexpr duration give_up_margin = 800ms;
+constexpr int give_up_part = 8;
 /// Left of the grace time when the process ends at the latest.
 constexpr duration end_margin = 400ms;
+constexpr int end_part = 16;
 /// Another instance is asked for all that it knows if it is ahead for so long.
 constexpr duration pull_after = 300ms;
 /// One that reads the store itself hears of changes with its next watch.
@@ -278,8 +281,7 @@
     state_.members.self().claims = adapters_.claims(now.mono);
     state_.members.self().leaving = true;
     adapters_.stop("stopping", now);
-    loop_.call_later(state_.boot.stop_grace - give_up_margin,
-                     [this] { give_up_requests(); });
+    loop_.call_later(give_up_time(), [this] { give_up_requests(); });
     const auto all = state_.members.alive(now.mono);
     heartbeat last{state_.members.self(), {}};
     ++state_.members.self().beat;
@@ -296,7 +298,13 @@
 
 duration gateway_daemon::rotation_time() const
 {
-    return std::min(out_of_rotation, state_.boot.stop_grace - give_up_margin);
+    return std::min(out_of_rotation, give_up_time());
+}
+
+duration gateway_daemon::give_up_time() const
+{
+    const duration grace = state_.boot.stop_grace;
+    return grace - std::min(give_up_margin, grace / give_up_part);
 }
 
 bool gateway_daemon::may_end() const
@@ -304,7 +312,8 @@
     if (!state_.stopping)
         return false;
     const duration since = net::event_loop::now().mono - stop_since_;
-    if (since > state_.boot.stop_grace - end_margin)
+    const duration grace = state_.boot.stop_grace;
+    if (since > grace - std::min(end_margin, grace / end_part))
         return true;
     return since > rotation_time() && requests_.empty() &&
            std::ranges::none_of(callers_, [](const auto& entry) {
@@ -541,7 +550,9 @@
         adapters_.stop("the process was paused", now);
     }
     last_tick_ = with_suspension;
-    if (!state_.stopping)
+    if (state_.stopping)
+        adapters_.tick_requests(now.mono);
+    else
         adapters_.tick(now);
 }
 
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -75,6 +75,8 @@
     [[nodiscard]] bool may_end() const;
     /// @return after this time of a stop no caller is sent here any more
     [[nodiscard]] duration rotation_time() const;
+    /// @return after this time of a stop what is open gets its final answer
+    [[nodiscard]] duration give_up_time() const;
     [[nodiscard]] bool is_past_rotation(time_point now) const;
     /// Answers what is still open when the grace time is nearly over.
     void give_up_requests();
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -447,6 +447,29 @@
     stopper.join();
 }
 
+TEST_CASE("a stop doesn't hold back what waits for an adapter", "[gateway]")
+{
+    slow_engine engine(60s);
+    site s({.kind = "non_idempotent", .engines = true},
+           {warm([&](const seen_request& r) { return engine.answer(r); })},
+           // Only requests that are given up at its end wait so long.
+           {.stop_grace = 40s});
+    const auto ask_for = [&](const std::string& adapter) {
+        return s.ask(
+            request_text("id1", no_body + adapter_header(adapter), "POST"));
+    };
+    while (ask_for("a0").head.status != 200)
+        std::this_thread::sleep_for(20ms);
+    caller c(s.callers_port());
+    c.send(request_text("id2", no_body + adapter_header("a1"), "POST"));
+    std::this_thread::sleep_for(200ms);
+    std::thread stopper([&] { s.stop(); });
+    const auto a = c.read();
+    CHECK(a.complete);
+    CHECK(a.head.status == 503);
+    stopper.join();
+}
+
 TEST_CASE("a stop waits until slow callers have their answers", "[gateway]")
 {
     const std::string large(6'000'000, 'x');
