Weigh a queued request the same on engines of any size

Callers of grown fleets waited behind queues: a request over the busy part of an engine cost 1,500/slots, 94 at 16 slots where all instances see the same load of a second ago, so that they left an engine together and came back together. Change: 23 for each, what it is at the 64 slots of the first sites. The first sites keep their cost (23.4 before).

--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -36,6 +36,8 @@
 constexpr double full_cost = 300;         ///< refused a request a moment ago
 constexpr double noise = 0.06;            ///< of the load, so none herds
 constexpr double mean_run_ms = 1500;      ///< a slot of a full engine is held
+/// Of each request above the busy part.
+constexpr double queued_cost = 23;
 /// Part of the slots from which the next request may have to wait: reports of
 /// load are late.
 constexpr double busy_part = 0.8;
@@ -126,7 +128,7 @@
 {
     double cost = crowded_cost * (running / crowded) * (running / crowded);
     if (running > busy_part * slots)
-        cost += (running - busy_part * slots) / slots * mean_run_ms;
+        cost += (running - busy_part * slots) * queued_cost;
     if (now - b.pace_at < gap_keeps)
         cost += gap_cost * std::max(0.0, b.pace_ms - calm_gap_ms);
     return cost;
