Grant nothing on a run of an engine that is known to have ended

Callers' engines saw one request break three targets where two are allowed, after an instance that owned the pool had been paused.

Cause: crashes are told apart by the target and the run that the grant named. It woke, ordered a load, and granted on e0 from a report of before its pause, so for run 1, while run 2 was serving. The crash of run 2 was reported as that of run 1, known already, and not counted; the next grant broke e1.

Change: an owner that learns that a run may have ended, by a release or by the news, grants nothing on the engine until a report that it asked for afterwards names the run; so also for all engines after a pause of the process, and for those with an old report when a pool is taken back. A report with the same run clears the doubt: then only a connection was lost.

The world of the tests now says in a report when it was asked for, as the real reporter does; without it a report of before the crash would count as new.

--- a/src/lovagegate/node/node.cpp
+++ b/src/lovagegate/node/node.cpp
@@ -33,6 +33,10 @@
 
 void node::step(const input& in, instant now, outbox& out)
 {
+    if (now.mono - now_.mono > settings_.membership.pause_bound) {
+        counters_.add("pauses");
+        pools_.on_resumed(now.mono);
+    }
     now_ = now;
     const std::size_t first = out.size();
     dispatch(in, now, out);
--- a/src/lovagegate/node/pool_set.cpp
+++ b/src/lovagegate/node/pool_set.cpp
@@ -229,7 +229,16 @@
                              time_point now)
 {
     for (auto& [pool, p] : owned_)
-        p.owner->on_suspicions(crashes, now);
+        if (p.owner->on_suspicions(crashes, now))
+            p.next_poll = now;
+}
+
+void pool_set::on_resumed(time_point now)
+{
+    for (auto& [pool, p] : owned_) {
+        p.owner->doubt_engines(now);
+        p.next_poll = now;
+    }
 }
 
 void pool_set::tick(const ticket::declared_state& state, time_point now,
--- a/src/lovagegate/node/pool_set.hpp
+++ b/src/lovagegate/node/pool_set.hpp
@@ -62,6 +62,8 @@
     void on_peer_gone(const instance_id& peer, time_point now);
     void on_suspicions(std::span<const protocol::suspicion> crashes,
                        time_point now);
+    /// The process ran again after a pause.
+    void on_resumed(time_point now);
 
     /// Polls the engines of owned pools and lets the owners act.
     void tick(const ticket::declared_state& state, time_point now, outbox& out);
--- a/src/lovagegate/pool/engine.hpp
+++ b/src/lovagegate/pool/engine.hpp
@@ -18,6 +18,10 @@
     bool unreachable = false; ///< until its next report
     incarnation start = 0;    ///< 0: it has not reported yet
     time_point reported = never;
+    /// Its run may have ended unnoticed; only a report that was asked for
+    /// since then tells.
+    bool in_doubt = false;
+    time_point doubted{};
     residency holds;
     engine_health health;
 
@@ -35,7 +39,15 @@
     /// @return whether it may get new work
     [[nodiscard]] bool usable() const noexcept
     {
-        return !removed && !unreachable && !declared.leaving && start != 0;
+        return !removed && !unreachable && !in_doubt && !declared.leaving &&
+               start != 0;
+    }
+
+    /// Its run may have ended.
+    void doubt(time_point now) noexcept
+    {
+        in_doubt = true;
+        doubted = now;
     }
 };
 
--- a/src/lovagegate/pool/pool_owner.cpp
+++ b/src/lovagegate/pool/pool_owner.cpp
@@ -286,6 +286,7 @@
         crashes_.add({l.print, e.id, l.engine_start});
         e.health.on_end(false, {});
         e.unreachable = true;
+        e.doubt(now);
         break;
     case protocol::lease_end::failed:
         e.health.on_end(false, {});
@@ -370,11 +371,30 @@
     pool_.counts.add("waiting_of_dead_instances", gone.size());
 }
 
-void pool_owner::on_suspicions(std::span<const protocol::suspicion> crashes,
-                               time_point)
+bool pool_owner::on_suspicions(std::span<const protocol::suspicion> crashes,
+                               time_point now)
 {
-    for (const protocol::suspicion& crash : crashes)
+    bool any = false;
+    for (const protocol::suspicion& crash : crashes) {
         crashes_.add(crash);
+        const engine_index index = pool_.engines.find(crash.target);
+        if (index == no_engine)
+            continue;
+        engine& e = pool_.engines.at(index);
+        if (crash.target_start < e.start)
+            continue;
+        // A grant that names the ended run would make the next crash look
+        // like this one.
+        e.doubt(now);
+        any = true;
+    }
+    return any;
+}
+
+void pool_owner::doubt_engines(time_point now)
+{
+    for (engine& e : pool_.engines)
+        e.doubt(now);
 }
 
 } // namespace lovagegate::pool
--- a/src/lovagegate/pool/pool_owner.hpp
+++ b/src/lovagegate/pool/pool_owner.hpp
@@ -109,8 +109,11 @@
     /// The instance is dead: nothing is granted to it. Its leases stay until
     /// they expire and a report shows that the engines are done with them.
     void on_peer_gone(const instance_id& peer, time_point now);
-    void on_suspicions(std::span<const protocol::suspicion> crashes,
+    /// @return whether an engine must report before it gets a grant
+    bool on_suspicions(std::span<const protocol::suspicion> crashes,
                        time_point now);
+    /// The process was paused: what it knows of the engines' runs is old.
+    void doubt_engines(time_point now);
     /// Called at least every node::tick_interval.
     void tick(time_point now, node::outbox& out);
 
--- a/src/lovagegate/pool/pool_owner_engines.cpp
+++ b/src/lovagegate/pool/pool_owner_engines.cpp
@@ -64,8 +64,11 @@
     if (!taken)
         return;
     pool_.counts.add("pools_taken_over");
-    for (engine& e : pool_.engines)
+    for (engine& e : pool_.engines) {
         take_over(e, role.since, complete, pool_.settings.lease);
+        if (e.start != 0 && now - e.reported > pool_.settings.lease.report_lag)
+            e.doubt(now);
+    }
     serve_all(now, out);
 }
 
@@ -139,8 +142,14 @@
     if (index == no_engine || report.start < pool_.engines.at(index).start)
         return;
     engine& e = pool_.engines.at(index);
+    const time_point asked = report.asked == time_point{} ? now : report.asked;
+    if (e.in_doubt && asked < e.doubted) {
+        pool_.counts.add("engine_reports_outdated");
+        return;
+    }
     e.reported = now;
     e.unreachable = false;
+    e.in_doubt = false;
     if (report.start != e.start)
         restart_engine(index, report.start, now);
     if (learn_token(e, report.highest_token, pool_.role, pool_.settings.lease,
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -79,3 +79,20 @@
     CHECK(site.at("i0").counts().count("retries{reason=\"lease_expired\"}") ==
           0);
 }
+
+TEST_CASE("an owner that was paused asks its engines before it grants",
+          "[node]")
+{
+    small_site site(1);
+    site.pass(20s);
+    site.feed(instance_id{"i0"}, completion(1));
+    site.pass(3s);
+    REQUIRE(site.attempts.size() == 1);
+    // Its engine may run anew, for other owners, by the time that it wakes.
+    site.pause(5s);
+    site.feed(instance_id{"i0"}, completion(2));
+    CHECK(site.attempts.size() == 1);
+    site.pass(200ms);
+    CHECK(site.attempts.size() == 2);
+    CHECK(site.finished.empty());
+}
--- a/tests/node/small_site.hpp
+++ b/tests/node/small_site.hpp
@@ -64,6 +64,13 @@
         }
     }
 
+    /// Time passes in which no instance runs.
+    void pause(duration d)
+    {
+        now_.mono += d;
+        now_.wall += std::chrono::duration_cast<std::chrono::milliseconds>(d);
+    }
+
     std::vector<node::start_attempt> attempts;
     std::vector<node::finish_request> finished;
     std::size_t loads = 0;
--- /dev/null
+++ b/tests/quarantine/ended_run_test.cpp
@@ -0,0 +1,121 @@
+#include "tests/pool/pool_fixture.hpp"
+#include "tests/sim/site.hpp"
+#include "tests/sim/world.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace lovagegate;
+
+namespace {
+
+constexpr fingerprint poison = 666;
+
+node::adapter_load held(const std::string& adapter)
+{
+    return {{adapter, "1"}, 0, 0};
+}
+
+sim::call_plan crashing_call(int number)
+{
+    sim::call_plan plan;
+    plan.request = request_id("crashing-" + std::to_string(number));
+    plan.print = poison;
+    plan.crashes_target = true;
+    return plan;
+}
+
+} // namespace
+
+TEST_CASE("a crash after a pause is not taken for the one before it",
+          "[quarantine]")
+{
+    sim::world_settings settings;
+    sim::world world{settings};
+    world.publish(1,
+                  sim::first_ticket(settings.engines, settings.plain_targets));
+    world.run_for(60s);
+    constexpr std::size_t paused = 1;
+    world.pause(paused);
+    world.run_for(10s);
+    world.crash_target(1);
+    // The paused instance gets both calls and the news of the crash between
+    // them when it wakes.
+    world.call(paused, crashing_call(1));
+    world.run_for(200ms);
+    world.call(2, crashing_call(2));
+    world.run_for(400ms);
+    world.call(paused, crashing_call(3));
+    world.run_for(640ms);
+    world.wake(paused);
+    world.run_for(60s);
+    for (const auto& v : world.checker().violations())
+        FAIL_CHECK(history::describe(v));
+}
+
+TEST_CASE("an engine whose run is known to have ended gets no grant for it",
+          "[quarantine]")
+{
+    pool::test::pool_fixture f(1, 1);
+    f.settle();
+    f.report({held("a")});
+    const std::vector<protocol::suspicion> crash{
+        {poison, target_id("engine-0"), 1}};
+    f.owner.on_suspicions(crash, f.now);
+    const local_id id = f.ask("a");
+    REQUIRE_FALSE(f.granted(id));
+    CHECK(f.refused(id) == refusal::none);
+
+    SECTION("until it reports its new run")
+    {
+        node::engine_report fresh = f.make_report({held("a")});
+        fresh.start = 2;
+        f.owner.on_report(fresh, f.now, f.out);
+        f.answer_fences();
+        REQUIRE(f.granted(id));
+        CHECK(f.sent<protocol::lease_grant>().back().target_start == 2);
+    }
+    SECTION("and an answer to an earlier question is no proof")
+    {
+        node::engine_report old = f.make_report({held("a")});
+        old.asked = f.now - 1s;
+        f.owner.on_report(old, f.now, f.out);
+        CHECK_FALSE(f.granted(id));
+    }
+    SECTION("but one that only lost a connection serves on")
+    {
+        f.report({held("a")});
+        CHECK(f.granted(id));
+    }
+}
+
+TEST_CASE("an owner that was paused grants nothing on old reports",
+          "[quarantine]")
+{
+    pool::test::pool_fixture f(1, 1);
+    f.settle();
+    f.report({held("a")});
+    f.owner.doubt_engines(f.now);
+    const local_id id = f.ask("a");
+    CHECK_FALSE(f.granted(id));
+    CHECK(f.refused(id) == refusal::none);
+    f.report({held("a")});
+    CHECK(f.granted(id));
+}
+
+TEST_CASE("an owner that takes its pool back grants nothing on old reports",
+          "[quarantine]")
+{
+    pool::test::pool_fixture f(1, 1, false);
+    f.settle();
+    f.report({held("a")});
+    f.owner.set_ownership({}, f.now, f.out);
+    f.now += 20s;
+    f.owner.set_ownership(f.first_listed(), f.now, f.out);
+    const local_id id = f.ask("a");
+    CHECK_FALSE(f.granted(id));
+    f.report({held("a")});
+    CHECK(f.granted(id));
+}
--- a/tests/sim/world_outputs.cpp
+++ b/tests/sim/world_outputs.cpp
@@ -163,9 +163,13 @@
 void world::carry(std::size_t i, const node::poll_engine& o)
 {
     fake_target& target = *find(o.target);
-    deliver(i, settings_.report_lag,
-            target.up() ? node::input(target.report())
-                        : node::input(node::engine_unreachable{o.target}));
+    if (!target.up()) {
+        deliver(i, settings_.report_lag, node::engine_unreachable{o.target});
+        return;
+    }
+    node::engine_report report = target.report();
+    report.asked = instant_of(slots_[i]).mono;
+    deliver(i, settings_.report_lag, std::move(report));
 }
 
 void world::carry(std::size_t i, const node::read_platform& o)
