Count a broken connection as a crash only if its engine's run ends

Callers could see a popular look-up refused for 120 s by all instances, although no engine had crashed: three engines that reset its connections were enough.

Cause: every connection that broke under a request was counted as a crash of its engine. An engine also resets when it is faulty or has no room. Change: a broken connection is noted with the run of the engine and told to the others as before; it counts once an instance sees that run end within 15 s of it, in either order: the store lists the engine under another start, or no longer (unless the store was away), or nothing listens at its address. For the last the pool tells a refused connection from one that timed out or was reset, which proves nothing. The notice between instances is unchanged.

The tests that were there are unchanged.

--- a/src/lovagegate/gateway/adapter_desk.cpp
+++ b/src/lovagegate/gateway/adapter_desk.cpp
@@ -362,7 +362,8 @@
     e.next_report = now + report_interval;
     if (r.status != ok) {
         state_.counts.add("engine_reports_failed");
-        if (r.failure == call_failure::unreachable)
+        if (r.failure == call_failure::refused ||
+            r.failure == call_failure::unreachable)
             state_.places.on_unreachable(id, now);
         return;
     }
--- a/src/lovagegate/gateway/crash_suspects.cpp
+++ b/src/lovagegate/gateway/crash_suspects.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t crash_limit = 3;
 /// Repeats of a request come within minutes.
 constexpr duration suspect_time = 120s;
+/// A crashed engine is back under a new start, or its entry lapses, within
+/// seconds.
+constexpr duration run_end_time = 15s;
 constexpr std::size_t most_suspects = 10000;
 constexpr std::uint64_t method_seed = 1;
 constexpr std::uint64_t path_seed = 2;
@@ -20,6 +23,11 @@
 
 } // namespace
 
+std::string engine_run(std::string_view engine, std::int64_t started_ms)
+{
+    return std::string(engine) + '@' + std::to_string(started_ms);
+}
+
 fingerprint crash_suspects::of(std::string_view method, std::string_view path,
                                std::string_view body) noexcept
 {
@@ -28,6 +36,42 @@
                         stable_hash(body, body_seed));
 }
 
+void crash_suspects::on_break(fingerprint request, std::string_view run,
+                              time_point now)
+{
+    const auto ended = ended_runs_.find(run);
+    if (ended != ended_runs_.end() && now - ended->second <= run_end_time) {
+        on_crash(request, run, now);
+        return;
+    }
+    if (suspects_.size() >= most_suspects)
+        expire(now);
+    auto& breaks = suspects_[request].breaks;
+    const auto known = std::ranges::find(breaks, run, &broken_connection::run);
+    if (known != breaks.end())
+        known->at = now;
+    else
+        breaks.push_back({std::string(run), now});
+}
+
+std::size_t crash_suspects::on_run_ended(std::string_view run, time_point now)
+{
+    ended_runs_.insert_or_assign(std::string(run), now);
+    std::vector<fingerprint> crashing;
+    for (auto& [request, s] : suspects_) {
+        const auto known =
+            std::ranges::find(s.breaks, run, &broken_connection::run);
+        if (known == s.breaks.end())
+            continue;
+        if (now - known->at <= run_end_time)
+            crashing.push_back(request);
+        s.breaks.erase(known);
+    }
+    for (const fingerprint request : crashing)
+        on_crash(request, run, now);
+    return crashing.size();
+}
+
 void crash_suspects::on_crash(fingerprint request, std::string_view engine,
                               time_point now)
 {
@@ -56,8 +100,16 @@
 
 void crash_suspects::expire(time_point now)
 {
-    std::erase_if(suspects_, [&](const auto& s) {
-        return now - s.second.last > suspect_time;
+    std::erase_if(ended_runs_, [&](const auto& ended) {
+        return now - ended.second > run_end_time;
+    });
+    for (auto& [request, s] : suspects_)
+        std::erase_if(s.breaks, [&](const broken_connection& b) {
+            return now - b.at > run_end_time;
+        });
+    std::erase_if(suspects_, [&](const auto& item) {
+        const suspect& s = item.second;
+        return s.breaks.empty() && now - s.last > suspect_time;
     });
 }
 
--- a/src/lovagegate/gateway/crash_suspects.hpp
+++ b/src/lovagegate/gateway/crash_suspects.hpp
@@ -5,6 +5,9 @@
 #include "lovagegate/core/time.hpp"
 
 #include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -12,8 +15,15 @@
 
 namespace lovagegate::gateway {
 
+/// @return name of one run of an engine
+/// @param started_ms Unix time of its start
+[[nodiscard]] std::string engine_run(std::string_view engine,
+                                     std::int64_t started_ms);
+
 /// Counts the engines that crashed while they ran a request, told by path and
-/// body. The third crash ends the request for all instances.
+/// body. The third crash ends the request for all instances. A broken
+/// connection is a crash only if the engine's run ends at about that time:
+/// engines also reset connections that they have no room for.
 class crash_suspects
 {
 public:
@@ -22,6 +32,15 @@
                                         std::string_view path,
                                         std::string_view body) noexcept;
 
+    /// A connection to an engine broke with the request on it.
+    /// @param run of the engine, see engine_run()
+    void on_break(fingerprint request, std::string_view run, time_point now);
+
+    /// The run of an engine is over: the store lists another one or none, or
+    /// nothing takes connections at its address.
+    /// @return crashes that are counted now
+    std::size_t on_run_ended(std::string_view run, time_point now);
+
     /// An engine crashed with the request on it.
     /// @param engine with the time of its start, so that one crash that two
     ///        instances report counts once
@@ -37,13 +56,21 @@
     void expire(time_point now);
 
 private:
+    struct broken_connection
+    {
+        std::string run;
+        time_point at{};
+    };
+
     struct suspect
     {
         std::vector<std::string> engines;
-        time_point last{};
+        time_point last{};                     ///< crash
+        std::vector<broken_connection> breaks; ///< that may be crashes
     };
 
     std::unordered_map<fingerprint, suspect> suspects_;
+    std::map<std::string, time_point, std::less<>> ended_runs_;
 };
 
 } // namespace lovagegate::gateway
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -591,6 +591,8 @@
         --runs_;
         --sends_;
         s.places.on_unreachable(target_, now);
+        if (f == call_failure::refused)
+            context_.on_refused(target_);
         excluded_.push_back(target_);
         try_next();
         return;
@@ -608,8 +610,8 @@
     }
     const target_state* t = s.targets.find(target_);
     if (f != call_failure::not_an_answer && t != nullptr) {
-        const crash_notice notice{
-            fingerprint_, target_ + '@' + std::to_string(t->entry.started_ms)};
+        const crash_notice notice{fingerprint_,
+                                  engine_run(target_, t->entry.started_ms)};
         context_.on_crash(notice);
     }
     excluded_.push_back(target_);
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -26,8 +26,10 @@
     target_pool& pool;
     adapter_desk& adapters;
     std::mt19937_64& random;
-    /// Tells the other instances that an engine crashed under a request.
+    /// Tells the other instances that an engine broke off under a request.
     std::function<void(const crash_notice&)> on_crash;
+    /// Nothing listens at the address of a target.
+    std::function<void(const std::string& target)> on_refused;
     /// A request has ended; it is destroyed from the loop.
     std::function<void(class forwarding&)> on_done;
     /// First byte and whole answer, for the histograms.
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -119,13 +119,17 @@
                adapters_,
                random_,
                [this](const crash_notice& n) {
-                   state_.suspects.on_crash(n.request, n.engine,
+                   state_.suspects.on_break(n.request, n.engine,
                                             net::event_loop::now().mono);
                    for (const auto& address :
                         state_.members.alive(net::event_loop::now().mono))
                        if (address != state_.boot.address)
                            send_to_peer(address, n);
                },
+               [this](const std::string& target) {
+                   if (const auto* t = state_.targets.find(target))
+                       note_run_ended(*t);
+               },
                [this](forwarding& f) {
                    const auto it = requests_.find(&f);
                    if (it == requests_.end())
@@ -431,6 +435,8 @@
                        {{"target", id},
                         {"revision", item.revision},
                         {"in_doubt", doubt ? "yes" : "no"}});
+        if (!in_doubt)
+            note_run_ended(*known);
         state_.targets.remove(id, doubt, now);
         return;
     }
@@ -448,8 +454,10 @@
                         {"address", to_string(entry->address)},
                         {"leaving", entry->leaving ? "yes" : "no"},
                         {"revision", item.revision}});
-    if (known != nullptr && known->entry.started_ms != entry->started_ms)
+    if (known != nullptr && known->entry.started_ms != entry->started_ms) {
+        note_run_ended(*known);
         pool_.forget(id);
+    }
     const service_spec* service = state_.routes.service(entry->service);
     state_.places.on_entry(
         *entry, service && service->engine ? service->engine->adapter_slots : 0,
@@ -457,6 +465,14 @@
     state_.targets.put(std::move(*entry), now);
 }
 
+void gateway_daemon::note_run_ended(const target_state& t)
+{
+    state_.counts.add(
+        "crashes_counted",
+        state_.suspects.on_run_ended(engine_run(t.entry.id, t.entry.started_ms),
+                                     net::event_loop::now().mono));
+}
+
 void gateway_daemon::send_to_peer(const std::string& address,
                                   const peer_message& message)
 {
@@ -498,7 +514,7 @@
     } else if (const auto* use = std::get_if<adapter_use>(&*message)) {
         adapters_.on_message(from.address, *use);
     } else if (const auto* crash = std::get_if<crash_notice>(&*message)) {
-        state_.suspects.on_crash(crash->request, crash->engine, now);
+        state_.suspects.on_break(crash->request, crash->engine, now);
     } else if (const auto* news = std::get_if<store_news>(&*message)) {
         take_news(from, *news);
     }
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -45,6 +45,8 @@
 private:
     void take_operator_item(const platform_wire::store_item& item);
     void take_target(const platform_wire::store_item& item, bool in_doubt);
+    /// Broken connections to it were crashes.
+    void note_run_ended(const target_state& t);
     [[nodiscard]] bool many_vanished(const std::string& service,
                                      time_point now);
     void accept_caller(int fd);
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -100,7 +100,8 @@
     std::uint32_t halting = 0;
 };
 
-/// A request was at an engine when that engine crashed.
+/// A request was at an engine when its connection broke: the engine may have
+/// crashed.
 struct crash_notice
 {
     fingerprint request = 0;
--- a/src/lovagegate/gateway/target_pool.cpp
+++ b/src/lovagegate/gateway/target_pool.cpp
@@ -16,6 +16,8 @@
     switch (f) {
     case call_failure::no_connection:
         return "no_connection";
+    case call_failure::refused:
+        return "refused";
     case call_failure::unreachable:
         return "unreachable";
     case call_failure::before_answer:
@@ -213,7 +215,8 @@
             return;
         }
         if (how == net::stream_end::connect_failed)
-            fail(call_failure::unreachable);
+            fail(stream_.is_refused() ? call_failure::refused
+                                      : call_failure::unreachable);
         else
             fail(answered_ ? call_failure::within_answer
                            : call_failure::before_answer);
--- a/src/lovagegate/gateway/target_pool.hpp
+++ b/src/lovagegate/gateway/target_pool.hpp
@@ -19,7 +19,8 @@
 enum class call_failure : std::uint8_t
 {
     no_connection, ///< none could be opened, or no more are allowed
-    unreachable,   ///< the target refused the connection or didn't answer
+    refused,       ///< nothing listens at the target's address
+    unreachable,   ///< no connection came about for another reason
     before_answer, ///< the request was sent and may have run
     within_answer, ///< the answer broke off
     not_an_answer, ///< the target sent bytes that are no answer
@@ -31,7 +32,8 @@
 /// @return whether provably no byte of the request has reached the target
 [[nodiscard]] constexpr bool nothing_sent(call_failure f) noexcept
 {
-    return f == call_failure::no_connection || f == call_failure::unreachable;
+    return f == call_failure::no_connection || f == call_failure::refused ||
+           f == call_failure::unreachable;
 }
 
 /// Gets the answer to one call. Nothing follows on_answer_end() or
--- a/src/lovagegate/net/tcp_stream.cpp
+++ b/src/lovagegate/net/tcp_stream.cpp
@@ -221,6 +221,7 @@
         socklen_t size = sizeof failure;
         ::getsockopt(watch_->fd(), SOL_SOCKET, SO_ERROR, &failure, &size);
         if (failure != 0) {
+            refused_ = failure == ECONNREFUSED;
             end(stream_end::connect_failed);
             return;
         }
--- a/src/lovagegate/net/tcp_stream.hpp
+++ b/src/lovagegate/net/tcp_stream.hpp
@@ -66,6 +66,9 @@
 
     [[nodiscard]] bool is_connected() const noexcept { return connected_; }
 
+    /// @return whether nothing listens at the peer's address
+    [[nodiscard]] bool is_refused() const noexcept { return refused_; }
+
     /// Sends the end of data; reading goes on.
     void end_writing();
 
@@ -94,6 +97,7 @@
     std::string out_;
     std::size_t sent_ = 0;
     bool connected_ = false;
+    bool refused_ = false;
     bool ended_ = false;
     bool end_when_sent_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/standins/site/dialect.cpp
+++ b/standins/site/dialect.cpp
@@ -63,12 +63,12 @@
         .dump();
 }
 
-std::string entry_text(std::uint16_t port)
+std::string entry_text(std::uint16_t port, std::int64_t start)
 {
     return json{
         {"service", "s"},   {"address", "127.0.0.1:" + std::to_string(port)},
         {"zone", "z"},      {"slots", 6},
-        {"state", "ready"}, {"born", 1}}
+        {"state", "ready"}, {"born", start}}
         .dump();
 }
 
--- a/standins/site/dialect.hpp
+++ b/standins/site/dialect.hpp
@@ -27,7 +27,9 @@
 [[nodiscard]] std::string config_text(const site_description& site);
 
 /// @return what a ready target publishes about itself
-[[nodiscard]] std::string entry_text(std::uint16_t port);
+/// @param start tells its starts apart
+[[nodiscard]] std::string entry_text(std::uint16_t port,
+                                     std::int64_t start = 1);
 
 /// @return a caller's request for the route, without a body
 /// @param more further headers, each with its line end
--- a/standins/site/platform_store.cpp
+++ b/standins/site/platform_store.cpp
@@ -60,6 +60,11 @@
     put(std::string(platform_wire::store_key::targets) + id, value);
 }
 
+void platform_store::remove_target(const std::string& id)
+{
+    remove(std::string(platform_wire::store_key::targets) + id);
+}
+
 void platform_store::remove(const std::string& key)
 {
     items_.erase(key);
--- a/tests/gateway/site_fixture.hpp
+++ b/tests/gateway/site_fixture.hpp
@@ -121,6 +121,7 @@
                 servers.push_back(std::make_unique<scripted_server>(
                     loop, counted(targets[i])));
                 servers.back()->on_left = [this] { ++left; };
+                target_ports_.push_back(servers.back()->port());
                 store.put_target("i-" + std::to_string(i),
                                  entry_text(servers.back()->port()));
             }
@@ -162,6 +163,32 @@
         done.get_future().wait();
     }
 
+    /// The target is published as one that has started again.
+    void publish_restart(std::size_t target, std::int64_t start)
+    {
+        change([&](platform_store& store) {
+            store.put_target("i-" + std::to_string(target),
+                             entry_text(target_ports_.at(target), start));
+        });
+    }
+
+    /// The target's entry lapses.
+    void unlist(std::size_t target)
+    {
+        change([&](platform_store& store) {
+            store.remove_target("i-" + std::to_string(target));
+        });
+    }
+
+    /// The target is published, unchanged, at a port where nothing listens.
+    void publish_gone(std::size_t target)
+    {
+        change([&](platform_store& store) {
+            store.put_target("i-" + std::to_string(target),
+                             entry_text(free_port()));
+        });
+    }
+
     void stop()
     {
         if (!gateway_thread_.joinable())
@@ -224,6 +251,7 @@
     net::event_loop* loop_ = nullptr;
     platform_store* store_ = nullptr;
     gateway::gateway_daemon* daemon_ = nullptr;
+    std::vector<std::uint16_t> target_ports_;
     std::uint16_t store_port_ = 0;
     std::uint16_t callers_port_ = 0;
 };
--- a/tests/gateway/target_pool_test.cpp
+++ b/tests/gateway/target_pool_test.cpp
@@ -95,3 +95,20 @@
     CHECK(result.failure == call_failure::unreachable);
     CHECK(listener.received() == 0);
 }
+
+TEST_CASE("a target whose process is gone is told from one that is slow",
+          "[gateway]")
+{
+    net::test::loop_fixture f;
+    target_pool pool(f.loop);
+    std::uint16_t port = 0;
+    {
+        const silent_listener listener;
+        port = listener.port();
+    }
+    outcome result;
+    const auto call = pool.send(request_to(port), 8, result);
+    REQUIRE(call);
+    f.run_until([&] { return result.failure.has_value(); });
+    CHECK(result.failure == call_failure::refused);
+}
