Bound what is skipped in search of an answer

Callers waited until their deadline for a 504 when a target sent interim answers or answers to other requests without end, or one of these with a body without end; another target could have served them. Calls to the store, to peers and to engines were held until their time limit.

Cause: a head is bounded, but each skipped answer starts a new one, and bodies that are skipped were not counted. Change: at most pool_settings::max_skipped_bytes are read in search of an answer; then the target is left as one that sent no answer. Evidence: in the new tests the three kinds fail on the code before (504 in place of another target's 200, and in place of a 502; the short call doesn't end). The other kinds (status line, header, headers, chunk extension, trailers, bytes after a whole answer) were bounded already; their tests hold before and after. Scripted servers can repeat a step until their peer closes; they add nothing while the peer doesn't read.

--- a/src/lovagegate/gateway/target_pool.cpp
+++ b/src/lovagegate/gateway/target_pool.cpp
@@ -81,6 +81,7 @@
         handler_ = &handler;
         attempt_id_ = request.attempt_id;
         skipping_ = false;
+        skipped_bytes_ = 0;
         answered_ = false;
         is_head_ = request.is_head_method;
         reader_.start(is_head_);
@@ -147,7 +148,12 @@
                      : call_failure::not_an_answer);
             return false;
         }
-        data.remove_prefix(std::min(progress.used, data.size()));
+        const std::size_t used = std::min(progress.used, data.size());
+        data.remove_prefix(used);
+        if (skipping_ && !may_skip(used)) {
+            fail(call_failure::not_an_answer);
+            return false;
+        }
         if (!progress.complete)
             return true;
         if (skipping_) {
@@ -158,6 +164,13 @@
         return complete(data.empty());
     }
 
+    /// @return whether the answer may still follow so many further bytes
+    bool may_skip(std::size_t bytes)
+    {
+        skipped_bytes_ += bytes;
+        return skipped_bytes_ <= pool_.settings_.max_skipped_bytes;
+    }
+
     void on_head(net::message_head& head)
     {
         constexpr int first_final_status = 200;
@@ -259,6 +272,7 @@
     time_point idle_since_{};
     time_point idle_until_{};
     duration keep_for_{};
+    std::size_t skipped_bytes_ = 0; ///< of answers that are not to the request
     bool answered_ = false;
     bool skipping_ = false; ///< an answer that is not to the request
     bool spoiled_ = false;  ///< carried an answer to another request
--- a/src/lovagegate/gateway/target_pool.hpp
+++ b/src/lovagegate/gateway/target_pool.hpp
@@ -100,6 +100,9 @@
     /// after a second or more.
     duration fresh_limit = 600ms;
     std::size_t max_head_bytes = std::size_t{32} * 1024;
+    /// Bytes of interim answers and of answers to other requests that are read
+    /// in search of the answer. A late answer to an earlier request fits.
+    std::size_t max_skipped_bytes = std::size_t{1024} * 1024;
 };
 
 /// What the pool has done.
--- a/standins/site/dialect.cpp
+++ b/standins/site/dialect.cpp
@@ -54,7 +54,7 @@
                    {"prefix", site.prefix},
                    {"kind", site.kind},
                    {"timeoutMs", 15000},
-                   {"targetLatencyMs", 5000},
+                   {"targetLatencyMs", site.latency_objective_ms},
                    {"priority", 1},
                    {"service", "s"},
                    {"maxAttempts", site.attempts},
--- a/standins/site/dialect.hpp
+++ b/standins/site/dialect.hpp
@@ -19,6 +19,7 @@
     int attempts = 2;
     int version = 1;
     std::string prefix = "/p/";
+    int latency_objective_ms = 5000;
     /// The targets are engines, which hold one model, "m", and adapters.
     bool engines = false;
 };
--- a/standins/site/scripted_server.cpp
+++ b/standins/site/scripted_server.cpp
@@ -70,9 +70,13 @@
 
     void take_step()
     {
+        if (steps_.front().after == then::repeat) {
+            repeat_step();
+            return;
+        }
         const script_step step = std::move(steps_.front());
         steps_.pop_front();
-        stream_.write(step.bytes);
+        write(step.bytes);
         if (step.after == then::go_on) {
             next_step();
             return;
@@ -86,6 +90,33 @@
         }
     }
 
+    void write(std::string_view bytes)
+    {
+        stream_.write(bytes);
+        if (server_.on_written)
+            server_.on_written(bytes.size());
+    }
+
+    void repeat_step()
+    {
+        // What the peer doesn't read is not added to.
+        waits_for_peer_ = stream_.unsent() > 0;
+        if (waits_for_peer_)
+            return;
+        write(steps_.front().bytes);
+        // From the loop, so that other connections get their turn.
+        server_.loop_.call_later(steps_.front().delay, [this, alive = alive_] {
+            if (*alive)
+                repeat_step();
+        });
+    }
+
+    void on_drained() override
+    {
+        if (waits_for_peer_)
+            repeat_step();
+    }
+
     void on_end(net::stream_end) override
     {
         if (!steps_.empty() && server_.on_left)
@@ -99,6 +130,7 @@
     net::tcp_stream stream_;
     std::string body_;
     std::deque<script_step> steps_; ///< still to be taken
+    bool waits_for_peer_ = false;   ///< to read what was written
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/standins/site/scripted_server.hpp
+++ b/standins/site/scripted_server.hpp
@@ -19,7 +19,8 @@
 {
     go_on, ///< keeps it
     close, ///< ends it in order
-    reset  ///< breaks it
+    reset, ///< breaks it
+    repeat ///< takes the same step again, until the peer closes
 };
 
 /// One part of an answer.
@@ -57,6 +58,9 @@
     /// Called when a caller leaves before its answer has ended.
     std::function<void()> on_left;
 
+    /// Called with the size of each part that was written.
+    std::function<void(std::size_t bytes)> on_written;
+
 private:
     class connection;
     void drop(connection& c);
--- /dev/null
+++ b/tests/gateway/endless_answer_test.cpp
@@ -0,0 +1,143 @@
+#include "tests/gateway/site_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagegate;
+using namespace lovagegate::gateway_test;
+
+namespace {
+
+const std::string no_body = "Content-Length: 0\r\n";
+
+/// An objective with which no target counts as silent before the deadline.
+constexpr int never_silent_ms = 15000;
+
+/// Written at once by a target that sends without end.
+constexpr std::size_t block_bytes = std::size_t{16} * 1024;
+
+/// @return the text, repeated up to a block
+std::string block_of(const std::string& text)
+{
+    std::string all;
+    while (all.size() < block_bytes)
+        all += text;
+    return all;
+}
+
+/// Slow enough that a gateway without a bound doesn't fill the machine.
+/// @param begin sent once
+/// @param more sent again and again until the gateway closes
+script endless(const std::string& begin, const std::string& more)
+{
+    return {{begin, {}, then::go_on}, {block_of(more), 1ms, then::repeat}};
+}
+
+std::string without_end_of_head(std::string head)
+{
+    head.resize(head.size() - 2);
+    return head;
+}
+
+/// @return the head, for a body in chunks
+std::string chunked(const std::string& head)
+{
+    return without_end_of_head(head) + "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+/// The first request of the test gets one answer, later ones succeed.
+site::target_script only_first(const site::target_script& first)
+{
+    return warm([first, asked = std::make_shared<std::atomic<int>>(0)](
+                    const seen_request& r) {
+        constexpr int ok = 200;
+        return ++*asked == 1 ? first(r) : signed_answer(r, ok, "fine");
+    });
+}
+
+/// Waits until the gateway has closed a connection within an answer.
+bool is_left(const site& s)
+{
+    const auto until = std::chrono::steady_clock::now() + patience;
+    while (s.left == 0 && std::chrono::steady_clock::now() < until)
+        std::this_thread::sleep_for(5ms);
+    return s.left > 0;
+}
+
+/// @return a target's first answer of the kind that never becomes one
+site::target_script no_answer_of_kind(const std::string& kind)
+{
+    return [kind](const seen_request& r) -> script {
+        const auto success = promising_head(r, 0);
+        if (kind == "status line")
+            return endless("HTTP/1.1 200 ", "a");
+        if (kind == "header")
+            return endless("HTTP/1.1 200 OK\r\nA: ", "b");
+        if (kind == "headers")
+            return endless("HTTP/1.1 200 OK\r\n", "A: b\r\n");
+        if (kind == "interim answers")
+            return endless("", "HTTP/1.1 100 Continue\r\n\r\n");
+        if (kind == "other answers")
+            return endless("", signed_bytes("other", 200, "not yours"));
+        if (kind == "other answer's body")
+            return endless("HTTP/1.1 200 OK\r\n" + id_header("other") + "\r\n",
+                           "not yours");
+        if (kind == "chunk extension")
+            return endless(chunked(stream_head(r)) + "3;a=", "b");
+        if (kind == "trailers")
+            return endless(chunked(stream_head(r)) + "3\r\nabc\r\n0\r\n",
+                           "A: b\r\n");
+        return endless(chunked(stream_head(r)) + "3\r\nabc\r\n0\r\nA: ", "b");
+    };
+}
+
+std::string any_kind()
+{
+    return GENERATE(values<std::string>(
+        {"status line", "header", "headers", "interim answers", "other answers",
+         "other answer's body", "chunk extension", "trailer", "trailers"}));
+}
+
+} // namespace
+
+TEST_CASE("another target serves what a target answers with no answer, without "
+          "end",
+          "[gateway]")
+{
+    const std::string kind = any_kind();
+    CAPTURE(kind);
+    const auto target = only_first(no_answer_of_kind(kind));
+    site s({.kind = "idempotent", .latency_objective_ms = never_silent_ms},
+           {target, target});
+    const auto a = s.ask(request_text("id1"));
+    CHECK(a.head.status == 200);
+    CHECK(a.body == "fine");
+    CHECK(is_left(s));
+}
+
+TEST_CASE("a caller is told of a failure when its target answers with no "
+          "answer, without end",
+          "[gateway]")
+{
+    const std::string kind = any_kind();
+    CAPTURE(kind);
+    site s({.kind = "non_idempotent"}, {warm(no_answer_of_kind(kind))});
+    const auto a = s.ask(request_text("id1", no_body, "POST"));
+    CHECK(a.complete);
+    CHECK(a.head.status == 502);
+    CHECK(s.runs == 1);
+    CHECK(is_left(s));
+}
+
+TEST_CASE("bytes without end after a whole answer reach nobody", "[gateway]")
+{
+    const auto target = only_first([](const seen_request& r) {
+        return endless(signed_bytes(attempt_id(r), 200, "first"), "more");
+    });
+    site s({.kind = "idempotent"}, {target});
+    caller c(s.callers_port());
+    c.send(request_text("id1"));
+    CHECK(c.read().body == "first");
+    CHECK(is_left(s));
+    c.send(request_text("id2"));
+    CHECK(c.read().body == "fine");
+}
--- a/tests/gateway/site_fixture.hpp
+++ b/tests/gateway/site_fixture.hpp
@@ -121,6 +121,9 @@
                 servers.push_back(std::make_unique<scripted_server>(
                     loop, counted(targets[i])));
                 servers.back()->on_left = [this] { ++left; };
+                servers.back()->on_written = [this](std::size_t bytes) {
+                    written += bytes;
+                };
                 store.put_target("i-" + std::to_string(i),
                                  entry_text(servers.back()->port()));
             }
@@ -174,6 +177,7 @@
 
     std::atomic<int> runs{0};
     std::atomic<int> left{0};
+    std::atomic<std::size_t> written{0}; ///< bytes, by the targets
 
 private:
     target_script counted(const target_script& fn)
