Don't take a malformed answer for a crash of its engine

Callers got a 502 "the request crashes engines" for a sound request after three engines had answered it with a chunk extension or trailer that doesn't end (or with any other malformed body).

Cause: what can't be parsed counted as "broke off" once the head was read, and an answer that breaks off is a sign of a crash. An engine that sends bytes is there. Change: bytes that can't be parsed are no answer, within an answer as before it. Evidence: the new test fails before for "chunk extension", "trailer" and "trailers": the request after them is refused. The test of short calls asks for the kind of failure now; it fails before for the same kinds.

--- a/src/lovagegate/gateway/target_pool.cpp
+++ b/src/lovagegate/gateway/target_pool.cpp
@@ -143,9 +143,7 @@
         if (is_idle()) // given up in a callback
             return false;
         if (progress.failure != net::parse_failure::none) {
-            fail(reader_.head_complete() && answered_
-                     ? call_failure::within_answer
-                     : call_failure::not_an_answer);
+            fail(call_failure::not_an_answer);
             return false;
         }
         const std::size_t used = std::min(progress.used, data.size());
--- a/tests/gateway/endless_answer_test.cpp
+++ b/tests/gateway/endless_answer_test.cpp
@@ -141,3 +141,19 @@
     c.send(request_text("id2"));
     CHECK(c.read().body == "fine");
 }
+
+TEST_CASE("a request isn't taken for one that crashes engines when its answers "
+          "never end",
+          "[gateway]")
+{
+    const std::string kind = any_kind();
+    CAPTURE(kind);
+    const auto target = warm([kind](const seen_request& r) {
+        return attempt_id(r) == "last" ? signed_answer(r, 200, "fine")
+                                       : no_answer_of_kind(kind)(r);
+    });
+    site s({.kind = "idempotent", .attempts = 3}, {target, target, target});
+    CHECK(s.ask(request_text("id1")).head.status == 502);
+    CHECK(s.ask(request_text("id2")).head.status == 502);
+    CHECK(s.ask(request_text("last")).body == "fine");
+}
--- a/tests/gateway/endless_control_answer_test.cpp
+++ b/tests/gateway/endless_control_answer_test.cpp
@@ -79,7 +79,7 @@
     short_call_fixture c(endless(begin, more));
     REQUIRE(c.ask());
     CHECK(c.result->status == 0);
-    CHECK(c.result->failure.has_value());
+    CHECK(c.result->failure == call_failure::not_an_answer);
     CHECK(c.f.run_until([&] { return c.left; }));
 }
 
