Leave a target whose discarded answer doesn't end

Callers waited until their deadline for a 504 when a target had refused their request as not run, had failed it, or had answered it without a signature, and sent a body without end or very slowly after that head; another target could have served them.

Cause: the body of an answer that nobody gets was read to its end, since the connection can be kept then. Change: it is read for discard_limits::bytes and discard_limits::time at most; then the connection is closed and the request goes on as after a whole answer. Evidence: the four new tests fail on the code before with 504 in place of 200, 503 or 502, for bodies that come fast and for a byte every 5 ms.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -374,6 +374,7 @@
         return;
     at_target_ = false;
     call_.reset();
+    discarded_.reset();
     context_.state.places.on_left(target_);
     if (!adapter_.empty())
         context_.adapters.note_done(target_, adapter_);
@@ -385,6 +386,14 @@
 }
 
 void forwarding::on_answer_head(net::message_head& head)
+{
+    judge_answer(head);
+    if (is_discarded())
+        discarded_ = std::make_unique<discarded_body>(
+            context_.loop, [this] { on_discarded(); });
+}
+
+void forwarding::judge_answer(const net::message_head& head)
 {
     const time_point now = net::event_loop::now().mono;
     silent_since_ = now;
@@ -415,8 +424,12 @@
 bool forwarding::on_answer_body(std::string_view part)
 {
     silent_since_ = net::event_loop::now().mono;
-    if (rejected_ || discarding_)
-        return true;
+    if (is_discarded()) {
+        if (discarded_->add(part.size()))
+            return true;
+        on_discarded();
+        return false;
+    }
     if (streaming_out_) {
         deliver_events(part);
         return !done_;
@@ -481,17 +494,12 @@
 void forwarding::on_answer_end()
 {
     gateway_state& s = context_.state;
-    const std::string target = target_;
-    leave_target();
-    if (rejected_) {
-        on_rejected();
-        return;
-    }
-    if (discarding_) {
-        excluded_.push_back(target);
-        retry_or(bad_gateway, "no usable answer");
+    if (is_discarded()) {
+        on_discarded();
         return;
     }
+    const std::string target = target_;
+    leave_target();
     if (streaming_out_ && !events_.rest().empty()) {
         on_broken(call_failure::within_answer);
         return;
@@ -516,6 +524,18 @@
     finish("answered");
 }
 
+void forwarding::on_discarded()
+{
+    const std::string target = target_;
+    leave_target();
+    if (rejected_) {
+        on_rejected();
+        return;
+    }
+    excluded_.push_back(target);
+    retry_or(bad_gateway, "no usable answer");
+}
+
 void forwarding::deliver_whole()
 {
     deliver_head(answer_, true);
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -4,6 +4,7 @@
 #include "lovagegate/gateway/adapter_desk.hpp"
 #include "lovagegate/gateway/caller_connection.hpp"
 #include "lovagegate/gateway/caller_request.hpp"
+#include "lovagegate/gateway/discarded_body.hpp"
 #include "lovagegate/gateway/event_splitter.hpp"
 #include "lovagegate/gateway/gateway_state.hpp"
 #include "lovagegate/gateway/target_pool.hpp"
@@ -73,9 +74,17 @@
     void on_rejected();
     void retry_or(int status, std::string_view reason);
     [[nodiscard]] bool may_run_again() const;
+    /// Sets what becomes of an answer by its head.
+    void judge_answer(const net::message_head& head);
     void deliver_head(const net::message_head& head, bool whole);
     void deliver_events(std::string_view data);
     void deliver_whole();
+    [[nodiscard]] bool is_discarded() const noexcept
+    {
+        return rejected_ || discarding_;
+    }
+    /// An answer that is discarded has ended, or is not read on.
+    void on_discarded();
     void note_gap(time_point now);
     void on_broken(call_failure f);
     void refuse(std::string_view reason);
@@ -110,6 +119,7 @@
     std::string last_misdirected_; ///< target that lacked the adapter
     std::string adapter_;          ///< MODEL/NAME, empty without one
     std::unique_ptr<target_call> call_;
+    std::unique_ptr<discarded_body> discarded_; ///< of an answer that has begun
     std::vector<std::string> excluded_;
     event_splitter events_;
     net::message_head answer_;
--- a/tests/gateway/endless_answer_test.cpp
+++ b/tests/gateway/endless_answer_test.cpp
@@ -32,6 +32,12 @@
     return {{begin, {}, then::go_on}, {block_of(more), 1ms, then::repeat}};
 }
 
+/// Sends a byte now and then, so that a bound on bytes is never reached.
+script trickle(const std::string& begin)
+{
+    return {{begin, {}, then::go_on}, {"x", 5ms, then::repeat}};
+}
+
 std::string without_end_of_head(std::string head)
 {
     head.resize(head.size() - 2);
@@ -44,6 +50,14 @@
     return without_end_of_head(head) + "Transfer-Encoding: chunked\r\n\r\n";
 }
 
+/// @return the head of a whole answer, for a body that ends with the connection
+std::string head_of(const script& answer)
+{
+    const std::string& all = answer.front().bytes;
+    const auto length = all.find("Content-Length");
+    return all.substr(0, length) + "\r\n";
+}
+
 /// The first request of the test gets one answer, later ones succeed.
 site::target_script only_first(const site::target_script& first)
 {
@@ -142,6 +156,73 @@
     CHECK(c.read().body == "fine");
 }
 
+TEST_CASE("a request that was not run goes on at another target while the "
+          "refusal's body has no end",
+          "[gateway]")
+{
+    const int status = GENERATE(421, 429, 503);
+    const bool fast = GENERATE(true, false);
+    CAPTURE(status, fast);
+    const auto target = only_first([&](const seen_request& r) {
+        const auto head = head_of(not_run(r, status));
+        return fast ? endless(head, "no") : trickle(head);
+    });
+    site s({.kind = "non_idempotent"}, {target, target});
+    const auto a = s.ask(request_text("id1", no_body, "POST"));
+    CHECK(a.head.status == 200);
+    CHECK(a.body == "fine");
+    CHECK(is_left(s));
+}
+
+TEST_CASE("a request that no target ran is refused although the refusals' "
+          "bodies have no end",
+          "[gateway]")
+{
+    const auto target = warm([](const seen_request& r) {
+        return endless(head_of(not_run(r, 503)), "no");
+    });
+    site s({.kind = "non_idempotent"}, {target, target});
+    const auto a = s.ask(request_text("id1", no_body, "POST"));
+    CHECK(a.complete);
+    CHECK(a.head.status == 503);
+    CHECK(s.runs == 2);
+}
+
+TEST_CASE("an idempotent request is tried again while a failure's body has no "
+          "end",
+          "[gateway]")
+{
+    const bool fast = GENERATE(true, false);
+    CAPTURE(fast);
+    const auto target = only_first([&](const seen_request& r) {
+        const auto head = head_of(signed_answer(r, 500, ""));
+        return fast ? endless(head, "no") : trickle(head);
+    });
+    site s({.kind = "idempotent"}, {target, target});
+    const auto a = s.ask(request_text("id1"));
+    CHECK(a.head.status == 200);
+    CHECK(a.body == "fine");
+    CHECK(is_left(s));
+}
+
+TEST_CASE("a caller is told of a failure while the body of a success without "
+          "the target's signature has no end",
+          "[gateway]")
+{
+    const bool fast = GENERATE(true, false);
+    CAPTURE(fast);
+    const auto target = warm([&](const seen_request& r) {
+        const auto head = head_of(unsigned_answer(r, ""));
+        return fast ? endless(head, "forged") : trickle(head);
+    });
+    site s({.kind = "non_idempotent"}, {target, target});
+    const auto a = s.ask(request_text("id1", no_body, "POST"));
+    CHECK(a.complete);
+    CHECK(a.head.status == 502);
+    CHECK(s.runs == 1);
+    CHECK(is_left(s));
+}
+
 TEST_CASE("a request isn't taken for one that crashes engines when its answers "
           "never end",
           "[gateway]")
