Keep a long answer at its target while the caller doesn't read

A caller that reads slowly, or not at all, and a target that sends a success without end filled the memory of the instance, which all its callers share.

Cause: only event streams stopped their target; other answers were read as fast as they came and kept for the caller. Change: they stop their target as well, at answer_pause_bytes of unsent bytes. Evidence: the new test fails on the code before for both kinds of route that are no streams: the gateway takes the 64 MiB at which the test stops. It takes what the sockets hold and the bound now. An answer of 24 MB that ends with its connection still reaches a slow caller whole. What changes for callers: an answer longer than the bound and the sockets is under the request's deadline until the caller has read so far.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t hold_back_bytes = std::size_t{256} * 1024;
 /// A caller that reads slowly stops its target at this many unsent bytes.
 constexpr std::size_t pause_bytes = std::size_t{256} * 1024;
+/// The same for an answer that is no stream: its target is free again sooner.
+constexpr std::size_t answer_pause_bytes = std::size_t{1024} * 1024;
 /// The answer to a deadline leaves this long before it.
 constexpr duration deadline_margin = 15ms;
 /// Rest of the time under which a further attempt is hopeless.
@@ -436,6 +438,7 @@
     }
     if (head_sent_) {
         caller_->send_body(part);
+        pause_target(answer_pause_bytes);
         return true;
     }
     buffer_.append(part);
@@ -471,7 +474,12 @@
         note_gap(now);
     last_event_ = now;
     caller_->send_body(whole);
-    if (caller_->unsent() < pause_bytes || paused_ || !call_)
+    pause_target(pause_bytes);
+}
+
+void forwarding::pause_target(std::size_t unsent_limit)
+{
+    if (caller_->unsent() < unsent_limit || paused_ || !call_)
         return;
     paused_ = true;
     call_->read_on(false);
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -78,6 +78,9 @@
     void judge_answer(const net::message_head& head);
     void deliver_head(const net::message_head& head, bool whole);
     void deliver_events(std::string_view data);
+    /// Stops reading from the target until the caller has read.
+    /// @param unsent_limit bytes for the caller from which on that is done
+    void pause_target(std::size_t unsent_limit);
     void deliver_whole();
     [[nodiscard]] bool is_discarded() const noexcept
     {
--- a/tests/gateway/endless_answer_test.cpp
+++ b/tests/gateway/endless_answer_test.cpp
@@ -77,6 +77,28 @@
     return s.left > 0;
 }
 
+/// Far more than sockets on the way and the gateway's own bounds hold.
+constexpr std::size_t unread_limit = std::size_t{64} * 1024 * 1024;
+
+/// Waits until targets can't write on, or have written too much.
+/// @return bytes that targets have written
+std::size_t settled(const site& s)
+{
+    constexpr int enough_rounds = 40;
+    std::size_t before = 0;
+    for (int still = 0; still < enough_rounds; ++still) {
+        std::this_thread::sleep_for(10ms);
+        const std::size_t now = s.written;
+        if (now > unread_limit)
+            return now;
+        if (now == before && now > 0)
+            continue;
+        before = now;
+        still = 0;
+    }
+    return before;
+}
+
 /// @return a target's first answer of the kind that never becomes one
 site::target_script no_answer_of_kind(const std::string& kind)
 {
@@ -223,6 +245,39 @@
     CHECK(is_left(s));
 }
 
+TEST_CASE("a success without end is kept at its target while the caller "
+          "doesn't read",
+          "[gateway]")
+{
+    const std::string kind = GENERATE(
+        values<std::string>({"non_idempotent", "idempotent", "streaming"}));
+    CAPTURE(kind);
+    site s({.kind = kind}, {warm([](const seen_request& r) {
+               return endless(stream_head(r), event(1));
+           })});
+    caller c(s.callers_port());
+    c.send(request_text("id1", no_body, "POST"));
+    CHECK(settled(s) < unread_limit);
+    c.leave();
+    CHECK(is_left(s));
+}
+
+TEST_CASE("a long answer that ends with its connection reaches a slow caller "
+          "whole",
+          "[gateway]")
+{
+    const std::string large(24'000'000, 'x');
+    site s({.kind = "non_idempotent"}, {warm([&](const seen_request& r) {
+               return script{{stream_head(r) + large, {}, then::close}};
+           })});
+    caller c(s.callers_port());
+    c.send(request_text("id1", no_body, "POST"));
+    std::this_thread::sleep_for(500ms);
+    const auto a = c.read();
+    CHECK(a.complete);
+    CHECK((a.body == large)); // too long to be printed
+}
+
 TEST_CASE("a request isn't taken for one that crashes engines when its answers "
           "never end",
           "[gateway]")
