Leave a stream whose event doesn't end

Callers of a stream waited until their deadline, and the memory of the instance grew, when an engine sent an event that never ends. The caller got a 504, or a cut stream where another engine could have gone on.

Cause: an event is kept until it is whole, however long it gets, and its bytes count as signs of life. Change: beyond longest_event_bytes the engine is left as one that sends no answer; the stream goes on elsewhere where it may, or ends in a 502 if the caller has got nothing. Evidence: both new tests fail on the code before (cut after the first event; 504 in place of another engine's stream and in place of a 502).

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -23,6 +23,8 @@
 /// Answers up to this size are held back until they are whole, so that a
 /// broken one can be replaced by another run.
 constexpr std::size_t hold_back_bytes = std::size_t{256} * 1024;
+/// A longer event is none, and its stream is left.
+constexpr std::size_t longest_event_bytes = std::size_t{1024} * 1024;
 /// A caller that reads slowly stops its target at this many unsent bytes.
 constexpr std::size_t pause_bytes = std::size_t{256} * 1024;
 /// The same for an answer that is no stream: its target is free again sooner.
@@ -433,8 +435,7 @@
         return false;
     }
     if (streaming_out_) {
-        deliver_events(part);
-        return !done_;
+        return deliver_events(part);
     }
     if (head_sent_) {
         caller_->send_body(part);
@@ -462,11 +463,19 @@
     first_byte_ = elapsed();
 }
 
-void forwarding::deliver_events(std::string_view data)
+bool forwarding::deliver_events(std::string_view data)
 {
     const std::string_view whole = events_.add(data);
-    if (whole.empty())
-        return;
+    if (!whole.empty())
+        deliver_whole_events(whole);
+    if (events_.rest().size() <= longest_event_bytes)
+        return true;
+    on_call_failed(call_failure::not_an_answer);
+    return false;
+}
+
+void forwarding::deliver_whole_events(std::string_view whole)
+{
     const time_point now = net::event_loop::now().mono;
     if (!head_sent_)
         deliver_head(answer_, false);
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -77,7 +77,9 @@
     /// Sets what becomes of an answer by its head.
     void judge_answer(const net::message_head& head);
     void deliver_head(const net::message_head& head, bool whole);
-    void deliver_events(std::string_view data);
+    /// @return false if the target was left
+    bool deliver_events(std::string_view data);
+    void deliver_whole_events(std::string_view whole);
     /// Stops reading from the target until the caller has read.
     /// @param unsent_limit bytes for the caller from which on that is done
     void pause_target(std::size_t unsent_limit);
--- a/tests/gateway/endless_answer_test.cpp
+++ b/tests/gateway/endless_answer_test.cpp
@@ -278,6 +278,40 @@
     CHECK((a.body == large)); // too long to be printed
 }
 
+TEST_CASE("another engine serves a stream whose event has no end", "[gateway]")
+{
+    const bool begun = GENERATE(true, false);
+    CAPTURE(begun);
+    std::atomic<int> asked{0};
+    const auto stream = warm([&](const seen_request& r) -> script {
+        const std::string start = begun ? event(1) : "";
+        if (++asked == 1)
+            return endless(stream_head(r) + start + "data: ", "x");
+        const bool resumed = resume_after(r) == "1";
+        return {{stream_head(r) + (resumed ? "" : event(1)) + event(2),
+                 {},
+                 then::close}};
+    });
+    site s({.kind = "streaming", .resumable = true}, {stream, stream});
+    const auto a = s.ask(request_text("id1", no_body, "POST"));
+    CHECK(a.complete);
+    CHECK(a.body == event(1) + event(2));
+    CHECK(is_left(s));
+}
+
+TEST_CASE("a caller is told of a failure when the first event of its stream "
+          "has no end",
+          "[gateway]")
+{
+    site s({.kind = "streaming"}, {warm([](const seen_request& r) {
+               return endless(stream_head(r) + "data: ", "x");
+           })});
+    const auto a = s.ask(request_text("id1", no_body, "POST"));
+    CHECK(a.complete);
+    CHECK(a.head.status == 502);
+    CHECK(is_left(s));
+}
+
 TEST_CASE("a request isn't taken for one that crashes engines when its answers "
           "never end",
           "[gateway]")
