Replace a target's failure that is too long to be whole

Callers of requests that may not be tried again got a 500 whose body never ended, and a closed connection at their deadline.

Cause: a failure longer than hold_back_bytes was passed on like a success. Change: the target is left, and the caller gets a whole 502. Evidence: the new test fails on the code before (500, not complete).

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -444,6 +444,11 @@
     }
     buffer_.append(part);
     if (buffer_.size() > hold_back_bytes) {
+        if (answer_.status >= first_server_error) {
+            leave_target();
+            fail(bad_gateway, "failure too long");
+            return false;
+        }
         deliver_head(answer_, false);
         caller_->send_body(buffer_);
         buffer_.clear();
--- a/tests/gateway/endless_answer_test.cpp
+++ b/tests/gateway/endless_answer_test.cpp
@@ -245,6 +245,20 @@
     CHECK(is_left(s));
 }
 
+TEST_CASE("a caller gets a whole failure although the target's failure has no "
+          "end",
+          "[gateway]")
+{
+    const auto target = warm([](const seen_request& r) {
+        return endless(head_of(signed_answer(r, 500, "")), "no");
+    });
+    site s({.kind = "non_idempotent"}, {target});
+    const auto a = s.ask(request_text("id1", no_body, "POST"));
+    CHECK(a.complete);
+    CHECK(a.head.status == 502);
+    CHECK(is_left(s));
+}
+
 TEST_CASE("a success without end is kept at its target while the caller "
           "doesn't read",
           "[gateway]")
