Don't continue an answer with that of another target

A caller of an idempotent request could get a success made of two targets' answers: the begin of the first and the whole of the second.

Cause: an answer longer than hold_back_bytes is passed on while it comes; when its target then was silent for longer than the objective allows, the request was sent to another target, whose body was added. A target that breaks off was handled, a silent one not. Change: may_run_again() says no once an answer that is no stream has begun.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -386,6 +386,9 @@
 
 bool forwarding::may_run_again() const
 {
+    // An answer that has begun can only go on elsewhere after a whole event.
+    if (head_sent_ && events_.events() == 0)
+        return false;
     return may_repeat() && runs_ < std::max(1U, route_->max_attempts);
 }
 
--- a/tests/gateway/endless_answer_test.cpp
+++ b/tests/gateway/endless_answer_test.cpp
@@ -341,3 +341,25 @@
     CHECK(s.ask(request_text("id2")).head.status == 502);
     CHECK(s.ask(request_text("last")).body == "fine");
 }
+
+TEST_CASE("an answer that has begun is not continued with that of another "
+          "target",
+          "[gateway]")
+{
+    // More than is held back, from a target that then is silent for longer
+    // than its objective allows.
+    const std::string begun(std::size_t{300} * 1024, 'x');
+    std::atomic<int> asked{0};
+    const auto target = warm([&](const seen_request& r) -> script {
+        if (++asked > 1)
+            return signed_answer(r, 200, "of another run");
+        return {{stream_head(r) + begun, {}, then::go_on},
+                {"end", 1500ms, then::close}};
+    });
+    site s({.kind = "idempotent", .latency_objective_ms = 100},
+           {target, target});
+    const auto a = s.ask(request_text("id1"));
+    CHECK(a.complete);
+    CHECK((a.body == begun + "end")); // too long to be printed
+    CHECK(s.runs == 1);
+}
