--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -24,8 +24,12 @@
 /// Answers up to this size are held back until they are whole, so that a
 /// broken one can be replaced by another run.
 constexpr std::size_t hold_back_bytes = std::size_t{256} * 1024;
+/// A longer event is none, and its stream is left.
+constexpr std::size_t longest_event_bytes = std::size_t{1024} * 1024;
 /// A caller that reads slowly stops its target at this many unsent bytes.
 constexpr std::size_t pause_bytes = std::size_t{256} * 1024;
+/// The same for an answer that is no stream: its target is free again sooner.
+constexpr std::size_t answer_pause_bytes = std::size_t{1024} * 1024;
 /// The answer to a deadline leaves this long before it.
 constexpr duration deadline_margin = 15ms;
 /// Rest of the time under which a further attempt is hopeless.
@@ -384,6 +388,7 @@
     at_target_ = false;
     call_.reset();
     probe_.reset();
+    discarded_.reset();
     context_.state.places.on_left(target_);
     if (!adapter_.empty())
         context_.adapters.note_done(target_, adapter_);
@@ -391,10 +396,21 @@
 
 bool forwarding::may_run_again() const
 {
+    // An answer that has begun can only go on elsewhere after a whole event.
+    if (head_sent_ && events_.events() == 0)
+        return false;
     return may_repeat() && runs_ < std::max(1U, route_->max_attempts);
 }
 
 void forwarding::on_answer_head(net::message_head& head)
+{
+    judge_answer(head);
+    if (is_discarded())
+        discarded_ = std::make_unique<discarded_body>(
+            context_.loop, [this] { on_discarded(); });
+}
+
+void forwarding::judge_answer(const net::message_head& head)
 {
     const time_point now = net::event_loop::now().mono;
     silent_since_ = now;
@@ -425,18 +441,27 @@
 bool forwarding::on_answer_body(std::string_view part)
 {
     silent_since_ = net::event_loop::now().mono;
-    if (rejected_ || discarding_)
-        return true;
+    if (is_discarded()) {
+        if (discarded_->add(part.size()))
+            return true;
+        on_discarded();
+        return false;
+    }
     if (streaming_out_) {
-        deliver_events(part);
-        return !done_;
+        return deliver_events(part);
     }
     if (head_sent_) {
         caller_->send_body(part);
+        pause_target(answer_pause_bytes);
         return true;
     }
     buffer_.append(part);
     if (buffer_.size() > hold_back_bytes) {
+        if (answer_.status >= first_server_error) {
+            leave_target();
+            fail(bad_gateway, "failure too long");
+            return false;
+        }
         deliver_head(answer_, false);
         caller_->send_body(buffer_);
         buffer_.clear();
@@ -456,11 +481,19 @@
     first_byte_ = elapsed();
 }
 
-void forwarding::deliver_events(std::string_view data)
+bool forwarding::deliver_events(std::string_view data)
 {
     const std::string_view whole = events_.add(data);
-    if (whole.empty())
-        return;
+    if (!whole.empty())
+        deliver_whole_events(whole);
+    if (events_.rest().size() <= longest_event_bytes)
+        return true;
+    on_call_failed(call_failure::not_an_answer);
+    return false;
+}
+
+void forwarding::deliver_whole_events(std::string_view whole)
+{
     const time_point now = net::event_loop::now().mono;
     if (!head_sent_)
         deliver_head(answer_, false);
@@ -468,7 +501,12 @@
         note_gap(now);
     last_event_ = now;
     caller_->send_body(whole);
-    if (caller_->unsent() < pause_bytes || paused_ || !call_)
+    pause_target(pause_bytes);
+}
+
+void forwarding::pause_target(std::size_t unsent_limit)
+{
+    if (caller_->unsent() < unsent_limit || paused_ || !call_)
         return;
     paused_ = true;
     call_->read_on(false);
@@ -491,17 +529,12 @@
 void forwarding::on_answer_end()
 {
     gateway_state& s = context_.state;
-    const std::string target = target_;
-    leave_target();
-    if (rejected_) {
-        on_rejected();
-        return;
-    }
-    if (discarding_) {
-        excluded_.push_back(target);
-        retry_or(bad_gateway, "no usable answer");
+    if (is_discarded()) {
+        on_discarded();
         return;
     }
+    const std::string target = target_;
+    leave_target();
     if (streaming_out_ && !events_.rest().empty()) {
         on_broken(call_failure::within_answer);
         return;
@@ -526,6 +559,18 @@
     finish("answered");
 }
 
+void forwarding::on_discarded()
+{
+    const std::string target = target_;
+    leave_target();
+    if (rejected_) {
+        on_rejected();
+        return;
+    }
+    excluded_.push_back(target);
+    retry_or(bad_gateway, "no usable answer");
+}
+
 void forwarding::deliver_whole()
 {
     deliver_head(answer_, true);
--- a/tests/gateway/site_fixture.hpp
+++ b/tests/gateway/site_fixture.hpp
@@ -129,6 +129,9 @@
                     loop, counted(targets[i])));
                 servers.back()->on_left = [this] { ++left; };
                 target_ports_.push_back(servers.back()->port());
+                servers.back()->on_written = [this](std::size_t bytes) {
+                    written += bytes;
+                };
                 store.put_target("i-" + std::to_string(i),
                                  entry_text(servers.back()->port()));
             }
@@ -208,6 +211,7 @@
 
     std::atomic<int> runs{0};
     std::atomic<int> left{0};
+    std::atomic<std::size_t> written{0}; ///< bytes, by the targets
 
 private:
     target_script counted(const target_script& fn)
