Keep a reader's duty when the store cuts one call

Each reader told at once that the store doesn't answer it and ended its duty 8 to 23 ms later, without a second call. The ones that came next (9.01, 9.26 and 10.62 s) were partitioned from the store, and each lost 0.45 s before it said so. The first that reached the store began at 10.31 s and had version 5 at 10.62 s. It told nobody (it probably took another for the first reader, which alone tells); the rest pulled from each other, which took until 12.79 s. The two requests came at 12.27 and 12.36 s. Change: a call that is cut is no silence of the store. A short call follows after 0.15 s over a new connection, and only if that fails too the reader is without contact. No answer in time, no connection and refusals count at once, as before. Test: "a cut watch is no sign that the store is silent" failed first; two more keep what must still count as silence. Left: a reader that was once without contact stays the last choice for as long as others are thought to reach the store; one that takes over has not tried the store.

--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t longest_answer = std::size_t{4} * 1024 * 1024;
 /// One for each prefix, and one that is being given up.
 constexpr std::size_t connections = 8;
+constexpr const char* store_target = "store";
 
 } // namespace
 
@@ -58,16 +59,16 @@
 }
 
 void store_reader::call(const std::string& path, duration limit,
-                        void (store_reader::*done)(int, const std::string&))
+                        void (store_reader::*done)(const short_call::result&))
 {
     target_request request;
-    request.target = "store";
+    request.target = store_target;
     request.address = store_;
     request.head = platform_wire::write_get_head(to_string(store_), path);
     counts_.add("store_calls");
     auto finished = [this, done](const short_call::result& r) {
         // The call is destroyed when the next one begins.
-        (this->*done)(r.status, r.body);
+        (this->*done)(r);
     };
     call_ =
         std::make_unique<short_call>(loop_, pool_, request, connections, limit,
@@ -81,20 +82,20 @@
          &store_reader::on_page);
 }
 
-void store_reader::on_page(int status, const std::string& body)
+void store_reader::on_page(const short_call::result& r)
 {
-    if (status != ok_status) {
+    if (r.status != ok_status) {
         pages_.clear();
-        on_failure(status);
+        on_failure(r);
         again(back_off_, true);
         return;
     }
     platform_wire::store_reply reply;
     try {
-        reply = platform_wire::parse_range(body);
+        reply = platform_wire::parse_range(r.body);
     } catch (const platform_wire::published_error&) {
         pages_.clear();
-        on_failure(status);
+        on_failure(r);
         again(back_off_, true);
         return;
     }
@@ -112,7 +113,7 @@
     pages_.clear();
     auto news = apply_all(all, pages_revision_);
     revision_ = std::max(revision_, pages_revision_);
-    on_failure(ok_status);
+    on_answered();
     tell(std::move(news));
     again(duration::zero(), false);
 }
@@ -225,26 +226,26 @@
 
 void store_reader::watch()
 {
-    call(platform_wire::watch_path(prefix_, revision_, settings_.watch_wait),
-         settings_.watch_wait + settings_.answer_limit,
-         &store_reader::on_watch);
+    const duration wait = cut_ ? settings_.probe_wait : settings_.watch_wait;
+    call(platform_wire::watch_path(prefix_, revision_, wait),
+         wait + settings_.answer_limit, &store_reader::on_watch);
 }
 
-void store_reader::on_watch(int status, const std::string& body)
+void store_reader::on_watch(const short_call::result& r)
 {
-    if (status == gone_status) {
+    if (r.status == gone_status) {
         last_failure_ = net::event_loop::now().mono;
         counts_.add("store_history_lost");
         again(settings_.watch_pause, true);
         return;
     }
-    if (status != ok_status) {
-        on_failure(status);
+    if (r.status != ok_status) {
+        on_failure(r);
         again(back_off_, !filled_);
         return;
     }
     try {
-        const auto reply = platform_wire::parse_watch(body);
+        const auto reply = platform_wire::parse_watch(r.body);
         batch news;
         news.after = newest_;
         news.in_doubt = in_doubt(net::event_loop::now().mono);
@@ -253,40 +254,57 @@
         revision_ = std::max(revision_, reply.revision);
         tell(std::move(news));
     } catch (const platform_wire::published_error&) {
-        on_failure(0);
+        on_failure(r);
         again(back_off_, true);
         return;
     }
-    on_failure(ok_status);
+    on_answered();
     again(settings_.watch_pause, false);
 }
 
-void store_reader::on_failure(int status)
+bool store_reader::is_first_cut(const short_call::result& r)
+{
+    const bool first = !cut_ && !failing_;
+    cut_ = r.failure == call_failure::before_answer ||
+           r.failure == call_failure::within_answer;
+    return cut_ && first;
+}
+
+void store_reader::on_answered()
+{
+    if (failing_)
+        logging::write(
+            logging::level::info, "store_contact",
+            {{"prefix", prefix_},
+             {"revision", revision_},
+             {"after_ms", static_cast<std::uint64_t>(to_ms(
+                              net::event_loop::now().mono - failing_since_))}});
+    failing_ = false;
+    cut_ = false;
+    back_off_ = {};
+}
+
+void store_reader::on_failure(const short_call::result& r)
 {
     const time_point now = net::event_loop::now().mono;
-    if (status == ok_status) {
-        if (failing_)
-            logging::write(logging::level::info, "store_contact",
-                           {{"prefix", prefix_},
-                            {"revision", revision_},
-                            {"after_ms", static_cast<std::uint64_t>(
-                                             to_ms(now - failing_since_))}});
-        failing_ = false;
-        back_off_ = {};
-        return;
-    }
-    counts_.add("store_failures", "status", std::to_string(status));
+    counts_.add("store_failures", "status", std::to_string(r.status));
     last_failure_ = now;
-    if (!failing_) {
-        failing_ = true;
-        failing_since_ = now;
-        logging::write(logging::level::warning, "store_contact_lost",
-                       {{"prefix", prefix_},
-                        {"status", static_cast<std::uint64_t>(status)},
-                        {"revision", revision_}});
-    }
     back_off_ = std::clamp<duration>(2 * back_off_, settings_.first_back_off,
                                      settings_.longest_back_off);
+    if (is_first_cut(r)) {
+        // The store cuts watches at times, and kept connections with them.
+        counts_.add("store_calls_cut");
+        pool_.forget(store_target);
+        return;
+    }
+    if (failing_)
+        return;
+    failing_ = true;
+    failing_since_ = now;
+    logging::write(logging::level::warning, "store_contact_lost",
+                   {{"prefix", prefix_},
+                    {"status", static_cast<std::uint64_t>(r.status)},
+                    {"revision", revision_}});
 }
 
 void store_reader::again(duration after, bool from_start)
--- a/src/lovagegate/gateway/store_reader.hpp
+++ b/src/lovagegate/gateway/store_reader.hpp
@@ -21,6 +21,9 @@
     /// How long the store may hold a watch: a connection that went silent
     /// shows after this time.
     duration watch_wait = 2500ms;
+    /// The same for the call after a cut one, which only asks whether the store
+    /// still answers.
+    duration probe_wait = 200ms;
     /// Added to the wait before a call counts as failed.
     duration answer_limit = 800ms;
     /// Between the end of one watch and the begin of the next.
@@ -86,7 +89,8 @@
     /// @return whether the keys were read, here or by another instance
     [[nodiscard]] bool is_filled() const noexcept { return filled_; }
 
-    /// @return whether the last call failed
+    /// @return whether the store doesn't answer: a call had no answer in time
+    ///         or found no store, or the one after a cut call failed as well
     [[nodiscard]] bool is_failing() const noexcept { return failing_; }
 
     /// @return how long calls have failed, zero if the last one did not
@@ -102,12 +106,15 @@
 
 private:
     void call(const std::string& path, duration limit,
-              void (store_reader::*done)(int, const std::string&));
+              void (store_reader::*done)(const short_call::result&));
     void read_page();
-    void on_page(int status, const std::string& body);
+    void on_page(const short_call::result& r);
     void watch();
-    void on_watch(int status, const std::string& body);
-    void on_failure(int status);
+    void on_watch(const short_call::result& r);
+    void on_failure(const short_call::result& r);
+    void on_answered();
+    /// @return whether the call was cut, and the one before it was not
+    bool is_first_cut(const short_call::result& r);
     void again(duration after, bool from_start);
     bool apply(const platform_wire::store_item& item, bool in_doubt);
     void apply_to(batch& news, const platform_wire::store_item& item);
@@ -135,6 +142,7 @@
     std::unique_ptr<short_call> call_;
     std::uint64_t newest_ = 0;
     bool failing_ = false;
+    bool cut_ = false; ///< the last call was cut
     bool filled_ = false;
     bool active_ = true;
     bool watching_ = false; ///< a call or a timer for the next one is there
--- a/standins/site/platform_store.cpp
+++ b/standins/site/platform_store.cpp
@@ -98,6 +98,10 @@
 {
     const std::string& target = request.head.target;
     const std::string prefix = argument(target, "prefix");
+    if (to_cut_ > 0) {
+        --to_cut_;
+        return {{{}, {}, then::reset}};
+    }
     if (down_)
         return {{whole_answer(503, {}, ""), {}, then::go_on}};
     if (target.starts_with(platform_wire::path::read_range))
--- a/standins/site/platform_store.hpp
+++ b/standins/site/platform_store.hpp
@@ -29,6 +29,9 @@
     /// Forgets the history: watches from before get 410.
     void compact() { compacted_ = revision_; }
 
+    /// Breaks the connection of the next calls instead of answering them.
+    void cut_next(int calls) { to_cut_ = calls; }
+
 private:
     struct change
     {
@@ -48,6 +51,7 @@
     std::uint64_t revision_ = 1;
     std::uint64_t compacted_ = 0;
     bool down_ = false;
+    int to_cut_ = 0;
     scripted_server server_;
 };
 
--- /dev/null
+++ b/tests/gateway/store_reader_test.cpp
@@ -0,0 +1,91 @@
+#include "lovagegate/gateway/store_reader.hpp"
+
+#include "standins/site/platform_store.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagegate;
+using namespace lovagegate::gateway;
+
+namespace {
+
+/// Longer than anything takes on a busy machine; only failures wait for it.
+constexpr duration patience = 20s;
+
+/// A reader of the configuration and a store, on one loop.
+struct reading
+{
+    net::event_loop loop;
+    standins::platform_store store{loop};
+    target_pool pool{loop};
+    counters counts;
+    std::vector<std::string> seen; ///< values, in order
+    bool failed = false;           ///< was without contact at some time
+    std::unique_ptr<store_reader> reader;
+
+    reading()
+    {
+        store.put_config("first");
+        reader = std::make_unique<store_reader>(
+            loop, pool, settings::endpoint{"127.0.0.1", store.port()}, "op/",
+            counts,
+            [this](const platform_wire::store_item& item, bool) {
+                seen.push_back(item.value);
+            },
+            [](const store_reader::batch&) {});
+        reader->start();
+        REQUIRE(run_until([&] { return seen.size() == 1; }));
+        REQUIRE(run_until([&] { return !reader->is_failing(); }));
+        failed = false;
+    }
+
+    bool run_until(const std::function<bool()>& condition)
+    {
+        const time_point until = net::event_loop::now().mono + patience;
+        while (!condition() && net::event_loop::now().mono < until) {
+            // The loop sleeps until its next event.
+            loop.call_later(5ms, [] {});
+            loop.run_once();
+            failed = failed || reader->is_failing();
+        }
+        return condition();
+    }
+};
+
+} // namespace
+
+TEST_CASE("a cut watch is no sign that the store is silent", "[gateway]")
+{
+    // A reader that is thought to be cut off loses its duty to one that may be
+    // cut off itself: nobody learns of changes meanwhile.
+    reading r;
+    r.store.cut_next(1);
+    r.store.put_config("second");
+    r.store.compact();
+    REQUIRE(r.run_until([&] { return r.seen.size() == 2; }));
+    CHECK(r.seen.back() == "second");
+    CHECK_FALSE(r.failed);
+    CHECK(r.counts.count("store_calls_cut") == 1);
+    // The next cut is a first one again.
+    r.store.cut_next(1);
+    r.store.put_config("third");
+    REQUIRE(r.run_until([&] { return r.seen.size() == 3; }));
+    CHECK_FALSE(r.failed);
+}
+
+TEST_CASE("a store that cuts two calls in a row is silent", "[gateway]")
+{
+    reading r;
+    r.store.cut_next(2);
+    CHECK(r.run_until([&] { return r.failed; }));
+    CHECK(r.run_until([&] { return !r.reader->is_failing(); }));
+}
+
+TEST_CASE("a store that refuses one call is silent", "[gateway]")
+{
+    reading r;
+    r.store.set_down(true);
+    CHECK(r.run_until([&] { return r.failed; }));
+    r.store.set_down(false);
+    CHECK(r.run_until([&] { return !r.reader->is_failing(); }));
+}
