Name the number of orders until an engine takes one on

Weakness, shown by tests: a new owner trusts its first report, which is 0.1 to 0.2 s old. What another one ordered since is not in it, so two owners that overlap fill an engine beyond its room, though the fence lets only one go on. Change: until an engine has taken on an order (202), its owner orders one by one and names the number of orders that the report showed; the engine refuses it if there was another. From then on the fence keeps earlier owners out. An order that can't be given since its target is gone is told to the keeper as not sent. Tests: "an owner that takes over sees orders that no report shows yet" and "two owners for a while don't fill an engine beyond its room" failed with orders that name nothing; all older tests are unchanged.

--- a/src/lovagegate/gateway/adapter_desk.cpp
+++ b/src/lovagegate/gateway/adapter_desk.cpp
@@ -408,11 +408,14 @@
 {
     const auto* owned = state_.ownership.find(id);
     const target_state* t = state_.targets.find(id);
-    if (owned == nullptr || t == nullptr)
+    if (owned == nullptr || t == nullptr) {
+        e.keeper.on_order_done(order, order_outcome::not_sent,
+                               net::event_loop::now().mono);
         return;
+    }
     const std::string body = platform_wire::write_order(
         {order.load, order.model, order.adapter, order.version,
-         state_.boot.instance, owned->token});
+         state_.boot.instance, owned->token, order.expect});
     target_request request;
     request.target = id;
     request.address = t->entry.address;
@@ -445,6 +448,7 @@
          {"adapter", order.adapter},
          {"version", order.version},
          {"token", owned ? owned->token : 0},
+         {"expect", order.expect ? std::to_string(*order.expect) : "any"},
          {"outcome", to_string(outcome)},
          {"status", static_cast<std::uint64_t>(r.status)},
          {"answer", std::string_view(r.body).substr(0, logged_answer_bytes)}});
--- a/src/lovagegate/gateway/engine_keeper.cpp
+++ b/src/lovagegate/gateway/engine_keeper.cpp
@@ -128,7 +128,8 @@
                                               place_state::resident ||
                                           p.second.replacing;
                                }) ||
-           (reported_ && report_.models.empty() && now > time_point{});
+           (reported_ && report_.models.empty() && now > time_point{}) ||
+           (reported_ && sequence_in_doubt_);
 }
 
 void engine_keeper::take_resident(const engine_report& report, time_point now)
@@ -202,6 +203,10 @@
             loads_.on_longer_than(p.was_held, now - report_age - p.since);
     }
     drop_missing(report, now);
+    // It may be older than an order that was answered since.
+    sequence_ = sequence_in_doubt_ ? report.sequence
+                                   : std::max(sequence_, report.sequence);
+    sequence_in_doubt_ = false;
     reported_ = true;
 }
 
@@ -325,6 +330,8 @@
         if (version <= p.version || p.state != place_state::resident ||
             p.replacing)
             continue;
+        if (!may_order_more(out))
+            return;
         const auto slash = key.find('/');
         out.push_back(
             {true, key.substr(0, slash), key.substr(slash + 1), version});
@@ -363,7 +370,8 @@
                (have.status == adapter_status::resident &&
                 have.version >= w.wanted.version);
     });
-    while (!wants_.empty() && in_transit() < loads_at_once) {
+    while (!wants_.empty() && in_transit() < loads_at_once &&
+           may_order_more(out)) {
         const adapter_ref w = wants_.front().wanted;
         if (!holds_model(w.model)) {
             plan_model(w.model, now, out);
@@ -396,11 +404,26 @@
     }
 }
 
+bool engine_keeper::may_order_more(const std::vector<engine_order>& out) const
+{
+    return settled_ || out.empty();
+}
+
 std::vector<engine_order> engine_keeper::plan(time_point now)
 {
     std::vector<engine_order> out;
-    if (!reported_ || now < no_orders_until_)
+    if (!reported_ || first_under_way_ || now < no_orders_until_)
         return out;
+    plan_orders(now, out);
+    if (!settled_ && !out.empty()) {
+        out.front().expect = sequence_;
+        first_under_way_ = true;
+    }
+    return out;
+}
+
+void engine_keeper::plan_orders(time_point now, std::vector<engine_order>& out)
+{
     if (report_.models.empty() && !spec_.models.empty()) {
         // Without any model the engine serves nothing.
         const auto first = wants_.empty()
@@ -410,16 +433,33 @@
                                      .name
                                : wants_.front().wanted.model;
         plan_model(first, now, out);
-        return out;
+        return;
     }
     plan_replacements(now, out);
     plan_wants(now, out);
-    return out;
+}
+
+void engine_keeper::note_first_outcome(const engine_order& order,
+                                       order_outcome outcome)
+{
+    if (!order.expect)
+        return;
+    first_under_way_ = false;
+    settled_ = settled_ || outcome == order_outcome::accepted;
+    if (settled_)
+        return;
+    // An adapter that is idle is unloaded at once, which counts as an order.
+    if (outcome == order_outcome::already && !order.load)
+        ++sequence_;
+    // Somebody else's order came first, or this one may have come.
+    sequence_in_doubt_ = outcome == order_outcome::engine_busy ||
+                         outcome == order_outcome::unknown;
 }
 
 void engine_keeper::on_order_done(const engine_order& order,
                                   order_outcome outcome, time_point now)
 {
+    note_first_outcome(order, outcome);
     if (outcome == order_outcome::engine_busy ||
         outcome == order_outcome::refused || outcome == order_outcome::not_sent)
         no_orders_until_ = now + order_pause;
--- a/src/lovagegate/gateway/engine_keeper.hpp
+++ b/src/lovagegate/gateway/engine_keeper.hpp
@@ -24,6 +24,9 @@
     std::string model;
     std::string adapter;       ///< empty: the model itself
     std::uint64_t version = 0; ///< 0: the newest
+    /// Number of orders that the engine must have accepted: it refuses this one
+    /// if there were others.
+    std::optional<std::uint64_t> expect{};
 };
 
 /// What became of an order.
@@ -31,7 +34,7 @@
 {
     accepted,    ///< being carried out
     already,     ///< holds
-    engine_busy, ///< another order is under way
+    engine_busy, ///< another order is under way, or there were others
     stale_token, ///< the engine has seen a higher token
     refused,     ///< it will not be carried out
     not_sent,    ///< the engine could not be reached
@@ -40,6 +43,10 @@
 
 /// Decides what one engine holds, for the instance that gives it orders: loads
 /// what requests wait for and evicts what was not used for longest.
+///
+/// Reports are some hundred milliseconds old, so the first ones may not show
+/// what an earlier owner ordered last. Until the engine has accepted an order,
+/// orders go out one by one and name the state that they were decided on.
 class engine_keeper
 {
 public:
@@ -144,6 +151,7 @@
     [[nodiscard]] bool was_held(std::string_view name) const;
     void take_resident(const engine_report& report, time_point now);
     void drop_missing(const engine_report& report, time_point now);
+    void plan_orders(time_point now, std::vector<engine_order>& out);
     void plan_model(std::string_view wanted, time_point now,
                     std::vector<engine_order>& out);
     void plan_replacements(time_point now, std::vector<engine_order>& out);
@@ -153,12 +161,22 @@
     [[nodiscard]] double held_mb() const;
     [[nodiscard]] const model_spec* spec_of(std::string_view model) const;
     [[nodiscard]] std::uint64_t newest(const std::string& name) const;
+    [[nodiscard]] bool
+    may_order_more(const std::vector<engine_order>& out) const;
+    void note_first_outcome(const engine_order& order, order_outcome outcome);
 
     std::string id_;
     engine_spec spec_;
     engine_report report_;
     bool reported_ = false;
-    time_point no_orders_until_{}; ///< the engine refused one
+    /// The engine has accepted an order on a state that was known here. From
+    /// then on its fence, or the lease, keeps others' orders out.
+    bool settled_ = false;
+    bool first_under_way_ = false; ///< an order before that has no answer yet
+    /// Orders that the engine has accepted, as far as is known.
+    std::uint64_t sequence_ = 0;
+    bool sequence_in_doubt_ = true; ///< the next report tells
+    time_point no_orders_until_{};  ///< the engine refused one
     std::map<std::string, place, std::less<>> places_; ///< by MODEL/NAME
     std::map<std::string, std::uint64_t, std::less<>> releases_;
     std::deque<pending_want> wants_;
--- a/src/lovagegate/gateway/site_config.hpp
+++ b/src/lovagegate/gateway/site_config.hpp
@@ -129,6 +129,7 @@
     bool busy = false;
     std::vector<held_model> models;
     std::vector<std::string> in_transit; ///< MODEL/NAME@VERSION
+    std::uint64_t sequence = 0;          ///< orders accepted since its start
 };
 
 } // namespace lovagegate::gateway
--- a/tests/gateway/engine_keeper_test.cpp
+++ b/tests/gateway/engine_keeper_test.cpp
@@ -40,11 +40,18 @@
 public:
     explicit model_engine(std::size_t slots) : slots_(slots) {}
 
-    order_outcome take(const engine_order& order, time_point now)
+    order_outcome take(const engine_order& order, time_point now,
+                       fencing_token token = 1)
     {
         advance(now);
+        if (token < fence_)
+            return order_outcome::stale_token;
+        if (order.expect && *order.expect != sequence_)
+            return order_outcome::engine_busy;
+        fence_ = token;
         if (!order.load) {
             held_.erase(order.adapter);
+            ++sequence_;
             return order_outcome::already;
         }
         if (held_.contains(order.adapter))
@@ -52,6 +59,7 @@
         if (coming_.size() >= 4)
             return order_outcome::engine_busy;
         coming_[order.adapter] = now + 250ms;
+        ++sequence_;
         over_ = over_ || held_.size() + coming_.size() > slots_;
         return order_outcome::accepted;
     }
@@ -65,7 +73,9 @@
         std::vector<std::string> coming;
         for (const auto& [a, at] : coming_)
             coming.push_back("m/" + a + "@1");
-        return report_with(held, coming);
+        engine_report r = report_with(held, coming);
+        r.sequence = sequence_;
+        return r;
     }
 
     [[nodiscard]] bool overloaded() const { return over_; }
@@ -84,6 +94,8 @@
     std::size_t slots_;
     std::set<std::string> held_;
     std::map<std::string, time_point> coming_;
+    std::uint64_t sequence_ = 0;
+    fencing_token fence_ = 0;
     bool over_ = false;
 };
 
@@ -248,6 +260,100 @@
     });
 }
 
+TEST_CASE("an owner that takes over sees orders that no report shows yet",
+          "[gateway]")
+{
+    model_engine engine(2);
+    time_point now{10s};
+    const engine_report before = engine.report(now);
+    // The owner before fills the engine after that report.
+    engine.take({true, "m", "a1", 0, {}}, now, 1);
+    engine.take({true, "m", "a2", 0, {}}, now, 1);
+
+    engine_keeper keeper("e", small_engine(2));
+    keeper.on_report(before, now);
+    CHECK(keeper.want(adapter("a3"), now) == adapter_status::loading);
+    const auto give = [&] {
+        const auto orders = keeper.plan(now);
+        REQUIRE(orders.size() == 1);
+        CHECK(keeper.plan(now).empty()); // one by one
+        const auto outcome = engine.take(orders.front(), now, 2);
+        keeper.on_order_done(orders.front(), outcome, now);
+        return outcome;
+    };
+    CHECK(give() == order_outcome::engine_busy);
+    CHECK_FALSE(engine.overloaded());
+    CHECK(keeper.awaits_change(now));
+
+    now += 1s;
+    keeper.on_report(engine.report(now), now);
+    CHECK(keeper.want(adapter("a3"), now + 1s) == adapter_status::loading);
+    now += 1s;
+    CHECK(give() == order_outcome::already); // makes a place
+    CHECK(give() == order_outcome::accepted);
+    CHECK_FALSE(engine.overloaded());
+    // Settled: the orders that follow need not wait for each other.
+    now += 1s;
+    keeper.on_report(engine.report(now), now);
+    now += 1s;
+    CHECK(keeper.want(adapter("a4"), now) == adapter_status::loading);
+    const auto next = keeper.plan(now);
+    REQUIRE(next.size() == 1);
+    CHECK_FALSE(next.front().expect);
+}
+
+TEST_CASE("two owners for a while don't fill an engine beyond its room",
+          "[gateway]")
+{
+    // Owners change at any time, and the one before goes on until the engine
+    // refuses its token.
+    rc::check([] {
+        struct owner
+        {
+            engine_keeper keeper;
+            fencing_token token;
+        };
+        const auto slots = *rc::gen::inRange<std::uint32_t>(1, 8);
+        model_engine engine(slots);
+        std::vector<owner> owners;
+        std::vector<engine_report> reports; ///< one each 20 ms
+        time_point now{10s};
+        fencing_token token = 0;
+        const auto steps = *rc::gen::container<std::vector<int>>(
+            400, rc::gen::inRange(0, 100));
+        for (const int s : steps) {
+            now += 20ms;
+            reports.push_back(engine.report(now));
+            if (owners.empty() || s % 33 == 7)
+                owners.push_back(
+                    {engine_keeper("e", small_engine(slots)), ++token});
+            const std::size_t lag = 10;
+            std::vector<fencing_token> refused;
+            for (auto& [keeper, own_token] : owners) {
+                if (s % 3 == 0 && reports.size() > lag)
+                    keeper.on_report(reports[reports.size() - 1 - lag], now);
+                if (s % 2 == 0)
+                    (void)keeper.want(
+                        adapter("a" + std::to_string((s + own_token) % 23)),
+                        now);
+                for (const auto& order : keeper.plan(now)) {
+                    const auto outcome = engine.take(order, now, own_token);
+                    if (outcome == order_outcome::stale_token)
+                        refused.push_back(own_token);
+                    // Every tenth answer is lost.
+                    keeper.on_order_done(
+                        order, s % 10 == 9 ? order_outcome::unknown : outcome,
+                        now);
+                }
+            }
+            std::erase_if(owners, [&](const owner& o) {
+                return std::ranges::find(refused, o.token) != refused.end();
+            });
+        }
+        RC_ASSERT(!engine.overloaded());
+    });
+}
+
 TEST_CASE("a load that takes longer is not tried again at once", "[gateway]")
 {
     // Sends before the adapter is there use up the budget of repeats: the
--- a/tests/platform_wire/published_test.cpp
+++ b/tests/platform_wire/published_test.cpp
@@ -98,6 +98,14 @@
                   R"("model":"m","operation":"load","version":3})");
 }
 
+TEST_CASE("an order may name the number of orders before it", "[platform_wire]")
+{
+    const auto text = write_order({false, "m", "a", 0, "n1", 41, 0});
+    CHECK(text == R"({"adapter":"a","expect":0,"fencingToken":41,)"
+                  R"("holder":"n1","model":"m","operation":"unload"})");
+    CHECK(parse_report(R"({"sequence":7})").sequence == 7);
+}
+
 TEST_CASE("no bytes of the store are too odd to be read", "[platform_wire]")
 {
     rc::check([](const std::string& bytes) {
