Add a fault soak that plays faults around real instances

lovagegate-soak starts real gateway processes on a loopback network of its own, with the stand-in of the store, scripted targets, proxies and callers in one process. All faults are drawn from the seed.

The stand-ins learn several routes, settings files of instances, removal of entries, and to be destroyed while one of their connections is being dropped.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 
-.PHONY: all packages build server asan run test unit lint fuzz format clean
+.PHONY: all packages build server asan run test unit lint fuzz soak format clean
 
 all: build
 
@@ -47,5 +47,10 @@
 	@git ls-files -co --exclude-standard '*.cpp' '*.hpp' \
 	    | xargs clang-format -i
 
+soak: build
+	@$(BUILD)/lovagegate-soak --program=$(BUILD)/lovagegate \
+	    --seed=$(or $(SEED),1) --seconds=$(or $(SECONDS),20) \
+	    --instances=$(or $(INSTANCES),4) --logs=$(BUILD)/soak
+
 clean:
 	@rm -rf $(BUILD) $(ASAN)
--- /dev/null
+++ b/soak/site_faults.cpp
@@ -0,0 +1,130 @@
+#include "soak/site.hpp"
+
+#include <iostream>
+
+namespace lovagegate::soak {
+
+namespace {
+
+/// Delay of a slow link, each way.
+constexpr duration slow_link = 150ms;
+/// The same of callers' links, which are said to be faster.
+constexpr duration slow_callers = 40ms;
+/// A killed process is down at least so long.
+constexpr duration least_down = 50ms;
+/// A process that was started serves after this time.
+constexpr duration start_time = 1s;
+
+} // namespace
+
+void site::note(const planned_fault& f)
+{
+    ++played_[f.what];
+    std::clog << to_seconds(now() - start_) << ' ' << name_of(f.what) << ' '
+              << f.whom << " for " << to_ms(f.lasts) << " ms\n";
+    if (!is_planned(f.what))
+        calm_.disturb(now(), now() + f.lasts + start_time);
+}
+
+void site::play(const planned_fault& f)
+{
+    note(f);
+    const std::size_t whom = f.whom;
+    switch (f.what) {
+    case fault::stop:
+        instances_[whom]->stop();
+        break;
+    case fault::reload:
+        instances_[whom]->reload();
+        break;
+    case fault::new_config:
+        publish_config();
+        break;
+    case fault::kill:
+        instances_[whom]->kill(std::max(f.lasts, least_down));
+        break;
+    case fault::kill_all:
+        for (const auto& i : instances_)
+            i->kill(std::max(f.lasts, least_down));
+        break;
+    case fault::pause:
+        instances_[whom]->pause();
+        loop_.call_later(f.lasts, [this, whom] { instances_[whom]->resume(); });
+        break;
+    case fault::store_down:
+    case fault::store_silent:
+    case fault::store_slow:
+    case fault::store_reset:
+        harm_store(f);
+        break;
+    case fault::callers_slow:
+    case fault::callers_reset:
+        harm_callers(f, *instances_[whom]);
+        break;
+    default:
+        harm_target(f, *targets_[whom]);
+    }
+}
+
+void site::harm_link(tcp_proxy& link, const link_state& state, duration lasts)
+{
+    link.set(state);
+    loop_.call_later(lasts, [&link] { link.set({}); });
+}
+
+void site::harm_target(const planned_fault& f, soak_target& target)
+{
+    tcp_proxy& link = target.link();
+    switch (f.what) {
+    case fault::target_reset:
+        link.reset_all();
+        break;
+    case fault::target_silent:
+        harm_link(link, {false, false, {}}, f.lasts);
+        break;
+    case fault::target_stuck:
+        link.stick_all();
+        break;
+    case fault::target_no_way_in:
+        harm_link(link, {false, true, {}}, f.lasts);
+        break;
+    case fault::target_no_way_out:
+        harm_link(link, {true, false, {}}, f.lasts);
+        break;
+    case fault::target_slow:
+        harm_link(link, {true, true, slow_link}, f.lasts);
+        break;
+    default:
+        target.crash();
+        loop_.call_later(
+            f.lasts, [&target, new_id = f.variant] { target.restart(new_id); });
+    }
+}
+
+void site::harm_store(const planned_fault& f)
+{
+    switch (f.what) {
+    case fault::store_down:
+        store_.set_down(true);
+        loop_.call_later(f.lasts, [this] { store_.set_down(false); });
+        break;
+    case fault::store_silent:
+        harm_link(store_link_, {false, false, {}}, f.lasts);
+        break;
+    case fault::store_slow:
+        harm_link(store_link_, {true, true, slow_link}, f.lasts);
+        break;
+    default:
+        store_link_.reset_all();
+    }
+}
+
+void site::harm_callers(const planned_fault& f, instance& i)
+{
+    if (f.what == fault::callers_reset)
+        i.callers_link().reset_all();
+    else
+        harm_link(i.callers_link(), {true, true, slow_callers}, f.lasts);
+}
+
+} // namespace lovagegate::soak
--- /dev/null
+++ b/soak/soak_target.cpp
@@ -0,0 +1,98 @@
+#include "soak/soak_target.hpp"
+
+#include "lovagegate/core/hash.hpp"
+#include "standins/site/dialect.hpp"
+
+#include <charconv>
+
+namespace lovagegate::soak {
+
+namespace {
+
+using namespace standins;
+
+constexpr int ok = 200;
+constexpr int unavailable = 503;
+/// One of so many requests is refused, as by a target that is full.
+constexpr std::uint64_t refused_one_in = 25;
+
+int number_or_zero(const std::string& text)
+{
+    int n = 0;
+    std::from_chars(text.data(), text.data() + text.size(), n);
+    return n;
+}
+
+} // namespace
+
+soak_target::soak_target(net::event_loop& loop, platform_store& store, judge& j,
+                         std::string name, std::uint64_t seed)
+    : loop_(loop), store_(store), judge_(j), name_(std::move(name)),
+      seed_(seed), link_(loop, {"127.0.0.1", 0})
+{
+    start();
+}
+
+std::string soak_target::id() const
+{
+    return name_ + "-" + std::to_string(generation_);
+}
+
+void soak_target::start()
+{
+    server_ = std::make_unique<scripted_server>(
+        loop_, [this](const seen_request& r) { return answer(r); });
+    link_.lead_to({"127.0.0.1", server_->port()});
+    const auto started = net::event_loop::now().wall.time_since_epoch().count();
+    store_.put_target(id(), entry_text(link_.port(), started));
+}
+
+void soak_target::crash()
+{
+    link_.set_refusing(true);
+    link_.reset_all();
+    server_.reset();
+}
+
+void soak_target::restart(bool new_id)
+{
+    if (server_)
+        return;
+    if (new_id) {
+        store_.remove_target(id());
+        ++generation_;
+    }
+    start();
+    link_.set_refusing(false);
+}
+
+script soak_target::answer(const seen_request& r)
+{
+    const std::string request = attempt_id(r);
+    const std::string expected = expected_target(r);
+    if (!expected.empty() && expected != id())
+        return misdirected(r);
+    if (stable_hash(request + name_, seed_) % refused_one_in == 0)
+        return not_run(r, unavailable);
+    const auto w = parse_path(r.head.target);
+    judge_.on_run(request, w, r.body, net::event_loop::now().mono);
+    if (!w)
+        return not_run(r, unavailable);
+    if (is_stream(w->kind))
+        return stream(r, *w);
+    script s = signed_answer(r, ok, answer_body(*w));
+    s.front().delay = std::chrono::milliseconds(w->work_ms);
+    return s;
+}
+
+script soak_target::stream(const seen_request& r, const work& w)
+{
+    const duration gap = std::chrono::milliseconds(w.work_ms);
+    script s{{stream_head(r), {}, then::go_on}};
+    for (int i = number_or_zero(resume_after(r)) + 1; i <= w.size; ++i)
+        s.push_back({event_of(w, i), gap, then::go_on});
+    s.back().after = then::close;
+    return s;
+}
+
+} // namespace lovagegate::soak
--- a/standins/site/dialect.cpp
+++ b/standins/site/dialect.cpp
@@ -63,15 +63,63 @@
         .dump();
 }
 
-std::string entry_text(std::uint16_t port)
+std::string config_text(std::uint64_t version,
+                        std::span<const route_description> all)
+{
+    json routes = json::array();
+    for (const auto& r : all)
+        routes.push_back({{"name", "r" + std::to_string(routes.size())},
+                          {"host", "h"},
+                          {"prefix", r.prefix},
+                          {"kind", r.kind},
+                          {"timeoutMs", 15000},
+                          {"targetLatencyMs", 5000},
+                          {"priority", 1},
+                          {"service", "s"},
+                          {"maxAttempts", 3},
+                          {"resumable", r.resumable}});
+    return json{{"version", version},
+                {"routes", routes},
+                {"services", {{{"name", "s"}, {"maxConnections", 200}}}}}
+        .dump();
+}
+
+std::string entry_text(std::uint16_t port, std::int64_t started_ms)
 {
     return json{
         {"service", "s"},   {"address", "127.0.0.1:" + std::to_string(port)},
         {"zone", "z"},      {"slots", 6},
-        {"state", "ready"}, {"born", 1}}
+        {"state", "ready"}, {"born", started_ms}}
         .dump();
 }
 
+std::string settings_text(const instance_description& instance)
+{
+    const std::string& ip = instance.address;
+    return "nodeName=" + instance.name + "\nipAddress=" + ip +
+           "\nzone=z\nlistenAddresses.frontend=" + ip + ":" +
+           std::to_string(instance_callers_port) +
+           "\nlistenAddresses.ready=" + ip +
+           ":8141\nlistenAddresses.control=" + ip +
+           ":8144\ninternalPortRange=7380,7395\nseeds=" + instance.seed +
+           ":8144\nbootstrap=" + (instance.first_start ? "true" : "false") +
+           "\nlimits.fileDescriptors=1000\nbounds.gracePeriodS=" +
+           std::to_string(instance.stop_grace_s) +
+           "\nplatform.address=127.0.0.1:" +
+           std::to_string(instance.store_port) + "\n";
+}
+
+std::string call_text(const call_description& call)
+{
+    std::string out =
+        call.method + ' ' + call.path + " HTTP/1.1\r\nHost: h\r\n" +
+        id_header(call.id) +
+        field(header::time_left_ms, std::to_string(call.time_left_ms)) + "\r\n";
+    if (!call.body.empty() || call.method == "POST")
+        out += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
+    return out + "\r\n" + call.body;
+}
+
 std::string request_text(const std::string& id, const std::string& more,
                          const std::string& method)
 {
--- a/standins/site/dialect.hpp
+++ b/standins/site/dialect.hpp
@@ -4,6 +4,7 @@
 #include "standins/site/scripted_server.hpp"
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -26,8 +27,52 @@
 /// @return the operator's configuration
 [[nodiscard]] std::string config_text(const site_description& site);
 
+/// One of several routes to service "s".
+struct route_description
+{
+    std::string prefix;
+    std::string kind;
+    bool resumable = false;
+};
+
+/// @return a configuration of several routes of host "h"
+[[nodiscard]] std::string config_text(std::uint64_t version,
+                                      std::span<const route_description> all);
+
 /// @return what a ready target publishes about itself
-[[nodiscard]] std::string entry_text(std::uint16_t port);
+/// @param started_ms Unix time of its start
+[[nodiscard]] std::string entry_text(std::uint16_t port,
+                                     std::int64_t started_ms = 1);
+
+/// What an instance's settings file says that differs between instances.
+struct instance_description
+{
+    std::string name;
+    std::string address; ///< IP number
+    std::string seed;    ///< IP number of another instance
+    std::uint16_t store_port = 0;
+    int stop_grace_s = 0;
+    bool first_start = false;
+};
+
+/// Port on which the instances of such a file take callers.
+inline constexpr std::uint16_t instance_callers_port = 8149;
+
+/// @return text of an instance's settings file
+[[nodiscard]] std::string settings_text(const instance_description& instance);
+
+/// One attempt of a caller.
+struct call_description
+{
+    std::string method;
+    std::string path;
+    std::string id;
+    std::string body;
+    int time_left_ms = 0;
+};
+
+/// @return the whole request, with a length if it has a body
+[[nodiscard]] std::string call_text(const call_description& call);
 
 /// @return a caller's request for the route, without a body
 /// @param more further headers, each with its line end
--- a/standins/site/platform_store.cpp
+++ b/standins/site/platform_store.cpp
@@ -66,6 +66,11 @@
     history_.push_back({key, {}, ++revision_, true});
 }
 
+void platform_store::remove_target(const std::string& id)
+{
+    remove(std::string(platform_wire::store_key::targets) + id);
+}
+
 std::string platform_store::range(const std::string& prefix) const
 {
     json items = json::array();
--- a/standins/site/platform_store.hpp
+++ b/standins/site/platform_store.hpp
@@ -22,6 +22,7 @@
     void put_config(const std::string& value);
     void put_target(const std::string& id, const std::string& value);
     void remove(const std::string& key);
+    void remove_target(const std::string& id);
 
     /// Calls get 503 while the store is down.
     void set_down(bool down) { down_ = down; }
--- a/standins/site/scripted_server.cpp
+++ b/standins/site/scripted_server.cpp
@@ -111,7 +111,10 @@
 {
 }
 
-scripted_server::~scripted_server() = default;
+scripted_server::~scripted_server()
+{
+    *alive_ = false;
+}
 
 void scripted_server::drop(connection& c)
 {
@@ -120,7 +123,10 @@
     if (it == connections_.end())
         return;
     dropped_.splice(dropped_.end(), connections_, it);
-    loop_.call_later(duration::zero(), [this] { dropped_.clear(); });
+    loop_.call_later(duration::zero(), [this, alive = alive_] {
+        if (*alive)
+            dropped_.clear();
+    });
 }
 
 std::string whole_answer(int status, const std::vector<std::string>& headers,
--- a/standins/site/scripted_server.hpp
+++ b/standins/site/scripted_server.hpp
@@ -65,6 +65,7 @@
     std::function<script(const seen_request&)> answer_;
     std::list<std::unique_ptr<connection>> connections_;
     std::list<std::unique_ptr<connection>> dropped_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     net::tcp_listener listener_;
 };
 
