Tell apart in the soak what ends because of the time or a pause

Questions for a configuration that is not in force are counted apart from failures. The largest size of an instance is an option, because sanitizers need more.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -12,6 +12,7 @@
 constexpr duration time_left = 4s;
 constexpr duration patience = 5s;
 constexpr duration reconnect_pause = 50ms;
+constexpr duration pause_after_loss = 300ms;
 constexpr duration longest_idle = 1500ms;
 constexpr duration longest_stay = 300ms;
 
@@ -75,8 +76,8 @@
     }
     way_ = habits_.choose(random_);
     net::stream_handler& self = *this;
-    stream_ = std::make_shared<net::tcp_stream>(loop_, way_.at, silence_limit,
-                                                self);
+    stream_ =
+        std::make_shared<net::tcp_stream>(loop_, way_.at, silence_limit, self);
 }
 
 void caller::send()
@@ -87,7 +88,8 @@
     body_.clear();
     waiting_ = true;
     sent_ = net::event_loop::now().mono;
-    judge_.on_sent(work_, way_.instance, sent_);
+    judge_.on_sent(work_, way_.instance, sent_, time_left, kept_);
+    kept_ = true;
     stream_->write(standins::call_text({method_of(work_.kind), path_of(work_),
                                         work_.id, request_body(work_),
                                         static_cast<int>(time_left / 1ms)}));
@@ -159,7 +161,10 @@
     waiting_ = false;
     judge_.on_unanswered(work_.id, facts(), why, net::event_loop::now().mono);
     drop_connection();
-    pause();
+    // The instance may be gone for a while.
+    later(why == unanswered::connection_ended ? pause_after_loss
+                                              : reconnect_pause,
+          &caller::begin);
 }
 
 void caller::on_end(net::stream_end how)
@@ -180,6 +185,7 @@
 void caller::drop_connection()
 {
     connected_ = false;
+    kept_ = false;
     if (stream_)
         loop_.call_later(duration::zero(), [old = std::move(stream_)] {});
     stream_.reset();
--- a/soak/caller.hpp
+++ b/soak/caller.hpp
@@ -82,6 +82,7 @@
     time_point sent_{};
     bool waiting_ = false; ///< a request has no whole answer yet
     bool connected_ = false;
+    bool kept_ = false; ///< the connection has served a request
     bool stopped_ = false;
     std::uint64_t requests_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/soak/instance.cpp
+++ b/soak/instance.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// A stop that was paused may end so much later.
+constexpr duration after_pause = 1s;
+
 time_point now()
 {
     return net::event_loop::now().mono;
@@ -68,8 +71,9 @@
     process_->send(SIGKILL);
 }
 
-void instance::pause()
+void instance::pause(duration lasts)
 {
+    paused_until_ = std::max(paused_until_, now() + lasts);
     if (process_)
         process_->send(SIGSTOP);
 }
@@ -92,7 +96,8 @@
         if (const auto end = process_->poll())
             on_end(*end);
         else if (state_ == state::stopping && now() >= kill_at_) {
-            events_.on_wrong_end(name(), "still running", "an end in time");
+            if (now() > paused_until_ + after_pause)
+                events_.on_wrong_end(name(), "still running", "an end in time");
             kill({});
         }
     }
--- a/soak/instance.hpp
+++ b/soak/instance.hpp
@@ -51,7 +51,9 @@
     /// SIGKILL; starts again after a time.
     void kill(duration down);
 
-    void pause();
+    /// SIGSTOP.
+    /// @param lasts until resume() will be called
+    void pause(duration lasts);
     void resume();
     void reload();
 
@@ -82,6 +84,7 @@
     state state_ = state::down;
     time_point start_at_{};
     time_point kill_at_{}; ///< of a stop
+    time_point paused_until_{};
 };
 
 } // namespace lovagegate::soak
--- a/soak/judge.hpp
+++ b/soak/judge.hpp
@@ -47,10 +47,12 @@
     std::size_t served = 0;
     std::size_t refused = 0;
     std::size_t failed = 0;
+    std::size_t unknown_routes = 0; ///< of questions for a configuration
     std::size_t lost = 0;
     std::size_t out_of_time = 0;
     std::size_t runs = 0;
     std::size_t lost_in_calm = 0; ///< excused ones too
+    std::size_t crossed = 0;      ///< of these: on kept connections, not run
 };
 
 /// Judges from what callers and targets saw. It has no socket and no clock.
@@ -64,7 +66,10 @@
     judge(const calm_record& calm, duration stop_grace, report_handler report);
 
     /// A caller has sent a whole request.
-    void on_sent(const work& w, const std::string& instance, time_point now);
+    /// @param time_left that the caller grants
+    /// @param kept the connection has served an earlier request
+    void on_sent(const work& w, const std::string& instance, time_point now,
+                 duration time_left, bool kept);
 
     /// A target begins to work on a request.
     /// @param seen from the path, nothing if it names no work
@@ -98,6 +103,8 @@
         work asked;
         std::string instance;
         time_point sent;
+        duration time_left{};
+        bool kept = false;
         int runs = 0;
         bool refused = false;
     };
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -11,6 +11,8 @@
 
 using namespace lovagegate;
 
+constexpr std::size_t kb_in_mb = 1024;
+
 constexpr const char* usage =
     R"(lovagegate-soak: plays faults around real instances, and judges.
 
@@ -23,6 +25,7 @@
   --seconds=N       Time with callers [default: 20].
   --instances=N     Processes, 2 to 100 [default: 4].
   --callers=N       Callers for each instance [default: 6].
+  --most-mb=N       Largest resident size of an instance [default: 60].
   --logs=DIR        Takes settings, logs and the plan as it was played; kept
                     if a promise was broken [default: build/soak].
   --keep            Keeps the logs in any case.
@@ -39,6 +42,8 @@
     s.plan.instances = static_cast<std::size_t>(a["--instances"].asLong());
     s.callers_for_each_instance =
         static_cast<std::size_t>(a["--callers"].asLong());
+    s.most_resident_kb =
+        static_cast<std::size_t>(a["--most-mb"].asLong()) * kb_in_mb;
     s.program = std::filesystem::absolute(a["--program"].asString());
     s.folder = a["--logs"].asString() + "/seed-" + a["--seed"].asString();
     return s;
--- a/soak/site.cpp
+++ b/soak/site.cpp
@@ -21,8 +21,6 @@
 constexpr duration closing_time = 6s;
 /// Then nothing is open, and late runs have shown.
 constexpr duration rest_time = 2s;
-/// Largest size of an instance at this load, whatever happens.
-constexpr std::size_t most_resident_kb = std::size_t{100} * 1024;
 /// Descriptors at rest: kept connections to targets and the store among them.
 constexpr std::size_t most_descriptors_at_rest = 150;
 
@@ -193,6 +191,7 @@
 {
     const std::uint64_t version = configs_.newest() + 1;
     std::vector<standins::route_description> routes;
+    routes.reserve(usual_routes.size() + 1);
     for (const auto& r : usual_routes)
         routes.push_back({std::string(r.prefix), std::string(r.kind),
                           r.does == work_kind::stream_resumable});
@@ -224,10 +223,11 @@
             std::max(largest_.resident_kb, size->resident_kb);
         largest_.descriptors =
             std::max(largest_.descriptors, size->descriptors);
-        if (size->resident_kb > most_resident_kb)
-            report({now(), i->name(), "",
-                    std::to_string(size->resident_kb) + " kB resident",
-                    std::to_string(most_resident_kb) + " kB at most"});
+        if (size->resident_kb > settings_.most_resident_kb)
+            report(
+                {now(), i->name(), "",
+                 std::to_string(size->resident_kb) + " kB resident",
+                 std::to_string(settings_.most_resident_kb) + " kB at most"});
     }
 }
 
@@ -263,12 +263,14 @@
     const tally& t = judge_.counts();
     std::ostringstream out;
     out << "seed " << settings_.plan.seed << ": " << t.sent << " sent, "
-        << t.served << " served, " << t.refused << " refused, " << t.failed
-        << " failed, " << t.lost << " lost (" << t.lost_in_calm << " in calm), "
-        << t.out_of_time << " out of time or left, " << t.runs << " runs; "
-        << configs_.newest() << " configurations; at most "
-        << largest_.resident_kb << " kB, " << largest_.descriptors
-        << " descriptors; own delays " << delays_of_our_own_ << "; faults:";
+        << t.served << " served, " << t.refused << " refused, "
+        << t.unknown_routes << " routes unknown, " << t.failed << " failed, "
+        << t.lost << " lost (" << t.lost_in_calm << " in calm, " << t.crossed
+        << " crossed a close), " << t.out_of_time << " out of time or left, "
+        << t.runs << " runs; " << configs_.newest()
+        << " configurations; at most " << largest_.resident_kb << " kB, "
+        << largest_.descriptors << " descriptors; own delays "
+        << delays_of_our_own_ << "; faults:";
     for (const auto& [f, n] : played_)
         out << ' ' << name_of(f) << ' ' << n;
     out << "; broken " << broken_;
--- a/soak/site.hpp
+++ b/soak/site.hpp
@@ -20,6 +20,8 @@
     plan_settings plan;
     std::string program; ///< the built server
     std::string folder;  ///< takes settings and logs
+    /// Largest size of an instance at this load, whatever happens.
+    std::size_t most_resident_kb = 0;
     std::size_t callers_for_each_instance = 6;
 };
 
--- a/soak/site_faults.cpp
+++ b/soak/site_faults.cpp
@@ -48,7 +48,7 @@
             i->kill(std::max(f.lasts, least_down));
         break;
     case fault::pause:
-        instances_[whom]->pause();
+        instances_[whom]->pause(f.lasts);
         loop_.call_later(f.lasts, [this, whom] { instances_[whom]->resume(); });
         break;
     case fault::store_down:
