Let a process of the soak end by a signal until its handlers are set

It had read no request, so that only the soak's expectation was wrong. SIGHUP ends a process in that time too: the soak sends it later.

--- a/soak/instance.cpp
+++ b/soak/instance.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Before the program has set its signal handlers a signal ends it; then it
+/// has read no request.
+constexpr duration handlers_set = 500ms;
 /// A stop that was paused may end so much later.
 constexpr duration after_pause = 1s;
 
@@ -48,6 +51,7 @@
                                  "--settings=" + settings_file_},
         log_);
     state_ = state::running;
+    started_ = now();
     events_.on_started(name());
 }
 
@@ -58,6 +62,7 @@
     state_ = state::stopping;
     kill_at_ = now() + stop_grace;
     start_at_ = {};
+    stopped_early_ = now() - started_ < handlers_set;
     process_->send(SIGTERM);
     events_.on_stop(name());
 }
@@ -86,7 +91,7 @@
 
 void instance::reload()
 {
-    if (state_ == state::running)
+    if (state_ == state::running && now() - started_ >= handlers_set)
         process_->send(SIGHUP);
 }
 
@@ -107,7 +112,9 @@
 
 void instance::on_end(const process_end& end)
 {
-    const bool in_order = !end.by_signal && end.code == 0;
+    const bool in_order =
+        (!end.by_signal && end.code == 0) ||
+        (stopped_early_ && end.by_signal && end.code == SIGTERM);
     if (state_ == state::running)
         events_.on_wrong_end(name(), text_of(end), "a process that runs on");
     else if (state_ == state::stopping && !in_order)
--- a/soak/instance.hpp
+++ b/soak/instance.hpp
@@ -55,6 +55,8 @@
     /// @param lasts until resume() will be called
     void pause(duration lasts);
     void resume();
+
+    /// SIGHUP, unless it has just been started.
     void reload();
 
     /// Looks after the process. To be called often.
@@ -83,7 +85,9 @@
     std::unique_ptr<child_process> process_;
     state state_ = state::down;
     time_point start_at_{};
-    time_point kill_at_{}; ///< of a stop
+    time_point started_{};
+    bool stopped_early_ = false; ///< before its signal handlers were set
+    time_point kill_at_{};       ///< of a stop
     time_point paused_until_{};
 };
 
