Play engines in the soak: adapters, orders and reports

Every other target is an engine that starts empty, loads adapters as it is ordered and refuses what it lacks. The test of the plan now counts instances and targets apart, because they are no longer equally many; it is stricter than before (3 and 6 instead of 4 and 4).

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -90,9 +90,9 @@
     sent_ = net::event_loop::now().mono;
     judge_.on_sent(work_, way_.instance, sent_, time_left, kept_);
     kept_ = true;
-    stream_->write(standins::call_text({method_of(work_.kind), path_of(work_),
-                                        work_.id, request_body(work_),
-                                        static_cast<int>(time_left / 1ms)}));
+    stream_->write(standins::call_text(
+        {method_of(work_.kind), path_of(work_), work_.id, request_body(work_),
+         static_cast<int>(time_left / 1ms), adapter_of(work_)}));
     const bool leaves =
         habits_.leaves_one_in > 0 && draw(habits_.leaves_one_in) == 0;
     limit_time(leaves ? std::chrono::milliseconds(draw(
--- a/soak/fault_plan.hpp
+++ b/soak/fault_plan.hpp
@@ -55,7 +55,7 @@
     std::uint64_t seed = 1;
     duration length = 20s;
     std::size_t instances = 4;
-    std::size_t targets = 4;
+    std::size_t targets = 6;
 };
 
 /// Draws series of overlapping faults in turn with series of planned work in
--- a/soak/site.cpp
+++ b/soak/site.cpp
@@ -39,13 +39,17 @@
     std::string_view prefix;
     std::string_view kind;
     work_kind does;
+    bool to_engines = false;
 };
 
 constexpr std::array usual_routes{
     usual_route{"/once/", "non_idempotent", work_kind::once},
     usual_route{"/any/", "idempotent", work_kind::repeatable},
     usual_route{"/stream/", "streaming", work_kind::stream_once},
-    usual_route{"/resume/", "streaming", work_kind::stream_resumable}};
+    usual_route{"/resume/", "streaming", work_kind::stream_resumable},
+    usual_route{"/engine-once/", "streaming", work_kind::stream_once, true},
+    usual_route{"/engine-resume/", "streaming", work_kind::stream_resumable,
+                true}};
 
 work draw_work(std::mt19937_64& random, const std::string& id)
 {
@@ -74,9 +78,11 @@
       store_link_(loop_, {"127.0.0.1", store_.port()})
 {
     publish_config();
+    // Every other one is an engine.
     for (std::size_t i = 0; i < s.plan.targets; ++i)
         targets_.push_back(std::make_unique<soak_target>(
-            loop_, store_, judge_, "t" + std::to_string(i), s.plan.seed));
+            loop_, store_, judge_, "t" + std::to_string(i), i % 2 == 1,
+            s.plan.seed));
     add_instances();
     calm_.disturb(start_, start_ + start_time);
 }
@@ -194,7 +200,7 @@
     routes.reserve(usual_routes.size() + 1);
     for (const auto& r : usual_routes)
         routes.push_back({std::string(r.prefix), std::string(r.kind),
-                          r.does == work_kind::stream_resumable});
+                          r.does == work_kind::stream_resumable, r.to_engines});
     routes.push_back({marker_prefix(version), "idempotent", false});
     store_.put_config(standins::config_text(version, routes));
     configs_.on_acknowledged(version, now());
--- a/soak/soak_target.cpp
+++ b/soak/soak_target.cpp
@@ -12,6 +12,9 @@
 using namespace standins;
 
 constexpr int ok = 200;
+constexpr int accepted = 202;
+/// Of an adapter.
+constexpr duration load_time = 80ms;
 constexpr int unavailable = 503;
 /// One of so many requests is refused, as by a target that is full.
 constexpr std::uint64_t refused_one_in = 25;
@@ -26,9 +29,9 @@
 } // namespace
 
 soak_target::soak_target(net::event_loop& loop, platform_store& store, judge& j,
-                         std::string name, std::uint64_t seed)
+                         std::string name, bool engine, std::uint64_t seed)
     : loop_(loop), store_(store), judge_(j), name_(std::move(name)),
-      seed_(seed), link_(loop, {"127.0.0.1", 0})
+      engine_(engine), seed_(seed), link_(loop, {"127.0.0.1", 0})
 {
     start();
 }
@@ -44,7 +47,8 @@
         loop_, [this](const seen_request& r) { return answer(r); });
     link_.lead_to({"127.0.0.1", server_->port()});
     const auto started = net::event_loop::now().wall.time_since_epoch().count();
-    store_.put_target(id(), entry_text(link_.port(), started));
+    store_.put_target(id(),
+                      entry_text(link_.port(), started, engine_ ? "e" : "s"));
 }
 
 void soak_target::crash()
@@ -52,6 +56,7 @@
     link_.set_refusing(true);
     link_.reset_all();
     server_.reset();
+    adapters_.clear();
 }
 
 void soak_target::restart(bool new_id)
@@ -66,12 +71,45 @@
     link_.set_refusing(false);
 }
 
+bool soak_target::holds(const std::string& adapter) const
+{
+    const auto it = adapters_.find(adapter);
+    return it != adapters_.end() && it->second <= net::event_loop::now().mono;
+}
+
+std::optional<script> soak_target::steer(const seen_request& r)
+{
+    if (is_report(r)) {
+        std::string list;
+        for (const auto& [adapter, loaded] : adapters_)
+            if (holds(adapter))
+                list += (list.empty() ? "\"" : ",\"") + adapter + "@1\"";
+        return report_answer("[" + list + "]");
+    }
+    if (is_order(r)) {
+        const auto order = order_of(r);
+        if (order && order->load && !order->adapter.empty())
+            adapters_.try_emplace(order->adapter,
+                                  net::event_loop::now().mono + load_time);
+        else if (order)
+            adapters_.erase(order->adapter);
+        return script{{whole_answer(accepted, {}, ""), {}, then::go_on}};
+    }
+    const auto w = parse_path(r.head.target);
+    if (w && !holds(adapter_of(*w)))
+        return misdirected(r);
+    return std::nullopt;
+}
+
 script soak_target::answer(const seen_request& r)
 {
     const std::string request = attempt_id(r);
     const std::string expected = expected_target(r);
     if (!expected.empty() && expected != id())
         return misdirected(r);
+    if (engine_)
+        if (auto steered = steer(r))
+            return *std::move(steered);
     if (stable_hash(request + name_, seed_) % refused_one_in == 0)
         return not_run(r, unavailable);
     const auto w = parse_path(r.head.target);
--- a/soak/work.cpp
+++ b/soak/work.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr std::string_view kind_letters = "orsu";
+constexpr std::string_view engine_start = "/engine-";
+/// Adapters that engines are asked for.
+constexpr int adapters = 5;
 constexpr std::string_view marker_start = "/mark-";
 /// Kind, id, time and size, behind the prefix.
 constexpr std::size_t named_parts = 4;
@@ -67,6 +70,13 @@
     return version;
 }
 
+std::string adapter_of(const work& w)
+{
+    if (!w.prefix.starts_with(engine_start))
+        return {};
+    return "a" + std::to_string(w.size % adapters);
+}
+
 std::string path_of(const work& w)
 {
     return w.prefix + kind_letters[static_cast<std::size_t>(w.kind)] + '/' +
--- a/soak/work.hpp
+++ b/soak/work.hpp
@@ -44,6 +44,9 @@
 /// @return the version that such a question is about
 [[nodiscard]] std::uint64_t version_of_marker(const work& w);
 
+/// @return the adapter that an engine needs for it, empty for plain targets
+[[nodiscard]] std::string adapter_of(const work& w);
+
 /// @return path of the request, which names all of the work
 [[nodiscard]] std::string path_of(const work& w);
 
--- a/standins/site/dialect.cpp
+++ b/standins/site/dialect.cpp
@@ -75,21 +75,26 @@
                           {"timeoutMs", 15000},
                           {"targetLatencyMs", 5000},
                           {"priority", 1},
-                          {"service", "s"},
+                          {"service", r.to_engines ? "e" : "s"},
                           {"maxAttempts", 3},
                           {"resumable", r.resumable}});
     return json{{"version", version},
                 {"routes", routes},
-                {"services", {{{"name", "s"}, {"maxConnections", 200}}}}}
+                {"services",
+                 {{{"name", "s"}, {"maxConnections", 200}},
+                  {{"name", "e"},
+                   {"maxConnections", 200},
+                   {"engine", engine_description()}}}}}
         .dump();
 }
 
-std::string entry_text(std::uint16_t port, std::int64_t started_ms)
+std::string entry_text(std::uint16_t port, std::int64_t started_ms,
+                       const std::string& service)
 {
     return json{
-        {"service", "s"},   {"address", "127.0.0.1:" + std::to_string(port)},
-        {"zone", "z"},      {"slots", 6},
-        {"state", "ready"}, {"born", started_ms}}
+        {"service", service}, {"address", "127.0.0.1:" + std::to_string(port)},
+        {"zone", "z"},        {"slots", 6},
+        {"state", "ready"},   {"born", started_ms}}
         .dump();
 }
 
@@ -115,6 +120,8 @@
         call.method + ' ' + call.path + " HTTP/1.1\r\nHost: h\r\n" +
         id_header(call.id) +
         field(header::time_left_ms, std::to_string(call.time_left_ms)) + "\r\n";
+    if (!call.adapter.empty())
+        out += adapter_header(call.adapter);
     if (!call.body.empty() || call.method == "POST")
         out += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
     return out + "\r\n" + call.body;
@@ -167,6 +174,15 @@
     return r.head.target == platform_wire::path::order;
 }
 
+std::optional<engine_order> order_of(const seen_request& r)
+{
+    const json j = json::parse(r.body, nullptr, false);
+    if (!is_order(r) || !j.is_object())
+        return std::nullopt;
+    return engine_order{j.value("operation", "") == "load",
+                        j.value("adapter", "")};
+}
+
 bool is_report(const seen_request& r)
 {
     return r.head.target == platform_wire::path::report;
--- a/standins/site/dialect.hpp
+++ b/standins/site/dialect.hpp
@@ -4,6 +4,7 @@
 #include "standins/site/scripted_server.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -27,12 +28,13 @@
 /// @return the operator's configuration
 [[nodiscard]] std::string config_text(const site_description& site);
 
-/// One of several routes to service "s".
+/// One of several routes to service "s", of plain targets, or "e", of engines.
 struct route_description
 {
     std::string prefix;
     std::string kind;
     bool resumable = false;
+    bool to_engines = false; ///< to service "e" instead
 };
 
 /// @return a configuration of several routes of host "h"
@@ -41,8 +43,10 @@
 
 /// @return what a ready target publishes about itself
 /// @param started_ms Unix time of its start
+/// @param service that it belongs to
 [[nodiscard]] std::string entry_text(std::uint16_t port,
-                                     std::int64_t started_ms = 1);
+                                     std::int64_t started_ms = 1,
+                                     const std::string& service = "s");
 
 /// What an instance's settings file says that differs between instances.
 struct instance_description
@@ -69,6 +73,7 @@
     std::string id;
     std::string body;
     int time_left_ms = 0;
+    std::string adapter; ///< of model "m", empty for plain services
 };
 
 /// @return the whole request, with a length if it has a body
@@ -93,6 +98,15 @@
 [[nodiscard]] std::string expected_target(const seen_request& r);
 [[nodiscard]] bool asks_for(const seen_request& r, const std::string& adapter);
 [[nodiscard]] bool is_order(const seen_request& r);
+/// What an order asks an engine to do.
+struct engine_order
+{
+    bool load = true; ///< else to unload
+    std::string adapter;
+};
+
+/// @return the order in a request, nothing if there is none
+[[nodiscard]] std::optional<engine_order> order_of(const seen_request& r);
 [[nodiscard]] bool is_report(const seen_request& r);
 
 /// @return a header that is the system's to set
--- a/tests/soak/fault_plan_test.cpp
+++ b/tests/soak/fault_plan_test.cpp
@@ -11,10 +11,15 @@
 namespace {
 
 constexpr std::uint64_t seeds = 50;
+constexpr std::size_t instances = 3;
+constexpr std::size_t targets = 6;
 
 std::vector<planned_fault> plan_of(std::uint64_t seed, duration length = 20s)
 {
-    return draw_plan({.seed = seed, .length = length});
+    return draw_plan({.seed = seed,
+                      .length = length,
+                      .instances = instances,
+                      .targets = targets});
 }
 
 bool same(const planned_fault& a, const planned_fault& b)
@@ -41,7 +46,9 @@
         for (const auto& f : plan) {
             CHECK(f.at >= 2s);
             CHECK(f.at + f.lasts <= 17s);
-            CHECK(f.whom < 4);
+            const bool of_instance =
+                f.what <= fault::pause || f.what >= fault::callers_slow;
+            CHECK(f.whom < (of_instance ? instances : targets));
         }
     }
 }
