--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,14 @@
 BUILD ?= build
 ASAN ?= build-asan
 GENERATOR := -G Ninja
+# Room of an instance under the sanitizers, which need 108 MB in the short soak.
+SANITIZED_MB := 300
 
 # Checkouts in different folders share what was compiled.
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 
-.PHONY: all packages build server asan run test unit lint fuzz format clean
+.PHONY: all packages build server asan run test unit lint fuzz soak format clean
 
 all: build
 
@@ -39,6 +41,8 @@
 # The tests themselves are built once, under the sanitizers.
 test: server asan lint
 	@cd $(ASAN) && ctest --output-on-failure -j 4
+	@$(ASAN)/lovagegate-soak --program=$(ASAN)/lovagegate --seed=2 \
+	    --most-mb=$(SANITIZED_MB) --logs=$(ASAN)/soak
 
 fuzz: build
 	@tools/fuzz.sh $(BUILD) $(or $(SEED),1) $(or $(SECONDS),60)
@@ -47,5 +51,10 @@
 	@git ls-files -co --exclude-standard '*.cpp' '*.hpp' \
 	    | xargs clang-format -i
 
+soak: build
+	@$(BUILD)/lovagegate-soak --program=$(BUILD)/lovagegate \
+	    --seed=$(or $(SEED),1) --seconds=$(or $(SECONDS),20) \
+	    --instances=$(or $(INSTANCES),4) --logs=$(BUILD)/soak
+
 clean:
 	@rm -rf $(BUILD) $(ASAN)
