--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -186,8 +186,11 @@
 {
     connected_ = false;
     kept_ = false;
-    if (stream_)
-        loop_.call_later(duration::zero(), [old = std::move(stream_)] {});
+    if (!stream_)
+        return;
+    // What still comes on it belongs to no request.
+    stream_->give_up();
+    loop_.call_later(duration::zero(), [old = std::move(stream_)] {});
     stream_.reset();
 }
 
