Give up an unload that had no answer when the engine still lists its adapter

Callers of an engine waited for places that never became free: an order to unload whose answer was lost kept its adapter marked as leaving for good if the engine had not done it, and no other one was evicted meanwhile. The test fails before: no second order. A report made later that still lists it puts it back.

--- a/src/lovagegate/gateway/engine_keeper.cpp
+++ b/src/lovagegate/gateway/engine_keeper.cpp
@@ -145,8 +145,10 @@
             if (added)
                 continue;
             // The report may be older than an order to unload.
-            if (p.state == place_state::unloading)
+            if (p.state == place_state::unloading &&
+                !(p.in_doubt && now - p.since > report_lag))
                 continue;
+            p.in_doubt = false;
             if (p.replacing && version > p.version)
                 p.replacing = false;
             if (p.state == place_state::loading) {
@@ -478,6 +480,10 @@
         p.since = now;
         p.ready_at = now + loads_.expected(p.was_held);
     }
+    if (outcome == order_outcome::unknown && !order.load) {
+        p.in_doubt = true;
+        p.since = now;
+    }
     if (outcome == order_outcome::accepted || outcome == order_outcome::unknown)
         return; // the report tells the rest
     if (order.load && outcome == order_outcome::already) {
--- a/src/lovagegate/gateway/engine_keeper.hpp
+++ b/src/lovagegate/gateway/engine_keeper.hpp
@@ -139,6 +139,7 @@
         bool replacing = false; ///< a newer version is under way
         bool was_held = false;  ///< the engine may have kept a copy
         time_point ready_at{};  ///< by estimate, while it is loading
+        bool in_doubt = false;  ///< its unload had no answer
     };
 
     struct pending_want
--- a/tests/gateway/engine_keeper_test.cpp
+++ b/tests/gateway/engine_keeper_test.cpp
@@ -188,6 +188,27 @@
     CHECK(busy.plan(now).empty());
 }
 
+TEST_CASE("an unload that was lost doesn't end the evictions of its engine",
+          "[gateway]")
+{
+    engine_keeper keeper("e", small_engine(1));
+    time_point now{10s};
+    keeper.on_report(report_with({"a1@1"}), now);
+    now += 2s;
+    CHECK(keeper.want(adapter("a2"), now) == adapter_status::loading);
+    const auto lost = keeper.plan(now);
+    REQUIRE(lost.size() == 1);
+    REQUIRE_FALSE(lost.front().load);
+    now += 700ms;
+    keeper.on_order_done(lost.front(), order_outcome::unknown, now);
+    now += 1s;
+    keeper.on_report(report_with({"a1@1"}), now);
+    const auto again = keeper.plan(now);
+    REQUIRE(again.size() == 1);
+    CHECK_FALSE(again.front().load);
+    CHECK(again.front().adapter == "a1");
+}
+
 TEST_CASE("orders pause after the engine refused one", "[gateway]")
 {
     engine_keeper keeper("e", small_engine(4));
