Let signals wait until a starting process can handle them

A process that got SIGTERM or SIGHUP in its first milliseconds ended by the signal, with the connections it had taken: it listens before its handlers are set. Both daemons hold the signals back until their handlers stand. The new test ends its process without the change (not run so: it would end the whole test program).

--- a/src/lovagegate/main.cpp
+++ b/src/lovagegate/main.cpp
@@ -12,6 +12,7 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 
 namespace {
 
@@ -25,8 +26,10 @@
 {
     auto checked = settings::load(c.settings_file);
     logging::configure(checked.log.level);
+    std::optional<serve::held_signals> until_handled(std::in_place);
     serve::daemon daemon(std::move(checked));
     const serve::signals handler([&] { daemon.stop(); });
+    until_handled.reset();
     return daemon.run() ? success : failure;
 }
 
@@ -39,9 +42,11 @@
     const std::string file = c.settings_file ? *c.settings_file : named;
     logging::configure(settings::log_level::info);
     const auto read = [file] { return platform_wire::load_settings(file); };
+    std::optional<serve::held_signals> until_handled(std::in_place);
     gateway::gateway_daemon daemon(read(), read);
     const serve::signals handler([&] { daemon.stop(); },
                                  [&] { daemon.reload(); });
+    until_handled.reset();
     daemon.run();
     return success;
 }
--- a/src/lovagegate/serve/signals.hpp
+++ b/src/lovagegate/serve/signals.hpp
@@ -1,10 +1,25 @@
 #ifndef LOVAGEGATE_SERVE_SIGNALS_HPP
 #define LOVAGEGATE_SERVE_SIGNALS_HPP
 
+#include <csignal>
 #include <functional>
 
 namespace lovagegate::serve {
 
+/// While it lives, SIGTERM, SIGINT and SIGHUP wait: they would end a process
+/// that has no handlers yet.
+class held_signals
+{
+public:
+    held_signals();
+    ~held_signals();
+    held_signals(const held_signals&) = delete;
+    held_signals& operator=(const held_signals&) = delete;
+
+private:
+    sigset_t before_{};
+};
+
 /// While it lives, SIGTERM and SIGINT begin a shutdown and SIGHUP a reload.
 class signals
 {
--- /dev/null
+++ b/tests/serve/signals_test.cpp
@@ -0,0 +1,22 @@
+#include "lovagegate/serve/signals.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <optional>
+
+using namespace lovagegate;
+
+TEST_CASE("signals that come before their handlers wait for them", "[serve]")
+{
+    int stops = 0;
+    int reloads = 0;
+    std::optional<serve::held_signals> held(std::in_place);
+    std::raise(SIGTERM);
+    std::raise(SIGHUP);
+    const serve::signals handler([&] { ++stops; }, [&] { ++reloads; });
+    CHECK(stops == 0);
+    held.reset();
+    CHECK(stops == 1);
+    CHECK(reloads == 1);
+}
