Ask only engines whether they live

A plain target whose stream was silent got the question for a report, which it doesn't know: it takes it for a request that no caller sent. Plain targets are left as before the question was there. Test: 'a plain target isn't asked for a report'.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -820,7 +820,9 @@
     }
     if (silent < limit || !may_run_again() || !has_alternative(now))
         return;
-    if (head_sent_)
+    // Only engines have reports; a plain target would take it for a request.
+    const service_spec* spec = context_.state.routes.service(service_);
+    if (head_sent_ && spec != nullptr && spec->engine)
         ask_for_life(now);
     else
         leave_silent(now);
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -277,10 +277,29 @@
         return {{stream_head(r) + event(1), {}, then::go_on},
                 {event(2), 2500ms, then::close}};
     });
+    site s({.kind = "streaming", .resumable = true, .engines = true},
+           {pauses, pauses});
+    const auto a = s.ask(request_text("id1", no_body, "POST"));
+    CHECK(a.complete);
+    CHECK(a.body == event(1) + event(2));
+}
+
+TEST_CASE("a plain target isn't asked for a report", "[gateway]")
+{
+    std::atomic<int> reports{0};
+    const auto pauses = warm([&](const seen_request& r) -> script {
+        if (is_report(r))
+            ++reports;
+        if (!resume_after(r).empty())
+            return {{stream_head(r) + event(2), {}, then::close}};
+        return {{stream_head(r) + event(1), {}, then::go_on},
+                {event(2), 60s, then::close}};
+    });
     site s({.kind = "streaming", .resumable = true}, {pauses, pauses});
     const auto a = s.ask(request_text("id1", no_body, "POST"));
     CHECK(a.complete);
     CHECK(a.body == event(1) + event(2));
+    CHECK(reports == 0);
 }
 
 TEST_CASE("a stream goes on when the engine that takes it up breaks off "
