Free an adapter slot as soon as its last request has ended

Instances now tell the owner of an engine at once when their first request on an adapter begins and their last one ends; owners keep which instance uses what (adapter_users). A use that isn't repeated within 450 ms has ended, and a grant counts as a use for 150 ms. A waiting load ends with the time that its requests have left, and as many unloads may be in progress as loads wait.

--- a/src/lovagegate/gateway/adapter_coordinator.cpp
+++ b/src/lovagegate/gateway/adapter_coordinator.cpp
@@ -5,6 +5,7 @@
 #include "platform/published.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace lovagegate::gateway {
 
@@ -27,10 +28,6 @@
 constexpr duration owner_ack_timeout = 600ms;
 /// Covers a load that waits for two others.
 constexpr duration request_timeout = 2500ms;
-/// Interval of adapter_usage messages. Owners treat an adapter that was not
-/// listed for 450 ms as idle.
-constexpr duration use_message_interval = 300ms;
-
 /// Weight of one stream in the moving average of stalled streams. About ten
 /// streams per second end on a busy engine.
 constexpr double stall_ewma_weight = 0.05;
@@ -102,13 +99,15 @@
 std::uint64_t adapter_coordinator::request_adapter(const std::string& engine,
                                                    const adapter_ref& wanted,
                                                    bool was_absent,
+                                                   time_point deadline,
                                                    answer_handler done)
 {
     const time_point now = net::event_loop::now().mono;
     const std::uint64_t number = ++last_number_;
     pending_requests_.emplace(
         number,
-        pending_request{engine, wanted, was_absent, std::move(done), now, {}});
+        pending_request{
+            engine, wanted, was_absent, std::move(done), deadline, now, {}});
     send_request(number, pending_requests_.at(number), now);
     return pending_requests_.contains(number) ? number : 0;
 }
@@ -117,8 +116,9 @@
                                        pending_request& ask, time_point now)
 {
     ask.last_sent = now;
-    const adapter_request message{number, ask.engine, ask.wanted,
-                                  ask.was_absent};
+    const adapter_request message{
+        number, ask.engine, ask.wanted, ask.was_absent,
+        std::max(duration::zero(), ask.deadline - now)};
     ask.was_absent = false; // sent only with the first message
     if (state_.ownership.find(ask.engine)) {
         ask.acknowledged = true;
@@ -153,7 +153,9 @@
 void adapter_coordinator::begin_use(const std::string& engine,
                                     const std::string& adapter)
 {
-    ++uses_[engine].open[adapter];
+    engine_use& use = uses_[engine];
+    if (++use.open[adapter] == 1)
+        schedule_changed_uses(use);
 }
 
 void adapter_coordinator::on_stream_ended(const std::string& engine,
@@ -172,38 +174,58 @@
         return;
     auto& open = on_engine->second.open;
     const auto it = open.find(adapter);
-    if (it != open.end() && it->second > 0)
-        --it->second;
+    if (it == open.end() || --it->second > 0)
+        return;
+    open.erase(it);
+    schedule_changed_uses(on_engine->second);
 }
 
-void adapter_coordinator::send_adapter_uses()
+void adapter_coordinator::schedule_changed_uses(engine_use& use)
+{
+    use.changed = true;
+    if (std::exchange(use_flush_scheduled_, true))
+        return;
+    loop_.call_later(duration::zero(), [this] {
+        use_flush_scheduled_ = false;
+        send_adapter_uses(false);
+    });
+}
+
+void adapter_coordinator::send_adapter_uses(bool all)
 {
     const time_point now = net::event_loop::now().mono;
-    for (auto& [engine, mine] : uses_) {
-        adapter_usage use{engine, {}, mine.streams, mine.stalled_streams};
-        mine.streams = mine.stalled_streams = 0;
-        for (const auto& [name, open] : mine.open)
-            use.adapters.push_back(name);
-        std::erase_if(mine.open, [](const auto& a) { return a.second == 0; });
-        if (use.adapters.empty() && use.streams == 0)
-            continue;
-        if (state_.ownership.find(engine)) {
-            on_message({}, use);
-            continue;
-        }
-        const auto owner =
-            engine_ownership::claiming_address(state_.members, engine, now);
-        if (owner)
-            send_(*owner, use);
+    for (auto& [engine, mine] : uses_)
+        if (mine.changed || (all && (!mine.open.empty() || mine.streams > 0)))
+            send_adapter_use(engine, mine, now);
+    std::erase_if(uses_, [](const auto& u) {
+        return u.second.open.empty() && u.second.streams == 0;
+    });
+}
+
+void adapter_coordinator::send_adapter_use(const std::string& engine,
+                                           engine_use& mine, time_point now)
+{
+    adapter_usage use{engine, {}, mine.streams, mine.stalled_streams};
+    mine.streams = mine.stalled_streams = 0;
+    mine.changed = false;
+    for (const auto& [name, open] : mine.open)
+        use.adapters.push_back(name);
+    if (state_.ownership.find(engine)) {
+        on_message({}, use);
+        return;
     }
-    std::erase_if(uses_, [](const auto& u) { return u.second.open.empty(); });
+    const auto owner =
+        engine_ownership::claiming_address(state_.members, engine, now);
+    if (owner)
+        send_(*owner, use);
 }
 
 void adapter_coordinator::on_message(const std::string& from,
                                      const adapter_request& ask)
 {
     const time_point now = net::event_loop::now().mono;
-    waiter w{from, ask.number, ask.wanted, now + request_timeout};
+    waiter w{from, ask.number, ask.wanted,
+             now + std::min(request_timeout, ask.time_left)};
     const auto it = owned_engines_.find(ask.engine);
     if (it == owned_engines_.end() || !state_.ownership.find(ask.engine)) {
         reply(w, ask.engine, adapter_status::refused, 0);
@@ -213,8 +235,10 @@
     if (ask.was_absent)
         e.planner.on_not_loaded(
             adapter_name(ask.wanted.model, ask.wanted.adapter), now);
-    const auto status = e.planner.require_adapter(ask.wanted, now);
+    const auto status = e.planner.require_adapter(ask.wanted, now, w.until);
     if (status != adapter_status::loading) {
+        e.planner.on_granted(
+            adapter_name(ask.wanted.model, ask.wanted.adapter), now);
         const auto held =
             e.planner.look_up(ask.wanted.model, ask.wanted.adapter, now);
         reply(w, ask.engine, status, held.version);
@@ -246,7 +270,7 @@
     finish(answer.number, answer.status, answer.version);
 }
 
-void adapter_coordinator::on_message(const std::string&,
+void adapter_coordinator::on_message(const std::string& from,
                                      const adapter_usage& use)
 {
     const auto it = owned_engines_.find(use.engine);
@@ -254,13 +278,14 @@
         return;
     const time_point now = net::event_loop::now().mono;
     owned_engine& e = it->second;
-    for (const auto& name : use.adapters)
-        e.planner.on_adapter_used(name, now);
+    const bool released = e.planner.on_usage(from, use.adapters, now);
     for (std::uint32_t i = 0; i < use.streams; ++i) {
         const double stalled = i < use.halting ? 1 : 0;
         e.stalled_stream_share +=
             stall_ewma_weight * (stalled - e.stalled_stream_share);
     }
+    if (released)
+        process_engine(use.engine, e, now);
 }
 
 void adapter_coordinator::on_release(const adapter_release& release)
@@ -295,8 +320,11 @@
             expired.push_back(w);
         return now > w.until;
     });
-    for (const auto& [w, held] : served)
+    for (const auto& [w, held] : served) {
+        e.planner.on_granted(adapter_name(w.wanted.model, w.wanted.adapter),
+                             now);
         reply(w, id, held.status, held.version);
+    }
     for (const auto& w : expired)
         reply(w, id, adapter_status::refused, 0);
 }
@@ -508,9 +536,9 @@
 
 void adapter_coordinator::tick_requests(time_point now)
 {
-    if (now - last_use_flush_ >= use_message_interval) {
+    if (now - last_use_flush_ >= usage_report_interval) {
         last_use_flush_ = now;
-        send_adapter_uses();
+        send_adapter_uses(true);
     }
     std::vector<std::uint64_t> resend;
     std::vector<std::uint64_t> expired;
--- a/src/lovagegate/gateway/adapter_coordinator.hpp
+++ b/src/lovagegate/gateway/adapter_coordinator.hpp
@@ -32,12 +32,13 @@
     /// Requests an adapter on an engine.
     /// @param was_absent the engine returned a request because the adapter was
     ///        not loaded
+    /// @param deadline time after which the request needs no adapter any more
     /// @param done called once, possibly before this function returns, unless
     ///        cancelled
     /// @return number for cancel(); 0 if done has already been called
     std::uint64_t request_adapter(const std::string& engine,
                                   const adapter_ref& wanted, bool was_absent,
-                                  answer_handler done);
+                                  time_point deadline, answer_handler done);
 
     void cancel(std::uint64_t number);
 
@@ -105,9 +106,10 @@
     /// Content of the next adapter_usage message to the owner of an engine.
     struct engine_use
     {
-        /// Open requests of this instance by adapter. An adapter whose requests
-        /// have ended stays, with zero, until one more message has listed it.
+        /// Open requests of this instance by adapter.
         std::map<std::string, std::uint32_t> open;
+        /// Adapters were added or removed since the last message.
+        bool changed = false;
         std::uint32_t streams = 0;
         std::uint32_t stalled_streams = 0;
     };
@@ -118,6 +120,7 @@
         adapter_ref wanted;
         bool was_absent = false;
         answer_handler done;
+        time_point deadline{};
         time_point since{};
         time_point last_sent{};
         bool acknowledged = false; ///< the owner has confirmed the request
@@ -140,7 +143,12 @@
                 std::uint64_t version);
     void send_request(std::uint64_t number, pending_request& ask,
                       time_point now);
-    void send_adapter_uses();
+    /// Sends changed uses once the current event has been handled.
+    void schedule_changed_uses(engine_use& use);
+    /// @param all also those that didn't change since the last message
+    void send_adapter_uses(bool all);
+    void send_adapter_use(const std::string& engine, engine_use& mine,
+                          time_point now);
     void log_change(const engine_ownership::change& c) const;
     [[nodiscard]] std::size_t
     connection_limit(const std::string& service) const;
@@ -152,6 +160,7 @@
     std::map<std::string, owned_engine> owned_engines_;
     std::map<std::uint64_t, pending_request> pending_requests_;
     std::map<std::string, engine_use> uses_;
+    bool use_flush_scheduled_ = false;
     std::uint64_t last_number_ = 0;
     time_point last_use_flush_{};
     time_point last_update_{};
--- a/src/lovagegate/gateway/adapter_planner.cpp
+++ b/src/lovagegate/gateway/adapter_planner.cpp
@@ -20,8 +20,11 @@
 constexpr duration load_timeout = 2500ms;
 /// Longest time that a load waits for a free slot.
 constexpr duration pending_load_timeout = 2s;
-/// An adapter used within this time is assumed to have requests on the engine.
-constexpr duration in_use_window = 450ms;
+/// An adapter whose use is unknown, since this owner is new, counts as used for
+/// this long. By then instances have reported their use.
+constexpr duration unknown_use_window = 450ms;
+/// Time in which an instance that was told to use an adapter reports the use.
+constexpr duration grant_window = 150ms;
 /// A load that exceeds its estimate is checked again after its elapsed time
 /// divided by this. Concurrent loads share the rate of the weight store and
 /// take longer.
@@ -109,6 +112,15 @@
         }));
 }
 
+bool adapter_planner::is_in_use(const std::string& name, const adapter_slot& p,
+                                time_point now) const
+{
+    return users_.is_used(name, now) ||
+           (p.granted_at != time_point{} &&
+            now - p.granted_at < grant_window) ||
+           (!p.use_known && now - p.last_use < unknown_use_window);
+}
+
 std::size_t adapter_planner::free_adapter_slots(time_point now) const
 {
     const auto taken = static_cast<std::size_t>(std::ranges::count_if(
@@ -116,7 +128,7 @@
                            [&](const auto& p) {
                                return p.second.state != slot_state::resident ||
                                       p.second.replacing ||
-                                      now - p.second.last_use < in_use_window;
+                                      is_in_use(p.first, p.second, now);
                            })) +
                        pending_loads_.size();
     const std::size_t all = capacity();
@@ -286,7 +298,8 @@
 }
 
 adapter_status adapter_planner::require_adapter(const adapter_ref& wanted,
-                                                time_point now)
+                                                time_point now,
+                                                time_point until)
 {
     const auto key = adapter_name(wanted.model, wanted.adapter);
     const auto it = slots_.find(key);
@@ -304,19 +317,40 @@
     }
     if (capacity() == 0 && reported_ && !report_.models.empty())
         return adapter_status::refused;
-    const bool waits = std::ranges::any_of(pending_loads_, [&](const auto& w) {
-        return w.wanted.model == wanted.model &&
-               w.wanted.adapter == wanted.adapter;
-    });
-    if (!waits)
-        pending_loads_.push_back({wanted, now});
+    const auto waiting =
+        std::ranges::find_if(pending_loads_, [&](const auto& w) {
+            return w.wanted.model == wanted.model &&
+                   w.wanted.adapter == wanted.adapter;
+        });
+    if (waiting == pending_loads_.end())
+        pending_loads_.push_back({wanted, now, until});
+    else
+        waiting->until = std::max(waiting->until, until);
     return adapter_status::loading;
 }
 
-void adapter_planner::on_adapter_used(std::string_view name, time_point now)
+bool adapter_planner::on_usage(std::string_view instance,
+                               std::span<const std::string> names,
+                               time_point now)
 {
-    if (const auto it = slots_.find(name); it != slots_.end())
+    const bool released = users_.on_usage(instance, names, now);
+    for (const auto& name : names) {
+        const auto it = slots_.find(name);
+        if (it == slots_.end())
+            continue;
         it->second.last_use = now;
+        it->second.use_known = true;
+    }
+    return released && !pending_loads_.empty();
+}
+
+void adapter_planner::on_granted(std::string_view name, time_point now)
+{
+    const auto it = slots_.find(name);
+    if (it == slots_.end())
+        return;
+    it->second.last_use = now;
+    it->second.granted_at = now;
 }
 
 void adapter_planner::plan_model(std::string_view wanted, time_point now,
@@ -353,27 +387,28 @@
     }
 }
 
-bool adapter_planner::evict_least_recent(time_point now,
+void adapter_planner::evict_least_recent(time_point now,
                                          std::vector<engine_order>& out)
 {
+    std::size_t unloading = 0;
     auto victim = slots_.end();
     for (auto it = slots_.begin(); it != slots_.end(); ++it) {
-        if (it->second.state == slot_state::unloading)
-            return false; // a slot becomes free soon
-        if (it->second.state != slot_state::resident || it->second.replacing)
+        unloading += it->second.state == slot_state::unloading ? 1U : 0U;
+        if (it->second.state != slot_state::resident || it->second.replacing ||
+            is_in_use(it->first, it->second, now))
             continue;
         if (victim == slots_.end() ||
             it->second.last_use < victim->second.last_use)
             victim = it;
     }
-    if (victim == slots_.end() || now - victim->second.last_use < in_use_window)
-        return false;
+    // Each unload makes room for one waiting load.
+    if (victim == slots_.end() || unloading >= pending_loads_.size())
+        return;
     const auto slash = victim->first.find('/');
     out.push_back({false, victim->first.substr(0, slash),
                    victim->first.substr(slash + 1), 0});
     victim->second.state = slot_state::unloading;
     victim->second.since = now;
-    return true;
 }
 
 void adapter_planner::plan_pending_loads(time_point now,
@@ -381,7 +416,7 @@
 {
     std::erase_if(pending_loads_, [&](const pending_load& w) {
         const auto have = look_up(w.wanted.model, w.wanted.adapter, now);
-        return now - w.since > pending_load_timeout ||
+        return now - w.since > pending_load_timeout || now > w.until ||
                (have.status == adapter_status::resident &&
                 have.version >= w.wanted.version);
     });
@@ -410,6 +445,7 @@
         if (!held) {
             p.version = version;
             p.was_cached = was_cached(key);
+            p.use_known = true; // requests that use it are granted by this owner
             p.ready_at = now + load_times_.expected(p.was_cached);
         }
         p.since = now;
--- a/src/lovagegate/gateway/adapter_planner.hpp
+++ b/src/lovagegate/gateway/adapter_planner.hpp
@@ -2,6 +2,7 @@
 #define LOVAGEGATE_GATEWAY_ADAPTER_PLANNER_HPP
 
 #include "lovagegate/core/time.hpp"
+#include "lovagegate/gateway/adapter_users.hpp"
 #include "lovagegate/gateway/load_estimate.hpp"
 #include "lovagegate/gateway/peer_messages.hpp"
 #include "lovagegate/gateway/site_config.hpp"
@@ -70,12 +71,21 @@
     void on_release(const adapter_release& release);
 
     /// Called when a request needs an adapter. Plans a load if it is missing.
-    [[nodiscard]] adapter_status require_adapter(const adapter_ref& wanted,
-                                                 time_point now);
-
-    /// Called while requests run on an adapter.
-    /// @param name MODEL/NAME
-    void on_adapter_used(std::string_view name, time_point now);
+    /// @param until time after which the request needs it no longer
+    [[nodiscard]] adapter_status
+    require_adapter(const adapter_ref& wanted, time_point now,
+                    time_point until = time_point::max());
+
+    /// Called when an instance reports which adapters have open requests.
+    /// @param instance address of the instance, empty for this one
+    /// @param names MODEL/NAME of all of them
+    /// @return whether a slot may have become free for a waiting load
+    bool on_usage(std::string_view instance, std::span<const std::string> names,
+                  time_point now);
+
+    /// Called when a request is told to use an adapter. The adapter counts as
+    /// used until the instance of the request can have reported it.
+    void on_granted(std::string_view name, time_point now);
 
     /// Status of an adapter and its version.
     struct adapter_state
@@ -143,12 +153,17 @@
         bool was_cached = false; ///< the engine may have cached it
         time_point ready_at{};   ///< estimated end of the load, while loading
         bool unload_unconfirmed = false; ///< the unload order was not answered
+        time_point granted_at{}; ///< when a request was last told to use it
+        /// Instances report their use of it to this owner. Until then the
+        /// adapter may have requests that only the earlier owner knew.
+        bool use_known = false;
     };
 
     struct pending_load
     {
         adapter_ref wanted;
         time_point since{};
+        time_point until{};
     };
 
     void remember_cached(const std::string& name);
@@ -160,7 +175,9 @@
                     std::vector<engine_order>& out);
     void plan_replacements(time_point now, std::vector<engine_order>& out);
     void plan_pending_loads(time_point now, std::vector<engine_order>& out);
-    bool evict_least_recent(time_point now, std::vector<engine_order>& out);
+    [[nodiscard]] bool is_in_use(const std::string& name,
+                                 const adapter_slot& p, time_point now) const;
+    void evict_least_recent(time_point now, std::vector<engine_order>& out);
     [[nodiscard]] bool holds_model(std::string_view model) const;
     [[nodiscard]] double model_weights_mb() const;
     [[nodiscard]] const model_spec*
@@ -186,6 +203,7 @@
     time_point no_orders_until_{};   ///< backoff after a refused order
     std::map<std::string, adapter_slot, std::less<>> slots_; ///< by MODEL/NAME
     std::map<std::string, std::uint64_t, std::less<>> newest_versions_;
+    adapter_users users_;
     std::deque<pending_load> pending_loads_;
     std::map<std::string, time_point, std::less<>> model_ordered_at_;
     load_estimate load_times_;
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -292,7 +292,7 @@
                              facts_.version != 0 ? facts_.version : version};
     const auto alive = alive_;
     const auto number = context_.adapters.request_adapter(
-        target, wanted, was_missing,
+        target, wanted, was_missing, deadline_,
         [this, target, alive](adapter_status status, std::uint64_t held) {
             if (!*alive || done_)
                 return;
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -50,7 +50,7 @@
 {
     return json::array({tag::adapter_request, m.number, m.engine,
                         m.wanted.model, m.wanted.adapter, m.wanted.version,
-                        m.was_absent});
+                        m.was_absent, m.time_left.count()});
 }
 
 json write(const adapter_reply& m)
@@ -141,6 +141,16 @@
                : adapter_status::refused;
 }
 
+duration read_time_left(const json& adapter_request)
+{
+    // Instances of earlier versions don't say how long a request can wait.
+    constexpr std::size_t position = 7;
+    return adapter_request.size() > position
+               ? duration(
+                     adapter_request.at(position).get<duration::rep>())
+               : duration::max();
+}
+
 std::optional<peer_message> read(const json& j)
 {
     switch (static_cast<tag>(j.at(0).get<unsigned>())) {
@@ -152,7 +162,7 @@
                                {j.at(3).get<std::string>(),
                                 j.at(4).get<std::string>(),
                                 j.at(5).get<std::uint64_t>()},
-                               j.at(6).get<bool>()};
+                               j.at(6).get<bool>(), read_time_left(j)};
     case tag::adapter_reply:
         return adapter_reply{j.at(1).get<std::uint64_t>(),
                              j.at(2).get<std::string>(), read_status(j.at(3)),
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -77,6 +77,7 @@
     adapter_ref wanted;
     bool was_absent =
         false; ///< the engine has just rejected a request for lack of it
+    duration time_left{}; ///< for which the request can wait
 };
 
 enum class adapter_status : std::uint8_t
@@ -100,7 +101,7 @@
 {
     std::string engine;
     std::vector<std::string>
-        adapters; ///< MODEL/NAME of those with open requests
+        adapters; ///< MODEL/NAME of all those with open requests
     /// Streams that ended since the last message, and how many of them had a
     /// pause longer than their route allows.
     std::uint32_t streams = 0;
--- a/tests/gateway/adapter_planner_test.cpp
+++ b/tests/gateway/adapter_planner_test.cpp
@@ -176,7 +176,7 @@
     time_point now{10s};
     planner.on_report(report_with({"a1@1", "a2@1"}), now);
     now += 2s;
-    planner.on_adapter_used("m/a1", now);
+    planner.on_usage("i1", std::vector<std::string>{"m/a1"}, now);
     CHECK(planner.require_adapter(adapter("a3"), now) ==
           adapter_status::loading);
     auto orders = planner.plan(now);
@@ -186,12 +186,69 @@
 
     adapter_planner busy("e", small_engine(2));
     busy.on_report(report_with({"a1@1", "a2@1"}), now);
-    busy.on_adapter_used("m/a1", now);
-    busy.on_adapter_used("m/a2", now);
+    busy.on_usage("i1", std::vector<std::string>{"m/a1", "m/a2"}, now);
     CHECK(busy.require_adapter(adapter("a3"), now) == adapter_status::loading);
     CHECK(busy.plan(now).empty());
 }
 
+TEST_CASE("an adapter is evicted as soon as its last request has ended",
+          "[gateway]")
+{
+    // A request takes a fifth of a second: a slot that stays taken after it
+    // serves fewer requests.
+    const std::vector<std::string> one{"m/a1"};
+    const std::vector<std::string> none;
+    adapter_planner planner("e", small_engine(1));
+    time_point now{10s};
+    planner.on_report(report_with({"a1@1"}), now);
+    planner.on_usage("i1", one, now);
+    planner.on_usage("i2", one, now);
+    CHECK(planner.require_adapter(adapter("a2"), now) ==
+          adapter_status::loading);
+    now += 100ms;
+    CHECK(planner.on_usage("i1", none, now));
+    CHECK(planner.plan(now).empty()); // the other instance still uses it
+    CHECK(planner.on_usage("i2", none, now));
+    const auto orders = planner.plan(now);
+    REQUIRE(orders.size() == 1);
+    CHECK_FALSE(orders.front().load);
+    CHECK(orders.front().adapter == "a1");
+}
+
+TEST_CASE("an adapter is not evicted between its grant and the report of its "
+          "use",
+          "[gateway]")
+{
+    adapter_planner planner("e", small_engine(1));
+    time_point now{10s};
+    planner.on_report(report_with({"a1@1"}), now);
+    planner.on_usage("i1", std::vector<std::string>{"m/a1"}, now);
+    now += 1s;
+    planner.on_usage("i1", std::vector<std::string>{}, now);
+    REQUIRE(planner.require_adapter(adapter("a1"), now) ==
+            adapter_status::resident);
+    planner.on_granted("m/a1", now);
+    CHECK(planner.require_adapter(adapter("a2"), now) ==
+          adapter_status::loading);
+    CHECK(planner.plan(now + 20ms).empty());
+    planner.on_usage("i2", std::vector<std::string>{"m/a1"}, now + 20ms);
+    CHECK(planner.plan(now + 300ms).empty());
+    CHECK(planner.plan(now + 500ms).size() == 1); // i2 is gone
+}
+
+TEST_CASE("a load is not ordered for a request that can't wait for it",
+          "[gateway]")
+{
+    adapter_planner planner("e", small_engine(1));
+    time_point now{10s};
+    planner.on_report(report_with({"a1@1"}), now);
+    planner.on_usage("i1", std::vector<std::string>{"m/a1"}, now);
+    CHECK(planner.require_adapter(adapter("a2"), now, now + 200ms) ==
+          adapter_status::loading);
+    planner.on_usage("i1", std::vector<std::string>{}, now + 250ms);
+    CHECK(planner.plan(now + 250ms).empty());
+}
+
 TEST_CASE("evictions of an engine continue after an unload order was lost",
           "[gateway]")
 {
--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -39,10 +39,11 @@
           "[gateway]")
 {
     const auto ask =
-        decode(encode(adapter_request{5, "e", {"m", "a", 6}, true}));
+        decode(encode(adapter_request{5, "e", {"m", "a", 6}, true, 90ms}));
     REQUIRE(ask);
     CHECK(std::get<adapter_request>(*ask).wanted.version == 6);
     CHECK(std::get<adapter_request>(*ask).was_absent);
+    CHECK(std::get<adapter_request>(*ask).time_left == 90ms);
     const auto answer =
         decode(encode(adapter_reply{5, "e", adapter_status::expected, 6}));
     REQUIRE(answer);
