Learn how long requests of a service run

One open request at 195 instances filled a service of 30 slots many times over.

service_pace learns the run time of a service, and its open requests averaged over 2 s, from the instance's own requests. Nothing is expected to wait before the first answer.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -377,6 +377,7 @@
         context_.adapters.begin_use(target, adapter_);
     if (sends_ == 1)
         time_to_first_send_ = elapsed();
+    sent_at_ = now.mono;
     silent_since_ = now.mono;
     log("sent", head_sent_ ? "resume" : (sends_ > 1 ? "again" : "first"));
     arm_timer();
@@ -398,7 +399,7 @@
     call_.reset();
     probe_.reset();
     discarded_.reset();
-    context_.state.placements.on_left(target_);
+    context_.state.placements.on_left(target_, net::event_loop::now().mono);
     if (!adapter_.empty())
         context_.adapters.end_use(target_, adapter_);
 }
@@ -550,7 +551,8 @@
         return;
     }
     if (answer_.status < first_server_error) {
-        s.placements.on_success(target);
+        s.placements.on_success(target,
+                                net::event_loop::now().mono - sent_at_);
         s.suspects.on_answer(fingerprint_);
     }
     if (head_sent_) {
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -144,6 +144,7 @@
     std::string service_;
     fingerprint fingerprint_ = 0;
     time_point deadline_{}; ///< earlier of route timeout and caller's deadline
+    time_point sent_at_{};
     time_point
         silent_since_{}; ///< last byte from the target, or time of the send
     net::timer_id timer_ = 0;
--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -45,8 +45,8 @@
 constexpr double recently_full_cost = 300;
 /// Random part of the load: keeps instances from all choosing the same target.
 constexpr double max_load_jitter = 0.06;
-/// Mean time that a request holds a slot of a full engine.
-constexpr double mean_run_time_ms = 1500;
+/// Time that a request is assumed to run before any answer has shown it.
+constexpr duration initial_run_time = 1500ms;
 /// Cost of each request above queueing_load_threshold.
 constexpr double cost_per_queued_request = 23;
 /// Share of the slots above which the next request may have to wait, since load
@@ -97,18 +97,21 @@
 {
 }
 
-void placement::on_sent(const std::string& target, time_point)
+void placement::on_sent(const std::string& target, time_point now)
 {
     target_stats& b = target_stats_[target];
     ++b.open_requests;
     ++b.sent_since_report;
+    paces_[b.service].on_sent(now);
 }
 
-void placement::on_left(const std::string& target)
+void placement::on_left(const std::string& target, time_point now)
 {
     const auto it = target_stats_.find(target);
-    if (it != target_stats_.end() && it->second.open_requests > 0)
-        --it->second.open_requests;
+    if (it == target_stats_.end() || it->second.open_requests == 0)
+        return;
+    --it->second.open_requests;
+    paces_[it->second.service].on_left(now);
 }
 
 void placement::on_event(const std::string& target, duration gap,
@@ -152,9 +155,10 @@
     return cost;
 }
 
-void placement::on_success(const std::string& target)
+void placement::on_success(const std::string& target, duration run_time)
 {
     target_stats& b = target_stats_[target];
+    paces_[b.service].on_answer(run_time);
     b.failure_share *= 1 - success_ewma_weight;
     b.unreachable_backoff = {};
 }
@@ -254,6 +258,8 @@
         b.open_requests = open;
         b.started_ms = entry.started_ms;
     }
+    if (b.open_requests == 0)
+        b.service = entry.service;
     std::map<std::string, std::uint64_t, std::less<>> listed;
     for (const auto& m : entry.models)
         for (const auto& text : m.adapters) {
@@ -298,18 +304,16 @@
 }
 
 double placement::relative_load(const target_stats& b, std::uint32_t slots,
-                                std::size_t instances, time_point now) const
+                                double others, time_point now)
 {
     const double all = slots == 0 ? 1 : slots;
     const bool fresh =
         now - b.reported_at < report_ttl && b.reported_at != time_point{};
-    // Without a recent report, each other instance is assumed to send as much
-    // as this one.
+    const double own = b.open_requests;
     const double requests =
         fresh ? static_cast<double>(b.reported_requests) + b.sent_since_report
-              : static_cast<double>(b.open_requests) *
-                    static_cast<double>(instances);
-    return std::max(requests, static_cast<double>(b.open_requests)) / all;
+              : own + others;
+    return std::max(requests, own) / all;
 }
 
 std::string_view
@@ -345,13 +349,13 @@
     return order;
 }
 
-std::size_t placement::home_engine_count(double recent,
+std::size_t placement::home_engine_count(double recent, duration run_time,
                                          std::span<const candidate> order)
 {
     if (order.empty())
         return 0;
     const double slots = std::max(1U, order.front().target->entry.slots);
-    const double running = recent * mean_run_time_ms /
+    const double running = recent * to_ms(run_time) /
                            to_ms(demand_decay_time); // concurrent requests
     const auto home_count = static_cast<std::size_t>(
         std::ceil(running / (slots * target_home_load)));
@@ -403,7 +407,16 @@
     const double expected_uses =
         std::max(0.0, recent - static_cast<double>(instances)) *
         requests_per_load_ratio;
-    const std::size_t home_count = home_engine_count(recent, order);
+    const service_pace& pace = paces_[request.service];
+    const auto run_time = pace.mean_run_time();
+    // Callers reach instances by chance, so each other instance is assumed to
+    // have as many requests open as this one has on average.
+    const double others = pace.mean_open(now) *
+                          static_cast<double>(instances - 1) /
+                          static_cast<double>(std::max<std::size_t>(
+                              1, candidates.size()));
+    const std::size_t home_count =
+        home_engine_count(recent, run_time.value_or(initial_run_time), order);
     std::optional<placement_choice> best;
     target_cost first_cost;
     target_cost best_cost;
@@ -413,13 +426,14 @@
         const target_state& t = *order[rank].target;
         const target_stats& b = target_stats_[t.entry.id];
         const double slots = t.entry.slots;
-        const double load = relative_load(b, t.entry.slots, instances, now);
+        const double load = relative_load(b, t.entry.slots, others, now);
         const double running = (load + load_jitter(random_)) * slots;
         const bool resident =
             !needs_adapter ||
             is_resident(t.entry.id, adapter, request.adapter->version);
-        double wait =
-            running > slots ? (running - slots) / slots * mean_run_time_ms : 0;
+        double wait = 0;
+        if (running > slots && run_time)
+            wait = (running - slots) / slots * to_ms(*run_time);
         target_cost cost;
         cost.crowding = crowding_cost(b, running, slots, now);
         if (now - b.reported_at < report_ttl)
--- a/src/lovagegate/gateway/placement.hpp
+++ b/src/lovagegate/gateway/placement.hpp
@@ -3,6 +3,7 @@
 
 #include "lovagegate/core/time.hpp"
 #include "lovagegate/gateway/peer_messages.hpp"
+#include "lovagegate/gateway/service_pace.hpp"
 #include "lovagegate/gateway/site_config.hpp"
 #include "lovagegate/gateway/target_directory.hpp"
 
@@ -87,10 +88,11 @@
 
     /// Called when a request is sent to a target and when it has ended there.
     void on_sent(const std::string& target, time_point now);
-    void on_left(const std::string& target);
+    void on_left(const std::string& target, time_point now);
 
-    /// Called when a target answers a request.
-    void on_success(const std::string& target);
+    /// Called when a target has answered a request.
+    /// @param run_time time from sending the request to the end of the answer
+    void on_success(const std::string& target, duration run_time);
     /// Called for each event of a stream.
     /// @param gap time since the previous event
     void on_event(const std::string& target, duration gap, time_point now);
@@ -142,6 +144,7 @@
 private:
     struct target_stats
     {
+        std::string service;
         std::uint32_t open_requests = 0;
         std::uint32_t reported_requests = 0; ///< running and waiting
         std::uint32_t sent_since_report = 0;
@@ -180,10 +183,11 @@
     [[nodiscard]] static double crowding_cost(const target_stats& b,
                                               double running, double slots,
                                               time_point now);
-    [[nodiscard]] double relative_load(const target_stats& b,
-                                       std::uint32_t slots,
-                                       std::size_t instances,
-                                       time_point now) const;
+    /// @param others estimated open requests of all other instances, used
+    ///        where no recent report gives the load
+    [[nodiscard]] static double relative_load(const target_stats& b,
+                                              std::uint32_t slots,
+                                              double others, time_point now);
 
     /// A target that may be chosen, with its rendezvous weight for the
     /// request's key.
@@ -201,8 +205,10 @@
     /// @param recent decayed number of requests of all instances for the
     ///        adapter
     /// @return number of engines that the adapter needs
+    /// @param run_time mean time that a request runs
     [[nodiscard]] static std::size_t
-    home_engine_count(double recent, std::span<const candidate> order);
+    home_engine_count(double recent, duration run_time,
+                      std::span<const candidate> order);
     [[nodiscard]] static double adapter_slot_cost(const target_stats& b,
                                                   time_point now);
     [[nodiscard]] double availability_cost(const target_state& t,
@@ -211,6 +217,7 @@
 
     std::string own_domain_;
     std::map<std::string, target_stats> target_stats_;
+    std::unordered_map<std::string, service_pace> paces_; ///< by service
     std::unordered_map<std::string, key_demand> demands_;
     std::mt19937_64 random_;
 };
