Count one request for an idle adapter as one in the fleet

The decayed count of an instance includes the request at hand, and was multiplied by the number of instances: a first request for an idle adapter counted as 195 at the large site, and got up to nine home engines by chance. Only the requests before it are an estimate of those at others.

--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -401,12 +401,13 @@
             : std::string();
     const std::string& key = needs_adapter ? adapter : request.prompt_prefix;
     const auto order = rank_targets(request, key, candidates);
-    const double recent = needs_adapter ? record_demand(adapter, now) *
-                                              static_cast<double>(instances)
-                                        : 0;
-    const double expected_uses =
-        std::max(0.0, recent - static_cast<double>(instances)) *
-        requests_per_load_ratio;
+    // Only earlier requests say something about those at other instances: one
+    // request for an idle adapter is one in the whole fleet.
+    const double others_recent =
+        needs_adapter ? (record_demand(adapter, now) - 1) *
+                            static_cast<double>(instances)
+                      : 0;
+    const double expected_uses = others_recent * requests_per_load_ratio;
     const service_pace& pace = paces_[request.service];
     const auto run_time = pace.mean_run_time();
     // Callers reach instances by chance, so each other instance is assumed to
@@ -416,7 +417,8 @@
                           static_cast<double>(std::max<std::size_t>(
                               1, candidates.size()));
     const std::size_t home_count =
-        home_engine_count(recent, run_time.value_or(initial_run_time), order);
+        home_engine_count(others_recent + 1,
+                          run_time.value_or(initial_run_time), order);
     std::optional<placement_choice> best;
     target_cost first_cost;
     target_cost best_cost;
