--- a/src/lovagegate/gateway/adapter_planner.cpp
+++ b/src/lovagegate/gateway/adapter_planner.cpp
@@ -422,7 +422,7 @@
     });
     while (!pending_loads_.empty() && in_transit() < max_concurrent_loads &&
            may_order_more(out)) {
-        const adapter_ref w = pending_loads_.front().wanted;
+        const adapter_ref w = pending_loads_.back().wanted;
         if (!holds_model(w.model)) {
             plan_model(w.model, now, out);
             return;
@@ -435,7 +435,7 @@
             }
         } else if (slots_[key].state != slot_state::resident ||
                    slots_[key].replacing) {
-            pending_loads_.pop_front();
+            pending_loads_.pop_back();
             continue;
         }
         const auto version = std::max(w.version, newest(key));
@@ -451,7 +451,7 @@
         p.since = now;
         p.last_use = now;
         out.push_back({true, w.model, w.adapter, version});
-        pending_loads_.pop_front();
+        pending_loads_.pop_back();
     }
 }
 
