Refuse a request that has waited 1.5 objectives for an adapter slot

Such requests were held to their deadline, or until their callers left, and took slots from requests that were still in time.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -292,7 +292,8 @@
                              facts_.version != 0 ? facts_.version : version};
     const auto alive = alive_;
     const auto number = context_.adapters.request_adapter(
-        target, wanted, was_missing, deadline_,
+        target, wanted, was_missing,
+        std::min(deadline_, message_.arrived + std::max<duration>(600ms, route_->latency_objective * 3 / 2)),
         [this, target, alive](adapter_status status, std::uint64_t held) {
             if (!*alive || done_)
                 return;
@@ -307,6 +308,10 @@
                 return;
             }
             context_.state.counts.add("adapter_asks_refused");
+            if (elapsed() > std::max<duration>(600ms, route_->latency_objective * 3 / 2) - 60ms) {
+                refuse("no adapter slot in time");
+                return;
+            }
             context_.state.placements.on_load_refused(target, now);
             excluded_.push_back(target);
             try_next_target();
