Send store news over relays, and tell certain deletions from doubtful ones

The reader now sends to about the square root of the members, which pass the message on within their failure domain; who misses one pulls from the relay that showed the gap. A pulled state says for how much longer deletions are in doubt. A state read in pages is complete up to its first page only.

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -1,6 +1,7 @@
 #include "lovagegate/gateway/gateway_daemon.hpp"
 
 #include "lovagegate/gateway/news_codec.hpp"
+#include "lovagegate/gateway/news_relay.hpp"
 #include "lovagegate/gateway/store_reader_election.hpp"
 #include "lovagegate/logging/log.hpp"
 #include "platform/http_fields.hpp"
@@ -13,6 +14,7 @@
 #include <array>
 #include <charconv>
 #include <ctime>
+#include <utility>
 
 namespace lovagegate::gateway {
 
@@ -629,18 +631,28 @@
     const time_point now = net::event_loop::now().mono;
     if (!is_news_sender(state_.members, now))
         return;
-    const auto all = state_.members.alive(now);
-    for (const auto& message : pack_changes(of_targets, news)) {
-        const std::string datagram = encode(message);
-        for (const auto& address : all)
-            if (address != state_.boot.address)
-                send_datagram(address, datagram);
-    }
+    for (auto& message : pack_changes(of_targets, news))
+        for (auto& group : make_relay_groups(state_.members, now, random_)) {
+            message.relay_to = std::move(group.others);
+            send_datagram(group.relay, encode(message));
+        }
+}
+
+void gateway_daemon::relay_store_changes(store_changes news)
+{
+    const auto receivers = std::exchange(news.relay_to, {});
+    if (receivers.empty())
+        return;
+    const std::string datagram = encode(news);
+    for (const auto& address : receivers)
+        if (address != state_.boot.address)
+            send_datagram(address, datagram);
 }
 
 void gateway_daemon::on_store_changes(const settings::endpoint& from,
                                       const store_changes& news)
 {
+    relay_store_changes(news);
     store_reader& reader = news.of_targets ? target_reader_ : operator_reader_;
     const auto batch = unpack_changes(news, reader.items());
     if (!batch)
@@ -724,7 +736,8 @@
     const auto first = std::from_chars(path.data(), end, known.operator_keys);
     if (first.ec == std::errc() && first.ptr != end)
         std::from_chars(first.ptr + 1, end, known.targets);
-    return pack_state(operator_reader_, target_reader_, known);
+    return pack_state(operator_reader_, target_reader_, known,
+                      net::event_loop::now().mono);
 }
 
 void gateway_daemon::apply_peer_state(const std::string& body)
@@ -732,9 +745,9 @@
     try {
         const state_snapshot page = unpack_state(body);
         const bool whole_keys = operator_reader_.apply_peer_snapshot(
-            page.newest.operator_keys, page.keys, page.items);
+            page.newest.operator_keys, page.keys, page.items, page.doubt_left);
         const bool whole_targets = target_reader_.apply_peer_snapshot(
-            page.newest.targets, page.keys, page.items);
+            page.newest.targets, page.keys, page.items, page.doubt_left);
         pull_everything_ = !whole_keys || !whole_targets;
         logging::write(logging::level::info, "state_from_peer",
                        {{"items", std::uint64_t{page.items.size()}},
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -66,6 +66,8 @@
     void stop_accepting();
     void update_store_duty(time_point now);
     void send_store_changes(bool of_targets, const store_reader::batch& news);
+    /// Passes a message on to the receivers that it names.
+    void relay_store_changes(store_changes news);
     void on_store_changes(const settings::endpoint& from,
                           const store_changes& news);
     void pull_from_peer(time_point now);
--- a/src/lovagegate/gateway/news_codec.cpp
+++ b/src/lovagegate/gateway/news_codec.cpp
@@ -45,7 +45,7 @@
                    std::uint64_t after, std::uint64_t revision,
                    std::span<const store_item> items)
 {
-    store_changes out{of_targets, after, revision, news.in_doubt, {}, {}};
+    store_changes out{of_targets, after, revision, news.in_doubt, {}, {}, {}};
     std::string dictionary;
     json content = json::array();
     for (const auto& item : items) {
@@ -120,7 +120,8 @@
 }
 
 std::string pack_state(const store_reader& operator_keys,
-                       const store_reader& targets, known_revisions known)
+                       const store_reader& targets, known_revisions known,
+                       time_point now)
 {
     json keys = json::array();
     json items = json::array();
@@ -135,7 +136,8 @@
     add(targets, known.targets);
     return compress(
         to_bytes(json::array({operator_keys.newest(), targets.newest(),
-                              std::move(keys), std::move(items)})));
+                              std::move(keys), std::move(items),
+                              targets.doubt_left(now).count()})));
 }
 
 state_snapshot unpack_state(std::string_view packed)
@@ -147,6 +149,9 @@
     out.keys = page.at(2).get<std::vector<std::string>>();
     for (const json& item : page.at(3))
         out.items.push_back(read(item));
+    constexpr std::size_t doubt_position = 4;
+    if (page.size() > doubt_position) // absent in states of earlier versions
+        out.doubt_left = duration(page.at(doubt_position).get<duration::rep>());
     return out;
 }
 
--- a/src/lovagegate/gateway/news_codec.hpp
+++ b/src/lovagegate/gateway/news_codec.hpp
@@ -43,13 +43,15 @@
     known_revisions newest;
     std::vector<std::string> keys;                ///< all existing keys
     std::vector<platform_wire::store_item> items; ///< changed ones only
+    /// Time for which deleted entries of targets may merely have expired.
+    duration doubt_left{};
 };
 
 /// @param known newest revisions of the instance that requests the state
 /// @return the compressed state
 [[nodiscard]] std::string pack_state(const store_reader& operator_keys,
                                      const store_reader& targets,
-                                     known_revisions known);
+                                     known_revisions known, time_point now);
 
 /// @throws compression_error, nlohmann::json::exception if the bytes are
 ///         invalid
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -76,7 +76,7 @@
     for (const auto& b : m.bases)
         bases.push_back(json::array({b.key, b.revision}));
     return json::array({tag::store_changes, m.of_targets, m.after, m.revision,
-                        m.in_doubt, std::move(bases), m.packed});
+                        m.in_doubt, std::move(bases), m.packed, m.relay_to});
 }
 
 store_changes read_news(const json& j)
@@ -90,6 +90,10 @@
         n.bases.push_back(
             {b.at(0).get<std::string>(), b.at(1).get<std::uint64_t>()});
     n.packed = j.at(6).get<std::string>();
+    constexpr std::size_t relay_position = 7;
+    if (j.size() > relay_position) // absent in messages of earlier versions
+        n.relay_to =
+            j.at(relay_position).get<std::vector<std::string>>();
     return n;
 }
 
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -135,6 +135,8 @@
     std::vector<base> bases;
     std::string
         packed; ///< compressed changes; empty if they are too large to send
+    /// Addresses to which the receiver passes the message on, without these.
+    std::vector<std::string> relay_to;
 };
 
 using peer_message = std::variant<heartbeat, adapter_request, adapter_reply,
--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -54,10 +54,19 @@
     return failing_ ? now - failing_since_ : duration::zero();
 }
 
+duration store_reader::doubt_left(time_point now) const
+{
+    return std::max(duration::zero(), doubt_until_ - now);
+}
+
 bool store_reader::in_doubt(time_point now) const
 {
-    return last_failure_ != time_point{} &&
-           now - last_failure_ < settings_.in_doubt_period;
+    return doubt_left(now) > duration::zero();
+}
+
+void store_reader::extend_doubt(duration from_now, time_point now)
+{
+    doubt_until_ = std::max(doubt_until_, now + from_now);
 }
 
 void store_reader::call(const std::string& path, duration limit,
@@ -115,19 +124,24 @@
     }
     const auto all = std::move(partial_items_);
     partial_items_.clear();
-    auto news = apply_all(all, first_page_revision_);
+    const bool doubt = in_doubt(net::event_loop::now().mono) || loaded_;
+    auto news = apply_all(all, first_page_revision_, doubt);
     revision_ = std::max(revision_, first_page_revision_);
     on_answered();
-    publish_changes(std::move(news));
+    // Items of later pages may be newer than the state is known to be complete,
+    // so the state counts as that of the first page.
+    if (!news.items.empty())
+        on_batch_(news);
     schedule_next(duration::zero(), false);
 }
 
 store_reader::batch store_reader::apply_all(const item_map& all,
-                                            std::uint64_t revision)
+                                            std::uint64_t revision,
+                                            bool in_doubt)
 {
     batch news;
     news.after = newest_;
-    news.in_doubt = in_doubt(net::event_loop::now().mono) || loaded_;
+    news.in_doubt = in_doubt;
     std::vector<platform_wire::store_item> changes;
     for (const auto& [key, item] : items_)
         if (!all.contains(key))
@@ -137,16 +151,19 @@
     for (const auto& item : changes)
         apply_to(news, item);
     loaded_ = true;
+    newest_ = std::max(newest_, revision);
     news.revision = newest_;
     return news;
 }
 
 bool store_reader::apply_peer_snapshot(
     std::uint64_t newest, std::span<const std::string> keys,
-    std::span<const platform_wire::store_item> items)
+    std::span<const platform_wire::store_item> items, duration doubt_left)
 {
     if (newest <= newest_ && loaded_)
         return true;
+    const time_point now = net::event_loop::now().mono;
+    extend_doubt(doubt_left, now);
     item_map all;
     for (const auto& item : items)
         if (item.key.starts_with(prefix_))
@@ -159,7 +176,7 @@
             return false;
         all.emplace(*known);
     }
-    apply_all(all, newest);
+    apply_all(all, newest, in_doubt(now));
     newest_ = std::max(newest_, newest);
     revision_ = std::max(revision_, newest);
     return true;
@@ -169,6 +186,9 @@
 {
     if (!loaded_)
         return false;
+    if (news.in_doubt)
+        extend_doubt(settings_.relayed_doubt_period,
+                     net::event_loop::now().mono);
     for (const auto& item : news.items)
         apply(item, news.in_doubt);
     if (news.after > newest_)
@@ -240,7 +260,7 @@
 void store_reader::on_watch(const short_call::result& r)
 {
     if (r.status == gone_status) {
-        last_failure_ = net::event_loop::now().mono;
+        extend_doubt(settings_.in_doubt_period, net::event_loop::now().mono);
         counts_.add("store_history_lost");
         schedule_next(settings_.watch_interval, true);
         return;
@@ -294,7 +314,7 @@
 {
     const time_point now = net::event_loop::now().mono;
     counts_.add("store_failures", "status", std::to_string(r.status));
-    last_failure_ = now;
+    extend_doubt(settings_.in_doubt_period, now);
     backoff_ = std::clamp<duration>(2 * backoff_, settings_.initial_backoff,
                                     settings_.max_backoff);
     if (is_first_interruption(r)) {
--- a/src/lovagegate/gateway/store_reader.hpp
+++ b/src/lovagegate/gateway/store_reader.hpp
@@ -34,6 +34,8 @@
     /// An entry that is deleted within this time after a failed call may merely
     /// have expired.
     duration in_doubt_period = 4s;
+    /// The same for an instance that has received such a deletion from another.
+    duration relayed_doubt_period = 1s;
 };
 
 /// Mirrors all keys with one prefix from the platform's store.
@@ -79,10 +81,12 @@
     /// @param newest newest revision of that state
     /// @param keys all existing keys; other keys of the prefix are deleted
     /// @param items items that may have changed since this instance's state
+    /// @param doubt_left doubt_left() of that instance
     /// @return whether no item was missing
     bool apply_peer_snapshot(std::uint64_t newest,
                              std::span<const std::string> keys,
-                             std::span<const platform_wire::store_item> items);
+                             std::span<const platform_wire::store_item> items,
+                             duration doubt_left);
 
     /// Applies changes that another instance has read.
     /// @return whether no change is missing between the known state and these
@@ -101,6 +105,11 @@
     /// @return how long calls have been failing, zero if the last one succeeded
     [[nodiscard]] duration time_without_contact(time_point now) const;
 
+    /// @return for how much longer a deleted entry may merely have expired
+    ///         while the store didn't answer, as this instance or the one that
+    ///         it has its news from has found; zero if deletions are certain
+    [[nodiscard]] duration doubt_left(time_point now) const;
+
     [[nodiscard]] const item_map& items() const noexcept { return items_; }
 
     /// @return whether this instance watches the store and the store answers
@@ -124,7 +133,9 @@
     bool apply(const platform_wire::store_item& item, bool in_doubt);
     void apply_to(batch& news, const platform_wire::store_item& item);
     void publish_changes(batch news);
-    batch apply_all(const item_map& all, std::uint64_t revision);
+    /// @param all complete state as of the revision; single items may be newer
+    batch apply_all(const item_map& all, std::uint64_t revision, bool in_doubt);
+    void extend_doubt(duration from_now, time_point now);
     [[nodiscard]] bool in_doubt(time_point now) const;
 
     net::event_loop& loop_;
@@ -140,7 +151,7 @@
     std::uint64_t first_page_revision_ = 0;
     std::uint64_t revision_ = 0;
     time_point failing_since_{};
-    time_point last_failure_{};
+    time_point doubt_until_{};
     time_point started_{};
     duration backoff_{};
     net::timer_id timer_ = 0;
