--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -631,9 +631,11 @@
     const time_point now = net::event_loop::now().mono;
     if (!is_news_sender(state_.members, now))
         return;
+    // All messages take the same ways, so that they arrive in order.
+    const auto groups = make_relay_groups(state_.members, now, random_);
     for (auto& message : pack_changes(of_targets, news))
-        for (auto& group : make_relay_groups(state_.members, now, random_)) {
-            message.relay_to = std::move(group.others);
+        for (const auto& group : groups) {
+            message.relay_to = group.others;
             send_datagram(group.relay, encode(message));
         }
 }
