--- a/standins/site/platform_store.cpp
+++ b/standins/site/platform_store.cpp
@@ -71,15 +71,24 @@
     remove(std::string(platform_wire::store_key::targets) + id);
 }
 
-std::string platform_store::range(const std::string& prefix) const
+std::string platform_store::range(const std::string& prefix,
+                                  const std::string& after) const
 {
     json items = json::array();
-    for (const auto& [key, c] : items_)
-        if (key.starts_with(prefix))
-            items.push_back({{"key", key},
-                             {"value", encode_base64(c.value)},
-                             {"revision", c.revision}});
-    return json{{"items", items}, {"currentRev", revision_}}.dump();
+    bool more = false;
+    for (const auto& [key, c] : items_) {
+        if (!key.starts_with(prefix) || key <= after)
+            continue;
+        more = items.size() == items_per_page_;
+        if (more)
+            break;
+        items.push_back({{"key", key},
+                         {"value", encode_base64(c.value)},
+                         {"revision", c.revision}});
+    }
+    return json{
+        {"items", items}, {"currentRev", revision_}, {"morePages", more}}
+        .dump();
 }
 
 std::string platform_store::changes(const std::string& prefix,
@@ -109,10 +118,14 @@
     }
     if (down_)
         return {{whole_answer(503, {}, ""), {}, then::go_on}};
-    if (target.starts_with(platform_wire::path::read_range))
-        return {{whole_answer(200, {}, range(prefix)), {}, then::go_on}};
-    std::uint64_t after = 0;
     const std::string text = argument(target, "after");
+    if (target.starts_with(platform_wire::path::read_range)) {
+        const std::string page = range(prefix, text);
+        if (on_page_)
+            on_page_();
+        return {{whole_answer(200, {}, page), {}, then::go_on}};
+    }
+    std::uint64_t after = 0;
     std::from_chars(text.data(), text.data() + text.size(), after);
     if (after < compacted_)
         return {{whole_answer(410, {}, ""), {}, then::go_on}};
--- a/standins/site/platform_store.hpp
+++ b/standins/site/platform_store.hpp
@@ -4,6 +4,7 @@
 #include "standins/site/scripted_server.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -30,6 +31,14 @@
     /// Forgets the history: watches from before get 410.
     void compact() { compacted_ = revision_; }
 
+    /// Splits the answers to reads into pages.
+    /// @param on_page called after each page, and may change the store
+    void set_pages(std::size_t items_per_page, std::function<void()> on_page)
+    {
+        items_per_page_ = items_per_page;
+        on_page_ = std::move(on_page);
+    }
+
     /// Breaks the connection of the next calls instead of answering them.
     void cut_next(int calls) { to_cut_ = calls; }
 
@@ -43,7 +52,8 @@
     };
 
     script answer(const seen_request& request);
-    [[nodiscard]] std::string range(const std::string& prefix) const;
+    [[nodiscard]] std::string range(const std::string& prefix,
+                                    const std::string& after) const;
     [[nodiscard]] std::string changes(const std::string& prefix,
                                       std::uint64_t after) const;
 
@@ -53,6 +63,8 @@
     std::uint64_t compacted_ = 0;
     bool down_ = false;
     int to_cut_ = 0;
+    std::size_t items_per_page_ = 500;
+    std::function<void()> on_page_;
     scripted_server server_;
 };
 
--- a/tests/gateway/store_reader_test.cpp
+++ b/tests/gateway/store_reader_test.cpp
@@ -21,6 +21,7 @@
     target_pool pool{loop};
     counters counts;
     std::vector<std::string> seen; ///< in the order in which they arrived
+    bool in_doubt = false;         ///< whether the last one was
     bool failed = false;           ///< the reader lost contact at some time
     std::unique_ptr<store_reader> reader;
 
@@ -30,8 +31,9 @@
         reader = std::make_unique<store_reader>(
             loop, pool, settings::endpoint{"127.0.0.1", store.port()}, "op/",
             counts,
-            [this](const platform_wire::store_item& item, bool) {
+            [this](const platform_wire::store_item& item, bool doubt) {
                 seen.push_back(item.value);
+                in_doubt = doubt;
             },
             [](const store_reader::batch&) {});
         reader->start();
@@ -97,3 +99,59 @@
     r.store.set_down(false);
     CHECK(r.run_until([&] { return !r.reader->is_failing(); }));
 }
+
+TEST_CASE("a deletion in the state of another instance is in doubt only if it "
+          "is for that instance",
+          "[gateway]")
+{
+    // An engine whose entry is deleted must not get requests for two more
+    // seconds because the deletion was read by another instance.
+    reading r;
+    const auto newest = r.reader->newest();
+    const bool doubted = GENERATE(false, true);
+    CHECK(r.reader->apply_peer_snapshot(newest + 1, {}, {}, doubted ? 1s : 0s));
+    CHECK(r.reader->items().empty());
+    CHECK(r.in_doubt == doubted);
+    CHECK((r.reader->doubt_left(net::event_loop::now().mono) > 0s) == doubted);
+}
+
+TEST_CASE("a state that was read in pages is not newer than its first page",
+          "[gateway]")
+{
+    // Other instances rely on a state being complete up to its revision, and
+    // changes may have been made to keys that were already read.
+    net::event_loop loop;
+    standins::platform_store store(loop);
+    target_pool pool(loop);
+    counters counts;
+    store.put("servers/a", "old");
+    store.put("servers/b", "old");
+    std::uint64_t complete = 0;
+    std::size_t pages = 0;
+    std::vector<store_reader::batch> told;
+    store.set_pages(1, [&] {
+        if (++pages == 1) {
+            store.put("servers/a", "new");
+            store.put("servers/b", "new");
+        }
+    });
+    store_reader reader(
+        loop, pool, settings::endpoint{"127.0.0.1", store.port()}, "servers/",
+        counts, [](const platform_wire::store_item&, bool) {},
+        [&](const store_reader::batch& b) {
+            told.push_back(b);
+            complete = std::max(complete, b.revision);
+            for (const auto& [key, item] : reader.items())
+                if (item.value == "old")
+                    CHECK(complete <= item.revision + 1);
+        });
+    reader.start();
+    const time_point until = net::event_loop::now().mono + max_wait;
+    while (told.size() < 2 && net::event_loop::now().mono < until) {
+        loop.call_later(5ms, [] {});
+        loop.run_once();
+    }
+    REQUIRE(told.size() == 2);
+    CHECK(reader.items().at("servers/a").value == "new");
+    CHECK(told.back().after == told.front().revision);
+}
