Keep a request at an engine that is slow to send its first event

Batches were a tenth full, so the engines did not count as busy.

An engine is now probed for its report, as within a stream, and left only if it doesn't answer or after four times the usual time to a first event, which the instance learns. A request that was sent before waits for an adapter until its deadline, and is not cut after 1.5 objectives.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -37,6 +37,12 @@
 constexpr duration deadline_margin = 15ms;
 /// With less time left than this, another attempt can't succeed.
 constexpr duration min_attempt_time = 30ms;
+/// A request waits for an adapter slot for this multiple of its route's latency
+/// objective, but not less than the minimum below. When adapter slots are
+/// scarce, those that wait longer would only be served late, in the place of
+/// others that are still in time.
+constexpr double adapter_wait_objective_factor = 1.5;
+constexpr duration min_adapter_wait = 600ms;
 /// Maximum number of sends of one request that targets reject without running
 /// it.
 constexpr std::uint32_t max_sends = 4;
@@ -47,6 +53,11 @@
 /// The same timeout for the first event, applied only where the engine isn't
 /// overloaded.
 constexpr duration first_event_timeout = 1300ms;
+/// An engine that responds to probes is abandoned before the first event only
+/// after this multiple of the time that streams of the service take on average:
+/// engines that read many long prompts are slow, and a prompt that is given up
+/// is read again by another engine.
+constexpr int slow_first_event_factor = 4;
 /// An idempotent request without an answer is sent to another target after this
 /// multiple of the route's latency objective, but not before the minimum below.
 constexpr double slow_answer_objective_factor = 2.0;
@@ -292,8 +303,7 @@
                              facts_.version != 0 ? facts_.version : version};
     const auto alive = alive_;
     const auto number = context_.adapters.request_adapter(
-        target, wanted, was_missing,
-        std::min(deadline_, message_.arrived + std::max<duration>(600ms, route_->latency_objective * 3 / 2)),
+        target, wanted, was_missing, adapter_wait_end(),
         [this, target, alive](adapter_status status, std::uint64_t held) {
             if (!*alive || done_)
                 return;
@@ -308,7 +318,7 @@
                 return;
             }
             context_.state.counts.add("adapter_asks_refused");
-            if (elapsed() > std::max<duration>(600ms, route_->latency_objective * 3 / 2) - 60ms) {
+            if (adapter_wait_end() - now < min_attempt_time) {
                 refuse("no adapter slot in time");
                 return;
             }
@@ -320,6 +330,17 @@
         adapter_request_id_ = number;
 }
 
+time_point forwarding::adapter_wait_end() const
+{
+    // A request that was sent before may have run, so it is not refused.
+    if (sends_ > 0 || head_sent_)
+        return deadline_;
+    const auto longest = std::chrono::duration_cast<duration>(
+        route_->latency_objective * adapter_wait_objective_factor);
+    return std::min(deadline_,
+                    message_.arrived + std::max(min_adapter_wait, longest));
+}
+
 void forwarding::send(const std::string& target)
 {
     gateway_state& s = context_.state;
@@ -511,10 +532,12 @@
 void forwarding::deliver_whole_events(std::string_view whole)
 {
     const time_point now = net::event_loop::now().mono;
-    if (!head_sent_)
+    if (!head_sent_) {
         deliver_head(answer_, false);
-    else
+        context_.state.placements.on_first_event(target_, now - sent_at_);
+    } else {
         record_event_gap(now);
+    }
     last_event_ = now;
     caller_->send_body(whole);
     pause_target(max_unsent_stream_bytes);
@@ -556,8 +579,7 @@
         return;
     }
     if (answer_.status < first_server_error) {
-        s.placements.on_success(target,
-                                net::event_loop::now().mono - sent_at_);
+        s.placements.on_success(target, net::event_loop::now().mono - sent_at_);
         s.suspects.on_answer(fingerprint_);
     }
     if (head_sent_) {
@@ -843,12 +865,21 @@
     // Only engines serve reports; a plain target would treat the probe as a
     // request.
     const service_spec* spec = context_.state.routes.service(service_);
-    if (head_sent_ && spec != nullptr && spec->engine)
+    if (spec != nullptr && spec->engine && !is_first_event_overdue(now))
         probe_target(now);
     else
         abandon_silent_target(now);
 }
 
+bool forwarding::is_first_event_overdue(time_point now) const
+{
+    const auto usual =
+        context_.state.placements.mean_first_event_time(service_);
+    return is_stream() && !head_sent_ && usual &&
+           now - sent_at_ >
+               std::max(first_event_timeout, slow_first_event_factor * *usual);
+}
+
 void forwarding::probe_target(time_point now)
 {
     const target_state* t = context_.state.targets.find(target_);
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -120,6 +120,9 @@
     void check_silence(time_point now);
     /// Probes whether the target of a stream that has begun is alive, once for
     /// each period of silence.
+    /// @return time until which the request waits for an adapter slot
+    [[nodiscard]] time_point adapter_wait_end() const;
+    [[nodiscard]] bool is_first_event_overdue(time_point now) const;
     void probe_target(time_point now);
     /// @return the maximum number of connections to the target
     [[nodiscard]] std::size_t connection_limit() const;
--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -114,6 +114,19 @@
     paces_[it->second.service].on_left(now);
 }
 
+void placement::on_first_event(const std::string& target, duration time)
+{
+    paces_[target_stats_[target].service].on_first_event(time);
+}
+
+std::optional<duration>
+placement::mean_first_event_time(const std::string& service) const
+{
+    const auto it = paces_.find(service);
+    return it == paces_.end() ? std::nullopt
+                              : it->second.mean_first_event_time();
+}
+
 void placement::on_event(const std::string& target, duration gap,
                          time_point now)
 {
@@ -404,21 +417,19 @@
     // Only earlier requests say something about those at other instances: one
     // request for an idle adapter is one in the whole fleet.
     const double others_recent =
-        needs_adapter ? (record_demand(adapter, now) - 1) *
-                            static_cast<double>(instances)
-                      : 0;
+        needs_adapter
+            ? (record_demand(adapter, now) - 1) * static_cast<double>(instances)
+            : 0;
     const double expected_uses = others_recent * requests_per_load_ratio;
     const service_pace& pace = paces_[request.service];
     const auto run_time = pace.mean_run_time();
     // Callers reach instances by chance, so each other instance is assumed to
     // have as many requests open as this one has on average.
-    const double others = pace.mean_open(now) *
-                          static_cast<double>(instances - 1) /
-                          static_cast<double>(std::max<std::size_t>(
-                              1, candidates.size()));
-    const std::size_t home_count =
-        home_engine_count(others_recent + 1,
-                          run_time.value_or(initial_run_time), order);
+    const double others =
+        pace.mean_open(now) * static_cast<double>(instances - 1) /
+        static_cast<double>(std::max<std::size_t>(1, candidates.size()));
+    const std::size_t home_count = home_engine_count(
+        others_recent + 1, run_time.value_or(initial_run_time), order);
     std::optional<placement_choice> best;
     target_cost first_cost;
     target_cost best_cost;
--- a/src/lovagegate/gateway/placement.hpp
+++ b/src/lovagegate/gateway/placement.hpp
@@ -93,7 +93,10 @@
     /// Called when a target has answered a request.
     /// @param run_time time from sending the request to the end of the answer
     void on_success(const std::string& target, duration run_time);
-    /// Called for each event of a stream.
+    /// Called for the first event of a stream.
+    /// @param time from sending the request
+    void on_first_event(const std::string& target, duration time);
+    /// Called for each further event of a stream.
     /// @param gap time since the previous event
     void on_event(const std::string& target, duration gap, time_point now);
     void on_failure(const std::string& target, time_point now);
@@ -131,6 +134,11 @@
                                    const std::string& adapter,
                                    std::uint64_t version) const;
 
+    /// @return how long streams of a service take for their first event, on
+    ///         average over this instance's requests; nothing before the first
+    [[nodiscard]] std::optional<duration>
+    mean_first_event_time(const std::string& service) const;
+
     /// @return open requests of this instance at the target
     [[nodiscard]] std::uint32_t open(const std::string& target) const;
 
--- a/src/lovagegate/gateway/service_pace.cpp
+++ b/src/lovagegate/gateway/service_pace.cpp
@@ -6,12 +6,21 @@
 
 namespace {
 
-/// Weight of one answer in the average of run times.
-constexpr double run_time_weight = 0.1;
+/// Weight of one request in the averages.
+constexpr double request_weight = 0.1;
 /// Time in which an earlier number of open requests loses two thirds of its
 /// weight.
 constexpr duration open_decay_time = 2s;
 
+void add_to_average(std::optional<duration>& average, duration value)
+{
+    if (average)
+        *average += std::chrono::duration_cast<duration>(request_weight *
+                                                         (value - *average));
+    else
+        average = value;
+}
+
 } // namespace
 
 void service_pace::on_sent(time_point now)
@@ -27,12 +36,12 @@
 
 void service_pace::on_answer(duration run_time)
 {
-    if (!mean_run_time_) {
-        mean_run_time_ = run_time;
-        return;
-    }
-    *mean_run_time_ += std::chrono::duration_cast<duration>(
-        run_time_weight * (run_time - *mean_run_time_));
+    add_to_average(mean_run_time_, run_time);
+}
+
+void service_pace::on_first_event(duration time)
+{
+    add_to_average(mean_first_event_time_, time);
 }
 
 double service_pace::mean_open(time_point now) const
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <set>
 
 using namespace lovagegate;
 using namespace lovagegate::gateway;
@@ -266,3 +267,28 @@
     // 600 requests in 7.5 s: an engine that gets more than 320 is overloaded.
     CHECK(most < 320);
 }
+
+TEST_CASE("one request for an idle adapter of a large fleet doesn't spread it "
+          "over several engines",
+          "[gateway]")
+{
+    // Each instance of a large fleet sees a first request for an idle adapter
+    // now and then. If it took that for one request at each other instance, the
+    // store would load the adapter on many engines.
+    constexpr std::size_t instances = 195;
+    engines site(124);
+    for (int a = 0; a < 40; ++a) {
+        std::set<std::string> chosen;
+        for (std::uint64_t instance = 0; instance < 10; ++instance) {
+            placement p("z", instance);
+            placement_request r;
+            r.service = "llm";
+            r.adapter = adapter_ref{"m", "a" + std::to_string(a), 0};
+            const auto choice = p.choose(
+                r, site.directory.usable("llm", site.now), instances, site.now);
+            REQUIRE(choice);
+            chosen.insert(choice->target);
+        }
+        CHECK(chosen.size() == 1);
+    }
+}
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -292,6 +292,51 @@
     CHECK(a.body == event(1) + event(2));
 }
 
+TEST_CASE("a request stays at an engine that is slow to send its first event "
+          "and responds to a probe",
+          "[gateway]")
+{
+    // An engine that reads long prompts is slow, and a prompt that is given up
+    // is read again elsewhere.
+    std::atomic<int> sends{0};
+    const auto reads_long = with_warm_up([&](const seen_request& r) -> script {
+        if (is_report(r))
+            return report_answer("[]");
+        ++sends;
+        return {{stream_head(r), {}, then::go_on},
+                {event(1), 1900ms, then::close}};
+    });
+    site s({.kind = "streaming", .resumable = true, .engines = true},
+           {reads_long, reads_long});
+    const auto a = s.ask(request_text("id1", no_body, "POST"));
+    CHECK(a.complete);
+    CHECK(a.body == event(1));
+    CHECK(sends == 1);
+}
+
+TEST_CASE("a request leaves an engine whose first event takes several times "
+          "as long as usual",
+          "[gateway]")
+{
+    std::atomic<int> sends{0};
+    const auto loses_second =
+        with_warm_up([&](const seen_request& r) -> script {
+            if (is_report(r))
+                return report_answer("[]");
+            if (++sends == 2)
+                return {{stream_head(r), {}, then::go_on},
+                        {event(1), 60s, then::close}};
+            return {{stream_head(r) + event(1), {}, then::close}};
+        });
+    site s({.kind = "streaming", .resumable = true, .engines = true},
+           {loses_second, loses_second});
+    CHECK(s.ask(request_text("id1", no_body, "POST")).body == event(1));
+    const auto a = s.ask(request_text("id2", no_body, "POST"));
+    CHECK(a.complete);
+    CHECK(a.body == event(1));
+    CHECK(sends == 3);
+}
+
 TEST_CASE("a plain target gets no report request", "[gateway]")
 {
     std::atomic<int> reports{0};
