--- a/src/lovagegate/gateway/adapter_coordinator.cpp
+++ b/src/lovagegate/gateway/adapter_coordinator.cpp
@@ -237,8 +237,8 @@
             adapter_name(ask.wanted.model, ask.wanted.adapter), now);
     const auto status = e.planner.require_adapter(ask.wanted, now, w.until);
     if (status != adapter_status::loading) {
-        e.planner.on_granted(
-            adapter_name(ask.wanted.model, ask.wanted.adapter), now);
+        e.planner.on_granted(adapter_name(ask.wanted.model, ask.wanted.adapter),
+                             now);
         const auto held =
             e.planner.look_up(ask.wanted.model, ask.wanted.adapter, now);
         reply(w, ask.engine, status, held.version);
--- a/src/lovagegate/gateway/news_codec.cpp
+++ b/src/lovagegate/gateway/news_codec.cpp
@@ -134,10 +134,9 @@
     };
     add(operator_keys, known.operator_keys);
     add(targets, known.targets);
-    return compress(
-        to_bytes(json::array({operator_keys.newest(), targets.newest(),
-                              std::move(keys), std::move(items),
-                              targets.doubt_left(now).count()})));
+    return compress(to_bytes(
+        json::array({operator_keys.newest(), targets.newest(), std::move(keys),
+                     std::move(items), targets.doubt_left(now).count()})));
 }
 
 state_snapshot unpack_state(std::string_view packed)
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -92,8 +92,7 @@
     n.packed = j.at(6).get<std::string>();
     constexpr std::size_t relay_position = 7;
     if (j.size() > relay_position) // absent in messages of earlier versions
-        n.relay_to =
-            j.at(relay_position).get<std::vector<std::string>>();
+        n.relay_to = j.at(relay_position).get<std::vector<std::string>>();
     return n;
 }
 
@@ -150,8 +149,7 @@
     // Instances of earlier versions don't say how long a request can wait.
     constexpr std::size_t position = 7;
     return adapter_request.size() > position
-               ? duration(
-                     adapter_request.at(position).get<duration::rep>())
+               ? duration(adapter_request.at(position).get<duration::rep>())
                : duration::max();
 }
 
@@ -166,7 +164,8 @@
                                {j.at(3).get<std::string>(),
                                 j.at(4).get<std::string>(),
                                 j.at(5).get<std::uint64_t>()},
-                               j.at(6).get<bool>(), read_time_left(j)};
+                               j.at(6).get<bool>(),
+                               read_time_left(j)};
     case tag::adapter_reply:
         return adapter_reply{j.at(1).get<std::uint64_t>(),
                              j.at(2).get<std::string>(), read_status(j.at(3)),
