Log what a probe of a silent engine has shown

The line `probed` now gives the result for each request, the counter `liveness_probes` one by result. No decision changes.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -885,29 +885,34 @@
     const target_state* t = context_.state.targets.find(target_);
     if (probe_ || t == nullptr)
         return;
-    context_.state.counts.add("liveness_probes");
     probe_ = std::make_unique<liveness_probe>(
         context_.loop, context_.pool, t->entry, connection_limit(),
-        [this, asked = now, alive = alive_](bool lives) {
+        [this, asked = now, alive = alive_](probe_result result) {
             // Deferred, because the probe would be destroyed in its own
             // callback.
-            context_.loop.call_later(
-                duration::zero(), [this, asked, lives, alive] {
-                    if (!*alive || done_)
-                        return;
-                    probe_.reset();
-                    // An event may have arrived since the probe was sent.
-                    if (!call_ || silent_since_ > asked)
-                        return;
-                    const time_point later = net::event_loop::now().mono;
-                    if (lives)
-                        silent_since_ = later;
-                    else
-                        abandon_silent_target(later);
-                });
+            context_.loop.call_later(duration::zero(),
+                                     [this, asked, result, alive] {
+                                         if (*alive && !done_)
+                                             on_probed(asked, result);
+                                     });
         });
 }
 
+void forwarding::on_probed(time_point asked, probe_result result)
+{
+    probe_.reset();
+    context_.state.counts.add("liveness_probes", "result", to_string(result));
+    log("probed", to_string(result));
+    // An event may have arrived since the probe was sent.
+    if (!call_ || silent_since_ > asked)
+        return;
+    const time_point now = net::event_loop::now().mono;
+    if (result == probe_result::answered)
+        silent_since_ = now;
+    else
+        abandon_silent_target(now);
+}
+
 void forwarding::abandon_silent_target(time_point now)
 {
     // The retry is taken from the budget before the target is abandoned: if
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -118,12 +118,14 @@
     void arm_timer();
     void on_timer();
     void check_silence(time_point now);
-    /// Probes whether the target of a stream that has begun is alive, once for
-    /// each period of silence.
     /// @return time until which the request waits for an adapter slot
     [[nodiscard]] time_point adapter_wait_end() const;
     [[nodiscard]] bool is_first_event_overdue(time_point now) const;
+    /// Probes whether the engine of a silent request is alive, once for each
+    /// period of silence.
     void probe_target(time_point now);
+    /// @param asked time of the probe
+    void on_probed(time_point asked, probe_result result);
     /// @return the maximum number of connections to the target
     [[nodiscard]] std::size_t connection_limit() const;
     /// Abandons a silent target for another one if the retry budget allows it.
--- a/src/lovagegate/gateway/liveness_probe.hpp
+++ b/src/lovagegate/gateway/liveness_probe.hpp
@@ -5,18 +5,34 @@
 #include "lovagegate/gateway/short_call.hpp"
 #include "lovagegate/gateway/target_directory.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace lovagegate::gateway {
 
+/// What a probe of a silent target has shown.
+enum class probe_result : std::uint8_t
+{
+    answered,      ///< the target answered in time
+    no_answer,     ///< nothing arrived in time
+    refused,       ///< nothing listens at the target's address
+    unreachable,   ///< connecting failed for another reason
+    no_connection, ///< the probe could not be sent
+    broken,        ///< the connection broke before the answer was complete
+    not_an_answer, ///< the target sent bytes that are not a valid answer
+};
+
+/// @return the name used in counters and logs
+[[nodiscard]] std::string_view to_string(probe_result r) noexcept;
+
 /// Requests the report of a silent target, to distinguish a busy target from
 /// one that is down.
 class liveness_probe
 {
 public:
-    /// @param alive whether any answer arrived in time
-    using done_handler = std::function<void(bool alive)>;
+    using done_handler = std::function<void(probe_result)>;
 
     /// @param max_connections largest number of connections to the target
     /// @param done called once, after the constructor has returned, unless the
