--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -292,6 +292,50 @@
     CHECK(a.body == event(1) + event(2));
 }
 
+TEST_CASE("a silent stream stays at an engine that resets further connections",
+          "[gateway][!shouldfail]")
+{
+    std::atomic<int> resumed{0};
+    const auto overloaded = with_warm_up([&](const seen_request& r) -> script {
+        if (is_report(r))
+            return {{"", {}, then::reset}};
+        if (!resume_after(r).empty()) {
+            ++resumed;
+            return misdirected(r);
+        }
+        return {{stream_head(r) + event(1), {}, then::go_on},
+                {event(2), 2500ms, then::close}};
+    });
+    site s({.kind = "streaming", .resumable = true, .engines = true},
+           {overloaded, overloaded});
+    const auto a = s.ask(request_text("id1", no_body, "POST"));
+    CHECK(a.complete);
+    CHECK(a.body == event(1) + event(2));
+    CHECK(resumed == 0);
+}
+
+TEST_CASE("a stream that left a silent engine isn't truncated when the engine "
+          "that resumes it resets the connection",
+          "[gateway][!shouldfail]")
+{
+    std::atomic<int> resumed{0};
+    const auto target = with_warm_up([&](const seen_request& r) -> script {
+        if (is_report(r))
+            return {{"", 60s, then::close}};
+        if (resume_after(r).empty())
+            return {{stream_head(r) + event(1), {}, then::go_on},
+                    {event(2), 60s, then::close}};
+        if (resumed++ == 0)
+            return {{"", {}, then::reset}};
+        return {{stream_head(r) + event(2), {}, then::close}};
+    });
+    site s({.kind = "streaming", .resumable = true, .attempts = 2},
+           {target, target, target});
+    const auto a = s.ask(request_text("id1", no_body, "POST"));
+    CHECK(a.complete);
+    CHECK(a.body == event(1) + event(2));
+}
+
 TEST_CASE("a request stays at an engine that is slow to send its first event "
           "and responds to a probe",
           "[gateway]")
