Hold a begun stream while the retry budget is used up

Cause: a begun stream whose engine failed was cut at once if no repeat could be paid at that moment, or no other engine was believed to serve; only streams that had left a silent engine were tried again after a pause.

Each send is still paid from the budget.

The test fails on the code before: one event, a cut connection, no resumption.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -180,7 +180,7 @@
 {
     if (done_)
         return;
-    abandoned_silent_target_ = false;
+    ending_ = true;
     refuse("the instance ends");
 }
 
@@ -764,7 +764,8 @@
 bool forwarding::retry_after_pause()
 {
     const time_point now = net::event_loop::now().mono;
-    if (!abandoned_silent_target_ || !may_run_again() ||
+    const bool may_wait = !ending_ && (abandoned_silent_target_ || head_sent_);
+    if (!may_wait || !may_run_again() ||
         deadline_ - now < target_retry_delay + min_attempt_time)
         return false;
     excluded_.clear();
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -116,8 +116,9 @@
     void record_event_gap(time_point now);
     void on_interrupted(call_failure f);
     /// Retries after a delay if a target was abandoned only because it was
-    /// silent: its answer might still have completed, so the request must not
-    /// fail merely because no other target is available.
+    /// silent, since its answer might still have completed, or if a stream has
+    /// begun: neither may fail merely because no other target is available or
+    /// the retry budget is used up for the moment.
     /// @return whether a retry was scheduled
     bool retry_after_pause();
     void refuse(std::string_view reason);
@@ -197,6 +198,7 @@
         false; ///< a target was left because it was silent
     bool retry_reserved_ =
         false; ///< the next send is already charged to the retry budget
+    bool ending_ = false; ///< the instance shuts down
     bool done_ = false;
     duration time_to_first_byte_{}; ///< since the whole request was received
     duration time_to_first_send_{}; ///< since the whole request was received
--- a/tests/gateway/site_fixture.hpp
+++ b/tests/gateway/site_fixture.hpp
@@ -108,6 +108,7 @@
     duration stop_grace = 2s; ///< short, so that tests end soon
     double retry_ratio = 0.2;
     double retry_slack = 50;
+    duration retry_window = gateway::boot_settings{}.retry_window;
 };
 
 /// Runs the gateway between a caller, a store and scripted targets.
@@ -240,6 +241,7 @@
         s.stop_grace = limits_.stop_grace;
         s.retry_ratio = limits_.retry_ratio;
         s.retry_slack = limits_.retry_slack;
+        s.retry_window = limits_.retry_window;
         std::promise<void> made;
         gateway_thread_ = std::thread([this, s, &made] {
             gateway::gateway_daemon daemon(s, [s] { return s; });
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -460,6 +460,29 @@
     CHECK(resumed == 0);
 }
 
+TEST_CASE("a stream isn't truncated when its engine breaks off while the retry "
+          "budget is used up",
+          "[gateway]")
+{
+    std::atomic<int> resumed{0};
+    const auto target = with_warm_up([&](const seen_request& r) -> script {
+        if (!resume_after(r).empty()) {
+            if (resumed++ == 0)
+                return {{"", {}, then::reset}};
+            return {{stream_head(r) + event(2), {}, then::close}};
+        }
+        return {{stream_head(r) + event(1), {}, then::go_on},
+                {"", 50ms, then::reset}};
+    });
+    // One repeat in each window.
+    site s({.kind = "streaming", .resumable = true}, {target, target},
+           {.retry_ratio = 0, .retry_slack = 1.3, .retry_window = 1s});
+    const auto a = s.ask(request_text("id1", no_body, "POST"));
+    CHECK(a.complete);
+    CHECK(a.body == event(1) + event(2));
+    CHECK(resumed == 2);
+}
+
 TEST_CASE("a stream that may not be resumed is truncated when its target "
           "breaks the connection",
           "[gateway]")
