Leave a part of the retry budget to begun streams

Cause: all retries took from one allowance, first come, first served. A caller can retry a request that failed without an answer; a truncated stream is lost to it.

Change: retries of whole requests leave a fifth of the allowance, in whole retries, to begun streams. Allowances below five retries are not divided.

With that share at 0 the new test fails: no retry is left for a stream (0 of 2).

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -359,7 +359,7 @@
         return;
     }
     if (sends_ > 0 && !std::exchange(retry_reserved_, false) &&
-        !s.retries.try_consume(service_, s.members.count(now.mono), now.mono)) {
+        !consume_retry(now.mono)) {
         s.counts.add("refusals", "reason", "retry_budget");
         retry_or_fail(unavailable, "retry budget used up");
         return;
@@ -416,6 +416,14 @@
     arm_timer();
 }
 
+bool forwarding::consume_retry(time_point now)
+{
+    gateway_state& s = context_.state;
+    return s.retries.try_consume(service_, s.members.count(now), now,
+                                 head_sent_ ? retry_of::begun_stream
+                                            : retry_of::whole_request);
+}
+
 std::size_t forwarding::connection_limit() const
 {
     constexpr std::size_t default_connections = 64;
@@ -960,7 +968,7 @@
     // The retry is taken from the budget before the target is abandoned: if
     // the budget is used up, no other target could continue the request.
     gateway_state& s = context_.state;
-    if (!s.retries.try_consume(service_, s.members.count(now), now))
+    if (!consume_retry(now))
         return;
     retry_reserved_ = true;
     abandoned_silent_target_ = true;
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -81,6 +81,8 @@
     ///         adapter was not loaded yet
     void wait_for_adapter(const std::string& target, bool was_missing);
     void send(const std::string& target);
+    /// @return whether the retry budget allows one more send
+    bool consume_retry(time_point now);
     void release_target();
     void on_rejected();
     /// Called when it is certain that the target has not run the request.
--- a/src/lovagegate/gateway/retry_budget.cpp
+++ b/src/lovagegate/gateway/retry_budget.cpp
@@ -1,6 +1,7 @@
 #include "lovagegate/gateway/retry_budget.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace lovagegate::gateway {
@@ -10,6 +11,9 @@
 /// Share of the limit that is used. Instances count separately, and a request
 /// and its retries may fall into different windows.
 constexpr double usable_budget_share = 0.8;
+/// Share of the allowance, in whole retries, that only begun streams may use: a
+/// caller can retry a request that failed without an answer.
+constexpr double begun_stream_budget_share = 0.2;
 /// Time for which instances that have become silent still share the allowance.
 constexpr duration instance_count_ttl = 60s;
 
@@ -59,7 +63,7 @@
 }
 
 bool retry_budget::try_consume(std::string_view service, std::size_t instances,
-                               time_point now)
+                               time_point now, retry_of kind)
 {
     usage& u = advance(service, now);
     const double requests =
@@ -69,7 +73,11 @@
     const double allowed =
         usable_budget_share *
         (ratio_ * requests + own_slack_share(instances, now));
-    if (repeats + 1 > allowed)
+    const double reserved =
+        kind == retry_of::begun_stream
+            ? 0
+            : std::floor(allowed * begun_stream_budget_share);
+    if (repeats + 1 > allowed - reserved)
         return false;
     ++u.repeats[static_cast<std::size_t>(u.newest) % buckets];
     return true;
--- a/src/lovagegate/gateway/retry_budget.hpp
+++ b/src/lovagegate/gateway/retry_budget.hpp
@@ -11,6 +11,13 @@
 
 namespace lovagegate::gateway {
 
+/// What a retry repeats.
+enum class retry_of : std::uint8_t
+{
+    whole_request, ///< nothing of the answer was passed on
+    begun_stream   ///< without the retry, the caller gets a truncated answer
+};
+
 /// This instance's share of the limit on retries to a service. The limit holds
 /// for all instances together. Each may use the retries that its own requests
 /// earn and an equal share of the fixed allowance, so that instances need no
@@ -33,9 +40,11 @@
     /// @param instances known instances that share the fixed allowance. The
     ///        highest number of the last minute is used, because instances that
     ///        this one no longer receives heartbeats from may still be running
+    /// @param kind retries of whole requests leave a part of the allowance to
+    ///        begun streams
     /// @return whether a retry may be sent; if so, it is counted
     bool try_consume(std::string_view service, std::size_t instances,
-                     time_point now);
+                     time_point now, retry_of kind = retry_of::whole_request);
 
 private:
     static constexpr std::size_t buckets = 10;
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -216,6 +216,37 @@
     CHECK(repeats(2) <= own_part);
 }
 
+TEST_CASE(
+    "retries of whole requests leave a part of the budget to begun streams",
+    "[gateway]")
+{
+    constexpr std::size_t instances = 85;
+    const time_point now{100s};
+    retry_budget budget(0.2, 210, 10s);
+    for (int n = 0; n < 80; ++n)
+        budget.on_request("s", now);
+    std::size_t whole = 0;
+    while (budget.try_consume("s", instances, now))
+        ++whole;
+    std::size_t begun = 0;
+    while (budget.try_consume("s", instances, now, retry_of::begun_stream))
+        ++begun;
+    CHECK(begun >= 2);
+    CHECK(static_cast<double>(whole + begun) <= 0.2 * 80 + 210.0 / instances);
+}
+
+TEST_CASE("a small retry budget may be used by whole requests alone",
+          "[gateway]")
+{
+    retry_budget budget(0, 5, 10s);
+    const time_point now{100s};
+    std::size_t whole = 0;
+    while (budget.try_consume("s", 1, now))
+        ++whole;
+    CHECK(whole == 4);
+    CHECK_FALSE(budget.try_consume("s", 1, now, retry_of::begun_stream));
+}
+
 TEST_CASE("a restarted instance uses no fixed allowance of retries at first",
           "[gateway]")
 {
