Don't send on a kept connection that its target has closed

What callers saw: a request that broke before its answer although no engine had read it: one of the attempts of its route was used up, and a request that may run once was answered 502.

Cause: timers run before the sockets that became readable in the same turn of the event loop. A kept connection whose end of data had arrived, but was not read, was reused, and the call failed in the same turn as "before answer".

Change: a kept connection with unread input is discarded when it would be reused, and counted (connections_to_targets_stale). A close that is still on its way is not seen by this.

Before: the test saw the second request fail. After: it is answered on a new connection.

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -801,6 +801,7 @@
     counters all = state_.counts;
     all.add("connections_to_targets_opened", pool_.counts().opened);
     all.add("connections_to_targets_reused", pool_.counts().reused);
+    all.add("connections_to_targets_stale", pool_.counts().stale);
     all.add("log_lines_left_out", logging::lines_dropped());
     all.add("answers_of_other_requests", pool_.counts().unexpected_answers);
     const std::array gauges{
--- a/src/lovagegate/gateway/target_pool.cpp
+++ b/src/lovagegate/gateway/target_pool.cpp
@@ -114,6 +114,10 @@
     void set_reading(bool on) { stream_.enable_reading(on); }
 
     [[nodiscard]] bool is_idle() const noexcept { return call_ == nullptr; }
+    [[nodiscard]] bool has_unread_input() const noexcept
+    {
+        return stream_.has_unread_input();
+    }
     [[nodiscard]] const std::string& target() const noexcept { return target_; }
     [[nodiscard]] time_point idle_since() const noexcept { return idle_since_; }
     [[nodiscard]] time_point idle_until() const noexcept { return idle_until_; }
@@ -330,8 +334,16 @@
                                                call_handler& handler)
 {
     auto& all = connections_[request.target];
-    internal::target_connection* c = idle_connection(
-        all, request.needs_fresh_connection, net::event_loop::now().mono);
+    const time_point now = net::event_loop::now().mono;
+    internal::target_connection* c =
+        idle_connection(all, request.needs_fresh_connection, now);
+    // The target may have closed an idle connection since the event loop last
+    // read from it.
+    while (c && c->has_unread_input()) {
+        ++counts_.stale;
+        discard(*c);
+        c = idle_connection(all, request.needs_fresh_connection, now);
+    }
     if (c) {
         ++counts_.reused;
     } else {
--- a/src/lovagegate/gateway/target_pool.hpp
+++ b/src/lovagegate/gateway/target_pool.hpp
@@ -114,6 +114,7 @@
 {
     std::uint64_t opened = 0;
     std::uint64_t reused = 0;
+    std::uint64_t stale = 0; ///< closed by their targets, found on reuse
     std::uint64_t unexpected_answers = 0; ///< to other requests, dropped
 };
 
--- a/src/lovagegate/net/tcp_stream.cpp
+++ b/src/lovagegate/net/tcp_stream.cpp
@@ -205,6 +205,14 @@
     return from_sockaddr(a).address;
 }
 
+bool tcp_stream::has_unread_input() const noexcept
+{
+    char byte = 0;
+    return ::recv(watch_->fd(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >=
+               0 ||
+           !would_block(errno);
+}
+
 void tcp_stream::on_readable()
 {
     thread_local std::array<char, receive_buffer_bytes> buffer;
--- a/src/lovagegate/net/tcp_stream.hpp
+++ b/src/lovagegate/net/tcp_stream.hpp
@@ -72,6 +72,10 @@
     /// @return whether connecting failed with ECONNREFUSED
     [[nodiscard]] bool is_refused() const noexcept { return refused_; }
 
+    /// @return whether data, the peer's end of data or an error waits to be
+    ///         read
+    [[nodiscard]] bool has_unread_input() const noexcept;
+
     /// Shuts down the sending side once all buffered bytes are sent; reading
     /// continues.
     void end_writing();
--- a/tests/gateway/target_pool_test.cpp
+++ b/tests/gateway/target_pool_test.cpp
@@ -1,6 +1,7 @@
 #include "lovagegate/gateway/target_pool.hpp"
 
 #include "../net/loop_fixture.hpp"
+#include "../net/manual_server.hpp"
 #include "../net/raw_server.hpp"
 
 #include <catch2/catch.hpp>
@@ -47,12 +48,17 @@
 public:
     void on_answer_head(net::message_head&) override {}
     bool on_answer_body(std::string_view) override { return true; }
-    void on_answer_end() override {}
+    void on_answer_end() override { answered = true; }
     void on_call_failed(call_failure f) override { failure = f; }
 
+    [[nodiscard]] bool has_ended() const { return answered || failure; }
+
     std::optional<call_failure> failure;
+    bool answered = false;
 };
 
+const std::string empty_answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
 target_request request_to(std::uint16_t port)
 {
     target_request r;
@@ -114,3 +120,30 @@
     f.run_until([&] { return result.failure.has_value(); });
     CHECK(result.failure == call_failure::refused);
 }
+
+TEST_CASE("a request is not sent on a kept connection that its target has "
+          "closed",
+          "[gateway]")
+{
+    net::test::loop_fixture f;
+    target_pool pool(f.loop);
+    net::test::manual_server server;
+    outcome first;
+    const auto kept = pool.send(request_to(server.port()), 8, first);
+    f.run_until([&] {
+        server.answers_one(empty_answer);
+        return first.has_ended();
+    });
+    REQUIRE(first.answered);
+    server.close_connection();
+
+    outcome second;
+    const auto call = pool.send(request_to(server.port()), 8, second);
+    REQUIRE(call);
+    f.run_until([&] {
+        server.answers_one(empty_answer);
+        return second.has_ended();
+    });
+    CHECK_FALSE(second.failure.has_value());
+    CHECK(second.answered);
+}
