Read what has arrived before a short call's time limit ends it

What callers saw: a stream left an engine that had answered its probe in time.

Cause: timers run before the sockets that became readable in the same turn of the event loop, so after a stall of the loop the 300 ms of a probe passed while its answer lay unread, and the engine counted as gone. Orders, reports, pulls and reads of the store end in the same way.

Change: when the time limit passes, one more turn of the loop reads what has arrived. An answer that needs more turns, such as one on a connection that is still being made, is still late.

--- a/src/lovagegate/gateway/short_call.cpp
+++ b/src/lovagegate/gateway/short_call.cpp
@@ -13,11 +13,7 @@
         result_.failure = call_failure::no_connection;
         time_limit = duration::zero();
     }
-    timer_ = loop_.call_later(time_limit, [this] {
-        timer_ = 0;
-        result_.status = 0;
-        finish();
-    });
+    timer_ = loop_.call_later(time_limit, [this] { on_time_limit(); });
 }
 
 short_call::~short_call()
@@ -26,6 +22,17 @@
         loop_.cancel(timer_);
 }
 
+void short_call::on_time_limit()
+{
+    // If the event loop is late, the answer may have arrived in time and lie
+    // unread. Sockets that are readable now are read before the next timer.
+    timer_ = loop_.call_later(duration::zero(), [this] {
+        timer_ = 0;
+        result_.status = 0;
+        finish();
+    });
+}
+
 void short_call::on_answer_head(net::message_head& head)
 {
     result_.status = head.status;
--- a/src/lovagegate/gateway/short_call.hpp
+++ b/src/lovagegate/gateway/short_call.hpp
@@ -42,6 +42,7 @@
     bool on_answer_body(std::string_view part) override;
     void on_answer_end() override;
     void on_call_failed(call_failure f) override;
+    void on_time_limit();
     void finish();
 
     net::event_loop& loop_;
