Take an engine that has begun its report for alive

What callers saw: a stream left an engine that was sending its report.

A report whose rest was late, as on a slow link, or that broke off showed "no answer", as if the engine were down, or nothing at all.

Change: the head of the answer is enough.

Before: the test's probes showed "gone" (late) and "unknown" (broken off). After: both show that the engine lives.

--- a/src/lovagegate/gateway/liveness_probe.cpp
+++ b/src/lovagegate/gateway/liveness_probe.cpp
@@ -22,7 +22,7 @@
 
 probe_result result_of(const short_call::result& r)
 {
-    if (r.status != 0)
+    if (r.head_received)
         return probe_result::answered;
     if (!r.failure)
         return probe_result::no_answer;
--- a/src/lovagegate/gateway/liveness_probe.hpp
+++ b/src/lovagegate/gateway/liveness_probe.hpp
@@ -15,13 +15,13 @@
 /// What a probe of a silent target has shown.
 enum class probe_result : std::uint8_t
 {
-    answered,      ///< the target answered in time
+    answered,      ///< the target at least began to answer in time
     no_answer,     ///< nothing arrived in time
     refused,       ///< nothing listens at the target's address
     unreachable,   ///< connecting failed for another reason
     no_connection, ///< the probe could not be sent
-    broken,        ///< the connection broke before the answer was complete
-    not_an_answer, ///< the target sent bytes that are not a valid answer
+    broken,        ///< the connection broke before an answer
+    not_an_answer, ///< the target sent bytes that do not begin an answer
 };
 
 /// @return the name used in counters and logs
--- a/src/lovagegate/gateway/short_call.hpp
+++ b/src/lovagegate/gateway/short_call.hpp
@@ -18,7 +18,8 @@
     /// Outcome of the call.
     struct result
     {
-        int status = 0; ///< 0 if there is no complete answer
+        int status = 0;             ///< 0 if there is no complete answer
+        bool head_received = false; ///< the target began to answer
         std::string body;
         std::optional<call_failure>
             failure; ///< nothing if the time limit passed
--- a/tests/gateway/liveness_probe_test.cpp
+++ b/tests/gateway/liveness_probe_test.cpp
@@ -15,6 +15,8 @@
 
 const std::string whole_report =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+const std::string begun_report =
+    "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{";
 
 /// Probes a target that the test serves by hand.
 class probe_fixture : public net::test::loop_fixture
@@ -92,3 +94,18 @@
     wait_for_result();
     CHECK(*result == probe_result::answered);
 }
+
+TEST_CASE_METHOD(probe_fixture,
+                 "a target that has begun its report is alive if the report is "
+                 "late or breaks off",
+                 "[gateway]")
+{
+    const bool breaks_off = GENERATE(false, true);
+    CAPTURE(breaks_off);
+    start_probe();
+    answer_with(begun_report);
+    if (breaks_off)
+        server.close_connection();
+    wait_for_result();
+    CHECK(liveness_shown_by(*result) == liveness::alive);
+}
