Probe a silent engine also after its service has left the configuration

What callers saw: a stream of a service that a new configuration doesn't name left its engine after 0.9 s of silence, without a probe.

Cause: whether a target serves reports was looked up by service in the newest configuration; without an entry it counted as a plain target, which is left without a probe.

Change: it is looked up when the request is sent.

Before: the test saw one send to another engine while the first one answered probes.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -405,6 +405,9 @@
         std::ranges::find(run_targets_, target) == run_targets_.end();
     if (new_run_target_)
         run_targets_.push_back(target);
+    // A later configuration may no longer name the service.
+    if (const service_spec* spec = s.routes.service(service_))
+        is_at_engine_ = spec->engine.has_value();
     s.placements.on_sent(target, now.mono);
     if (!adapter_.empty())
         context_.adapters.begin_use(target, adapter_);
@@ -907,8 +910,7 @@
         return;
     // Only engines serve reports; a plain target would treat the probe as a
     // request.
-    const service_spec* spec = context_.state.routes.service(service_);
-    if (spec != nullptr && spec->engine && !is_first_event_overdue(now))
+    if (is_at_engine_ && !is_first_event_overdue(now))
         probe_target(now);
     else
         abandon_silent_target(now);
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -185,7 +185,8 @@
     std::uint32_t sends_ = 0; ///< requests that may have reached a target
     std::uint32_t runs_ = 0;  ///< sends not known to be "not run"
     double target_load_when_chosen_ = 0;
-    bool at_target_ = false; ///< counted as an open request at target_
+    bool at_target_ = false;    ///< counted as an open request at target_
+    bool is_at_engine_ = false; ///< the target serves reports
     bool adapter_expected_ =
         false; ///< the engine has not reported the adapter yet
     bool new_run_target_ =
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -336,6 +336,38 @@
     CHECK(a.body == event(1) + event(2));
 }
 
+TEST_CASE("a stream isn't probed or left when its service leaves the "
+          "configuration",
+          "[gateway]")
+{
+    std::atomic<int> resumed{0};
+    const auto pauses = with_warm_up([&](const seen_request& r) -> script {
+        if (is_report(r))
+            return report_answer("[]");
+        if (!resume_after(r).empty()) {
+            ++resumed;
+            return {{stream_head(r) + event(2), {}, then::close}};
+        }
+        return {{stream_head(r) + event(1), {}, then::go_on},
+                {event(2), 2500ms, then::close}};
+    });
+    site s({.kind = "streaming", .resumable = true, .engines = true},
+           {pauses, pauses});
+    caller c(s.callers_port());
+    c.send(request_text("id1", no_body, "POST"));
+    std::this_thread::sleep_for(300ms);
+    s.change([](platform_store& store) {
+        auto text = config_text({.version = 2, .prefix = "/q/"});
+        for (std::size_t at = 0; (at = text.find("\"s\"", at)) != text.npos;)
+            text.replace(at, 3, "\"t\"");
+        store.put_config(text);
+    });
+    const auto a = c.read();
+    CHECK(a.complete);
+    CHECK(a.body == event(1) + event(2));
+    CHECK(resumed == 0);
+}
+
 TEST_CASE("a request stays at an engine that is slow to send its first event "
           "and responds to a probe",
           "[gateway]")
