Double the delay between attempts to resume a stream

What callers would see: other requests fail for want of retries. A begun stream that no engine could resume was sent again every 120 ms until its deadline, to each engine that may have run it, and each send was taken from the retry budget of its service and told to all instances as a possible crash.

The delay now doubles from 120 ms to 1 s.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -73,8 +73,9 @@
 /// full.
 constexpr std::uint32_t max_early_sends = 3;
 /// Delay before all targets, excluded ones too, may be chosen again for a
-/// request that abandoned a silent target.
+/// request that must not fail yet; doubles with each delay of the request.
 constexpr duration target_retry_delay = 120ms;
+constexpr duration max_target_retry_delay = 1s;
 /// Retry-After for refused callers: by then a slot is likely to be free.
 constexpr duration refusal_retry_after = 700ms;
 constexpr duration startup_retry_after = 300ms;
@@ -93,7 +94,8 @@
                        caller_message message)
     : context_(context), caller_(std::move(caller)),
       message_(std::move(message)),
-      facts_(platform_wire::read_request(message_.head))
+      facts_(platform_wire::read_request(message_.head)),
+      retry_delay_(target_retry_delay)
 {
 }
 
@@ -777,15 +779,16 @@
     const time_point now = net::event_loop::now().mono;
     const bool may_wait = !ending_ && (abandoned_silent_target_ || head_sent_);
     if (!may_wait || !may_run_again() ||
-        deadline_ - now < target_retry_delay + min_attempt_time)
+        deadline_ - now < retry_delay_ + min_attempt_time)
         return false;
     excluded_.clear();
     sends_ = std::min(sends_, max_sends - 1);
     const auto alive = alive_;
-    context_.loop.call_later(target_retry_delay, [this, alive] {
+    context_.loop.call_later(retry_delay_, [this, alive] {
         if (*alive && !done_)
             try_next_target();
     });
+    retry_delay_ = std::min(2 * retry_delay_, max_target_retry_delay);
     return true;
 }
 
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -163,7 +163,8 @@
     time_point deadline_{}; ///< earlier of route timeout and caller's deadline
     time_point sent_at_{};
     time_point
-        silent_since_{}; ///< last byte from the target, or time of the send
+        silent_since_{};   ///< last byte from the target, or time of the send
+    duration retry_delay_; ///< before all targets may be chosen again
     time_point next_probe_{}; ///< the target is not probed before
     net::timer_id timer_ = 0;
     std::uint64_t adapter_request_id_ = 0; ///< pending adapter request, 0: none
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -336,6 +336,32 @@
     CHECK(a.body == event(1) + event(2));
 }
 
+TEST_CASE("a stream that can't be resumed isn't sent again at short intervals "
+          "until its deadline",
+          "[gateway]")
+{
+    std::atomic<int> resumed{0};
+    const auto target = with_warm_up([&](const seen_request& r) -> script {
+        if (!resume_after(r).empty()) {
+            ++resumed;
+            return {{"", {}, then::reset}};
+        }
+        return {{stream_head(r) + event(1), {}, then::go_on},
+                {event(2), 60s, then::close}};
+    });
+    site s({.kind = "streaming", .resumable = true}, {target, target});
+    const auto a = s.ask(call_text({.method = "POST",
+                                    .path = "/p/x",
+                                    .id = "id1",
+                                    .body = "",
+                                    .time_left_ms = 4000,
+                                    .adapter = {}}));
+    CHECK_FALSE(a.complete);
+    // Delays of 120 to 1,000 ms, each followed by a send to both targets.
+    CHECK(resumed <= 14);
+    CHECK(resumed >= 2);
+}
+
 TEST_CASE("a stream isn't probed or left when its service leaves the "
           "configuration",
           "[gateway]")
