Let a stream go on elsewhere when the engines that ran it have ended

What callers would see: a stream held without events until its deadline although an engine is free, because both engines of its two attempts have ended.

An engine whose address refuses the connection has ended and no longer counts as one of the route's targets. One that is silent or unlisted still counts, since it may run the request. The test gets a truncated answer before, the complete one after.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -735,8 +735,10 @@
         on_not_run();
         --sends_;
         s.placements.on_unreachable(target_, now);
-        if (f == call_failure::refused)
+        if (f == call_failure::refused) {
             context_.on_connect_refused(target_);
+            std::erase(run_targets_, target_); // it has ended
+        }
         excluded_.push_back(target_);
         try_next_target();
         return;
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
 #include <mutex>
 
 using namespace lovagegate;
@@ -362,6 +364,40 @@
     CHECK(resumed >= 2);
 }
 
+TEST_CASE("a stream goes on at another engine when all that ran it have ended",
+          "[gateway]")
+{
+    constexpr int engines = 3;
+    constexpr int attempts = 2;
+    std::atomic<int> asked{0};
+    std::array<std::atomic<int>, engines> position{}; // in order of requests
+    std::vector<site::target_script> scripts;
+    for (auto& own : position)
+        scripts.push_back(with_warm_up([&](const seen_request& r) -> script {
+            if (own == 0)
+                own = ++asked;
+            if (resume_after(r).empty())
+                return {{stream_head(r) + event(1), {}, then::go_on},
+                        {"", 50ms, then::reset}};
+            if (own <= attempts)
+                return {{"", {}, then::reset}};
+            return {{stream_head(r) + event(2), {}, then::close}};
+        }));
+    site s({.kind = "streaming", .resumable = true, .attempts = attempts},
+           scripts);
+    caller c(s.callers_port());
+    c.send(request_text("id1", no_body, "POST"));
+    while (std::ranges::count_if(
+               position, [](const auto& p) { return p != 0; }) < attempts)
+        std::this_thread::sleep_for(5ms);
+    for (std::size_t i = 0; i < engines; ++i)
+        if (position.at(i) != 0)
+            s.publish_unreachable(i);
+    const auto a = c.read();
+    CHECK(a.complete);
+    CHECK(a.body == event(1) + event(2));
+}
+
 TEST_CASE("a stream isn't probed or left when its service leaves the "
           "configuration",
           "[gateway]")
