Count an answer as pending until the socket has all of it

What callers saw: an answer of the OpenAI interface could be cut by a stop.

Cause: a request counted as answered once its last bytes were passed to libwebsockets, which keeps up to 16 KB that the socket does not accept. A stop that waits for pending_answers() to be 0 ended while these bytes were unsent, and the end of the process discarded them.

Change: the exchange ends when neither the connection nor libwebsockets holds bytes (lws_partial_buffered). Until then the connection is neither closed after its answer nor reused. A disconnection in this time is reported to the handler, as it was for bytes in the connection's own buffer. A caller that does not read the end of its answer is still disconnected after the idle timeout.

--- a/src/lovagegate/net/http_server.hpp
+++ b/src/lovagegate/net/http_server.hpp
@@ -91,8 +91,8 @@
         return connections_.size();
     }
 
-    /// @return number of requests whose response was not yet passed to
-    /// libwebsockets in full
+    /// @return number of requests whose response was not yet accepted by the
+    /// socket in full
     [[nodiscard]] std::size_t pending_answers() const noexcept;
 
     /// @return counters since the server was created
--- a/src/lovagegate/net/internal/server_connection.cpp
+++ b/src/lovagegate/net/internal/server_connection.cpp
@@ -81,7 +81,7 @@
     closed_exchange->on_drained_ = nullptr;
     const auto closed = std::move(closed_exchange->on_closed_);
     closed_exchange->on_closed_ = nullptr;
-    if (closed && (!answer_complete_ || buffered() > 0))
+    if (closed && (!answer_complete_ || has_unsent_bytes()))
         closed();
 }
 
@@ -245,11 +245,22 @@
         if (current && current->on_drained_ && !answer_complete_)
             current->on_drained_();
     }
-    if (buffered() == 0 && exchange_ && answer_complete_)
+    if (buffered() > 0 || !exchange_ || !answer_complete_)
+        return 0;
+    if (!has_unsent_bytes())
         return end_transaction();
+    // libwebsockets holds what the socket did not accept of the last write. A
+    // caller that does not read it is disconnected like an idle one.
+    set_timer(server_.settings_.idle_timeout);
+    lws_callback_on_writable(wsi_);
     return 0;
 }
 
+bool server_connection::has_unsent_bytes() const noexcept
+{
+    return buffered() > 0 || lws_partial_buffered(wsi_) != 0;
+}
+
 int server_connection::end_transaction()
 {
     exchange_->connection_ = nullptr;
@@ -267,7 +278,7 @@
 
 int server_connection::on_timer()
 {
-    if (exchange_)
+    if (exchange_ && (!answer_complete_ || buffered() > 0))
         return 0;
     if (receiving_request_)
         ++server_.counts_.timed_out;
--- a/src/lovagegate/net/internal/server_connection.hpp
+++ b/src/lovagegate/net/internal/server_connection.hpp
@@ -42,7 +42,8 @@
     }
     [[nodiscard]] bool supports_chunked() const;
 
-    /// @return whether a request is waiting for the end of its response
+    /// @return whether a request is waiting for the end of its response; the
+    ///         response ends when the socket has accepted all of it
     [[nodiscard]] bool is_answering() const noexcept
     {
         return exchange_ != nullptr;
@@ -54,6 +55,9 @@
     int dispatch();
     int refuse(bad_request reason);
     int write_buffered();
+    /// @return whether this object or libwebsockets holds bytes that the socket
+    ///         has not accepted
+    [[nodiscard]] bool has_unsent_bytes() const noexcept;
     int end_transaction();
     void set_timer(duration d) noexcept;
     void clear_timer() noexcept;
--- a/tests/net/raw_server.hpp
+++ b/tests/net/raw_server.hpp
@@ -55,9 +55,14 @@
 class raw_client
 {
 public:
-    explicit raw_client(std::uint16_t port)
+    /// @param port port of the server, on 127.0.0.1
+    /// @param receive_buffer size in bytes; Linux doubles it; 0: the default
+    explicit raw_client(std::uint16_t port, int receive_buffer = 0)
         : socket_(::socket(AF_INET, SOCK_STREAM, 0))
     {
+        if (receive_buffer > 0)
+            ::setsockopt(socket_.get(), SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                         sizeof receive_buffer);
         const auto address = loopback(port);
         ::connect(socket_.get(), reinterpret_cast<const sockaddr*>(&address),
                   sizeof address);
@@ -70,18 +75,26 @@
 
     /// @return bytes received so far; does not block
     std::string& received()
+    {
+        while (receive_part()) {
+        }
+        return received_;
+    }
+
+    /// Receives up to 4 KB; does not block.
+    /// @return whether bytes were received
+    bool receive_part()
     {
         char buffer[4096];
-        for (;;) {
-            const auto n =
-                ::recv(socket_.get(), buffer, sizeof buffer, MSG_DONTWAIT);
-            if (n <= 0) {
-                closed_ = closed_ || n == 0 ||
-                          (errno != EAGAIN && errno != EWOULDBLOCK);
-                return received_;
-            }
-            received_.append(buffer, static_cast<std::size_t>(n));
+        const auto n =
+            ::recv(socket_.get(), buffer, sizeof buffer, MSG_DONTWAIT);
+        if (n <= 0) {
+            closed_ =
+                closed_ || n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+            return false;
         }
+        received_.append(buffer, static_cast<std::size_t>(n));
+        return true;
     }
 
     /// @return whether the peer has closed the connection
