Start the gateway of a test again if one of its ports is taken

What was seen: a bind error 98 by three test processes at once. The fixture asks the system for a free port, closes it and starts the gateway on it; another process can take it in between, and the exception ended the whole test process.

Change: the fixture starts the gateway again with other ports after a bind error, up to 20 times, and then throws in the test. The port of a target that must be unreachable stays bound while the site exists.

A whole run of [gateway] with this commit was not made.

--- a/tests/gateway/site_fixture.hpp
+++ b/tests/gateway/site_fixture.hpp
@@ -3,12 +3,17 @@
 
 #include "lovagegate/gateway/gateway_daemon.hpp"
 #include "lovagegate/logging/log.hpp"
+#include "lovagegate/net/errors.hpp"
 #include "standins/site/dialect.hpp"
 #include "standins/site/platform_store.hpp"
 
 #include <arpa/inet.h>
 #include <atomic>
+#include <catch2/catch.hpp>
+#include <exception>
+#include <functional>
 #include <future>
+#include <memory>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -21,17 +26,35 @@
 /// this long.
 constexpr auto max_wait = 20s;
 
+/// Holds a port of 127.0.0.1 on which nothing listens, so that no other process
+/// can listen on it.
+class closed_port
+{
+public:
+    closed_port() : fd_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in a{};
+        a.sin_family = AF_INET;
+        a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ::bind(fd_, reinterpret_cast<sockaddr*>(&a), sizeof a);
+        socklen_t size = sizeof a;
+        ::getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &size);
+        number_ = ntohs(a.sin_port);
+    }
+    ~closed_port() { ::close(fd_); }
+    closed_port(const closed_port&) = delete;
+    closed_port& operator=(const closed_port&) = delete;
+    [[nodiscard]] std::uint16_t number() const { return number_; }
+
+private:
+    int fd_;
+    std::uint16_t number_ = 0;
+};
+
+/// @return a port that was free; another process can take it at any time
 inline std::uint16_t free_port()
 {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in a{};
-    a.sin_family = AF_INET;
-    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(fd, reinterpret_cast<sockaddr*>(&a), sizeof a);
-    socklen_t size = sizeof a;
-    ::getsockname(fd, reinterpret_cast<sockaddr*>(&a), &size);
-    ::close(fd);
-    return ntohs(a.sin_port);
+    return closed_port().number();
 }
 
 /// Connection of a caller, with blocking calls.
@@ -109,8 +132,14 @@
     double retry_ratio = 0.2;
     double retry_slack = 50;
     duration retry_window = gateway::boot_settings{}.retry_window;
+    /// Returns a port for the gateway, first callers, readiness, control, peers
+    /// and metrics. If one is taken, the gateway is started with other ports.
+    std::function<std::uint16_t()> next_port = free_port;
 };
 
+/// Starts of the gateway until a start on ports that are taken is an error.
+constexpr int max_starts = 20;
+
 /// Runs the gateway between a caller, a store and scripted targets.
 class site
 {
@@ -145,14 +174,18 @@
             loop.run();
         });
         ready.get_future().wait();
-        start_gateway();
+        try {
+            start_gateway();
+        } catch (...) {
+            end_standins();
+            throw;
+        }
     }
 
     ~site()
     {
         stop();
-        loop_->stop();
-        standins_thread_.join();
+        end_standins();
     }
     site(const site&) = delete;
     site& operator=(const site&) = delete;
@@ -197,7 +230,7 @@
     {
         change([&](platform_store& store) {
             store.put_target("i-" + std::to_string(target),
-                             entry_text(free_port()));
+                             entry_text(unreachable_.number()));
         });
     }
 
@@ -231,25 +264,14 @@
         s.instance = "n1";
         s.address = "127.0.0.1";
         s.failure_domain = "z";
-        s.callers = {"127.0.0.1", callers_port_ = free_port()};
-        s.readiness = {"127.0.0.1", free_port()};
-        s.control = {"127.0.0.1", free_port()};
-        s.peer_port = free_port();
-        s.metrics_port = free_port();
         s.store = {"127.0.0.1", store_port_};
         s.first_start = true;
         s.stop_grace = limits_.stop_grace;
         s.retry_ratio = limits_.retry_ratio;
         s.retry_slack = limits_.retry_slack;
         s.retry_window = limits_.retry_window;
-        std::promise<void> made;
-        gateway_thread_ = std::thread([this, s, &made] {
-            gateway::gateway_daemon daemon(s, [s] { return s; });
-            daemon_ = &daemon;
-            made.set_value();
-            daemon.run();
-        });
-        made.get_future().wait();
+        for (int starts = 1; !run_gateway(s, starts == max_starts); ++starts) {
+        }
         // Waits until the gateway knows the configuration and the targets.
         for (;;) {
             const auto a = ask(request_text("warm-up", warm_up_header));
@@ -261,7 +283,53 @@
         left = 0;
     }
 
+    /// Runs the gateway on its own thread.
+    /// @param last whether to throw if the ports are taken
+    /// @return false if one of the ports was taken
+    bool run_gateway(gateway::boot_settings s, bool last)
+    {
+        s.callers = {"127.0.0.1", callers_port_ = limits_.next_port()};
+        s.readiness = {"127.0.0.1", limits_.next_port()};
+        s.control = {"127.0.0.1", limits_.next_port()};
+        s.peer_port = limits_.next_port();
+        s.metrics_port = limits_.next_port();
+        std::promise<void> made;
+        gateway_thread_ = std::thread([this, s, &made] {
+            std::unique_ptr<gateway::gateway_daemon> daemon;
+            try {
+                daemon = std::make_unique<gateway::gateway_daemon>(
+                    s, [s] { return s; });
+            } catch (...) {
+                made.set_exception(std::current_exception());
+                return;
+            }
+            daemon_ = daemon.get();
+            made.set_value();
+            daemon->run();
+        });
+        try {
+            made.get_future().get();
+            return true;
+        } catch (const net::bind_error& e) {
+            gateway_thread_.join();
+            if (last)
+                throw;
+            UNSCOPED_INFO("started again: " << e.what());
+            return false;
+        } catch (...) {
+            gateway_thread_.join();
+            throw;
+        }
+    }
+
+    void end_standins()
+    {
+        loop_->stop();
+        standins_thread_.join();
+    }
+
     gateway_limits limits_;
+    closed_port unreachable_;
     std::thread standins_thread_;
     std::thread gateway_thread_;
     net::event_loop* loop_ = nullptr;
