--- a/standins/site/dialect.cpp
+++ b/standins/site/dialect.cpp
@@ -144,6 +144,17 @@
     return field(header::model, "m/" + adapter) + "\r\n";
 }
 
+std::string prompt_header(std::initializer_list<std::string_view> ids)
+{
+    std::string parts;
+    for (const auto id : ids) {
+        parts += parts.empty() ? "" : ",";
+        parts += id;
+        parts += ":100";
+    }
+    return field(header::prompt_parts, parts) + "\r\n";
+}
+
 std::string attempt_id(const net::message_head& head)
 {
     return std::string(head.header(header::attempt_id));
@@ -169,6 +180,13 @@
     return r.head.header(header::model) == "m/" + adapter;
 }
 
+bool has_prompt_part(const seen_request& r, std::string_view id)
+{
+    const std::string parts =
+        ',' + std::string(r.head.header(header::prompt_parts));
+    return parts.find(',' + std::string(id) + ':') != std::string::npos;
+}
+
 bool is_order(const seen_request& r)
 {
     return r.head.target == platform_wire::path::order;
--- a/standins/site/dialect.hpp
+++ b/standins/site/dialect.hpp
@@ -4,6 +4,7 @@
 #include "standins/site/scripted_server.hpp"
 
 #include <cstdint>
+#include <initializer_list>
 #include <optional>
 #include <span>
 #include <string>
@@ -92,12 +93,19 @@
 /// @return a header that asks for an adapter of model "m"
 [[nodiscard]] std::string adapter_header(const std::string& adapter);
 
+/// @return a header that lists the parts of a request's prompt
+/// @param ids of the parts, in order; the last one belongs to the request
+[[nodiscard]] std::string
+prompt_header(std::initializer_list<std::string_view> ids);
+
 [[nodiscard]] std::string attempt_id(const net::message_head& head);
 [[nodiscard]] std::string attempt_id(const seen_request& r);
 /// @return id of the last event that the sender has, empty for none
 [[nodiscard]] std::string resume_after(const seen_request& r);
 [[nodiscard]] std::string expected_target(const seen_request& r);
 [[nodiscard]] bool asks_for(const seen_request& r, const std::string& adapter);
+/// @return whether the request's prompt has the part
+[[nodiscard]] bool has_prompt_part(const seen_request& r, std::string_view id);
 [[nodiscard]] bool is_order(const seen_request& r);
 /// What an order asks an engine to do.
 struct engine_order
--- /dev/null
+++ b/tests/gateway/crashing_prompt_part_test.cpp
@@ -0,0 +1,81 @@
+#include "tests/gateway/site_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+
+using namespace lovagegate;
+using namespace lovagegate::gateway;
+using namespace lovagegate::gateway_test;
+
+namespace {
+
+constexpr std::size_t engines = 4;
+constexpr std::string_view crashing_part = "bad0";
+const std::string no_body = "Content-Length: 0\r\n";
+
+/// Engines that crash when they begin to answer a prompt with the part, and
+/// stream two events for any other.
+class crashing_engines
+{
+public:
+    std::vector<site::target_script> scripts()
+    {
+        std::vector<site::target_script> out;
+        for (std::size_t i = 0; i < crashes_.size(); ++i)
+            out.push_back(with_warm_up([this, i](const seen_request& r) {
+                if (!has_prompt_part(r, crashing_part))
+                    return script{{stream_head(r) + event(1), {}, then::go_on},
+                                  {event(2), 10ms, then::close}};
+                ++crashes_.at(i);
+                ++total_;
+                return script{{"", {}, then::reset}};
+            }));
+        return out;
+    }
+
+    /// Publishes a new run of each engine that has crashed since the last call.
+    void restart_crashed(site& s)
+    {
+        for (std::size_t i = 0; i < crashes_.size(); ++i)
+            if (crashes_.at(i).exchange(0) > 0)
+                s.publish_restart(i, ++newest_start_);
+    }
+
+    [[nodiscard]] int total() const { return total_; }
+
+private:
+    std::array<std::atomic<int>, engines> crashes_{};
+    std::atomic<int> total_{0};
+    std::int64_t newest_start_ = 1;
+};
+
+caller::answer ask_with_prompt(site& s, const std::string& id,
+                               std::initializer_list<std::string_view> parts)
+{
+    return s.ask(request_text(id, no_body + prompt_header(parts), "POST"));
+}
+
+} // namespace
+
+TEST_CASE("requests that share a prompt part stop reaching engines that it "
+          "crashes",
+          "[gateway][!shouldfail]")
+{
+    crashing_engines e;
+    site s({.kind = "streaming", .resumable = true, .attempts = 1},
+           e.scripts());
+    constexpr int asks = 14;
+    constexpr int crashes_and_further_requests = 5 + 3;
+    for (int n = 0; n < asks; ++n) {
+        const std::string id = std::to_string(n);
+        ask_with_prompt(s, "crash" + id, {"common", crashing_part, "a" + id});
+        e.restart_crashed(s);
+        std::this_thread::sleep_for(400ms);
+        ask_with_prompt(s, "sound" + id, {"common", "other", "b" + id});
+    }
+    CHECK(e.total() <= crashes_and_further_requests);
+    const auto a = ask_with_prompt(s, "last", {"common", "other", "c"});
+    CHECK(a.head.status == 200);
+    CHECK(a.body == event(1) + event(2));
+}
