Tell sound prompt parts from crashing ones by earlier answers

Cause: the latest answer of a part was forgotten when it was not suspected at that time.

Change: answers are remembered for two minutes; a part that was answered needs six crashes and must be the only one in so many. The other findings change the same decision and come with it: a short block for five crashes close together, the end of a run told also when it was found before the broken connections, a new block passed on to four instances, crashes of a blocked request not held against its parts, the first crash in the message of a block, bounded tables that drop the least suspected part, the engine's run taken when a request is sent, and no clearance from a stream that ends with its connection before its second event.

--- a/src/lovagegate/gateway/crash_reports.cpp
+++ b/src/lovagegate/gateway/crash_reports.cpp
@@ -2,6 +2,7 @@
 
 #include "lovagegate/logging/log.hpp"
 
+#include <limits>
 #include <utility>
 
 namespace lovagegate::gateway {
@@ -10,6 +11,8 @@
 
 /// Fingerprints in one datagram, each of up to nine bytes.
 constexpr std::size_t max_fingerprints = 100;
+/// Reports of broken connections arrive within milliseconds.
+constexpr duration refused_run_ttl = 5s;
 /// Blocked parts that are repeated, those with the latest crashes.
 constexpr std::size_t max_repeated_parts = 32;
 
@@ -47,8 +50,8 @@
                                  std::string_view run, time_point now)
 {
     requests_.on_connection_broken(request.request, run, now);
-    on_parts_blocked(prompt_parts_.on_connection_broken(request, run, now),
-                     run);
+    announce_blocked(prompt_parts_.on_connection_broken(request, run, now), run,
+                     now);
 }
 
 void crash_reports::send_notices()
@@ -57,28 +60,27 @@
         callbacks_.send_to_all(notice);
 }
 
-void crash_reports::record_run_end(std::string_view run, time_point now)
-{
-    counts_.add("crashes_counted", requests_.on_run_ended(run, now));
-    on_parts_blocked(prompt_parts_.on_run_ended(run, now), run);
-}
-
 void crash_reports::on_run_ended(std::string_view run, time_point now)
 {
-    record_run_end(run, now);
+    counts_.add("crashes_counted", requests_.on_run_ended(run, now));
+    for (const auto& explained : requests_.runs_ended_by_blocked(run, now))
+        prompt_parts_.on_run_explained(explained);
+    announce_blocked(prompt_parts_.on_run_ended(run, now), run, now);
 }
 
 void crash_reports::on_connection_refused(std::string_view run, time_point now)
 {
-    const bool awaited = is_end_awaited(run);
-    record_run_end(run, now);
+    const bool awaited = prompt_parts_.is_end_awaited(run);
+    on_run_ended(run, now);
     if (awaited)
         callbacks_.send_to_all(crash_notice{std::string(run), {}, true});
+    else
+        refused_runs_.emplace(std::string(run), now);
 }
 
 void crash_reports::on_answer_begun(const crash_traits& request, time_point now)
 {
-    auto parts = prompt_parts_.on_answer(request.prompt_parts, now);
+    auto parts = record_answer(request.prompt_parts, now);
     if (!parts.empty())
         callbacks_.send_to_all(answered_prompt_parts{std::move(parts)});
 }
@@ -93,14 +95,22 @@
 {
     for (const auto& request : notice.requests)
         record_break(request, notice.engine, now);
-    if (notice.run_ended)
-        record_run_end(notice.engine, now);
+    if (notice.run_ended) {
+        on_run_ended(notice.engine, now);
+        return;
+    }
+    // This instance found the end of the run before it knew that it matters.
+    if (const auto it = refused_runs_.find(notice.engine);
+        it != refused_runs_.end()) {
+        refused_runs_.erase(it);
+        callbacks_.send_to_all(crash_notice{notice.engine, {}, true});
+    }
 }
 
 void crash_reports::on_message(const answered_prompt_parts& answered,
                                time_point now)
 {
-    prompt_parts_.on_answer(answered.parts, now);
+    record_answer(answered.parts, now);
 }
 
 void crash_reports::on_message(const std::string& from,
@@ -109,20 +119,27 @@
 {
     answered_prompt_parts refuted;
     std::vector<fingerprint> added;
-    for (const auto& [part, since_last_crash] : blocked.parts) {
-        switch (prompt_parts_.on_blocked_by_peer(part, now - since_last_crash,
+    for (const auto& entry : blocked.parts) {
+        if (entry.since_last_crash < duration::zero() ||
+            entry.since_first_crash < entry.since_last_crash) {
+            counts_.add("peer_datagrams_invalid");
+            continue;
+        }
+        switch (prompt_parts_.on_blocked_by_peer({entry.part,
+                                                  now - entry.since_first_crash,
+                                                  now - entry.since_last_crash},
                                                  now)) {
         case peer_block::added:
-            added.push_back(part);
+            added.push_back(entry.part);
             break;
         case peer_block::refuted:
-            refuted.parts.push_back(part);
+            refuted.parts.push_back(entry.part);
             break;
         case peer_block::known:
             break;
         }
     }
-    on_parts_blocked(added, "told by " + from);
+    announce_blocked(added, "told by " + from, now);
     if (!refuted.parts.empty())
         callbacks_.send_to(from, refuted);
 }
@@ -137,37 +154,66 @@
                : crash_verdict::harmless;
 }
 
-bool crash_reports::is_end_awaited(std::string_view run) const
+blocked_prompt_parts crash_reports::make_message(
+    std::span<const crashing_prompt_parts::blocked_part> blocked,
+    time_point now) const
 {
-    return prompt_parts_.is_end_awaited(run);
+    blocked_prompt_parts message;
+    for (const auto& b : blocked)
+        message.parts.push_back(
+            {b.part, now - b.first_crash, now - b.last_crash});
+    return message;
 }
 
 void crash_reports::repeat_blocked_parts(const std::string& address,
                                          time_point now)
 {
-    blocked_prompt_parts message;
-    for (const auto& [part, last_crash] :
-         prompt_parts_.blocked(max_repeated_parts, now))
-        message.parts.push_back({part, now - last_crash});
-    if (!message.parts.empty())
-        callbacks_.send_to(address, message);
+    const auto blocked = prompt_parts_.blocked(max_repeated_parts, now);
+    if (!blocked.empty())
+        callbacks_.send_to(address, make_message(blocked, now));
 }
 
-void crash_reports::on_parts_blocked(std::span<const fingerprint> parts,
-                                     std::string_view evidence)
+std::size_t crash_reports::blocked_parts(time_point now) const
 {
+    return prompt_parts_.blocked(std::numeric_limits<std::size_t>::max(), now)
+        .size();
+}
+
+std::vector<fingerprint>
+crash_reports::record_answer(std::span<const fingerprint> parts, time_point now)
+{
+    for (const fingerprint part : parts)
+        if (prompt_parts_.blocked_among(std::span(&part, 1), now)) {
+            counts_.add("prompt_parts_cleared");
+            logging::write(logging::level::info, "prompt_part_cleared",
+                           {{"part", part}});
+        }
+    return prompt_parts_.on_answer(parts, now);
+}
+
+void crash_reports::announce_blocked(std::span<const fingerprint> parts,
+                                     std::string_view evidence, time_point now)
+{
+    if (parts.empty())
+        return;
     for (const fingerprint part : parts) {
         counts_.add("prompt_parts_blocked");
         logging::write(logging::level::warning, "prompt_part_blocked",
                        {{"part", part}, {"evidence", evidence}});
     }
-    if (!parts.empty())
-        callbacks_.on_parts_blocked();
+    // Others may lack a part of the evidence.
+    const auto latest = prompt_parts_.blocked(parts.size(), now);
+    if (!latest.empty())
+        callbacks_.send_to_some(make_message(latest, now));
+    callbacks_.on_blocked();
 }
 
 void crash_reports::expire(time_point now)
 {
     requests_.expire(now);
+    std::erase_if(refused_runs_, [&](const auto& refused) {
+        return now - refused.second > refused_run_ttl;
+    });
     prompt_parts_.expire(now);
 }
 
--- a/src/lovagegate/gateway/crash_reports.hpp
+++ b/src/lovagegate/gateway/crash_reports.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -34,9 +35,11 @@
         /// Sends a message to one instance.
         std::function<void(const std::string& address, const peer_message&)>
             send_to;
+        /// Sends a message to a few instances, chosen at random.
+        std::function<void(const peer_message&)> send_to_some;
         /// Called when parts were blocked: requests with them may be waiting at
         /// engines.
-        std::function<void()> on_parts_blocked;
+        std::function<void()> on_blocked;
     };
 
     crash_reports(counters& counts, callbacks c);
@@ -71,16 +74,16 @@
     [[nodiscard]] crash_verdict verdict(const crash_traits& request,
                                         time_point now) const;
 
-    /// @return whether the end of a run would turn broken connections into
-    ///         crashes
-    [[nodiscard]] bool is_end_awaited(std::string_view run) const;
-
-    /// @return whether send_notices() has something to send
-    [[nodiscard]] bool has_notices() const noexcept
+    /// @return the blocked one of these parts, if any
+    [[nodiscard]] std::optional<fingerprint>
+    blocked_among(std::span<const fingerprint> parts, time_point now) const
     {
-        return !notices_.empty();
+        return prompt_parts_.blocked_among(parts, now);
     }
 
+    /// @return number of blocked parts
+    [[nodiscard]] std::size_t blocked_parts(time_point now) const;
+
     /// Tells the other instances of broken connections.
     void send_notices();
 
@@ -94,16 +97,24 @@
 private:
     void record_break(const crash_traits& request, std::string_view run,
                       time_point now);
+    /// @return those of the parts that may be suspected elsewhere
+    std::vector<fingerprint> record_answer(std::span<const fingerprint> parts,
+                                           time_point now);
     /// @param evidence the last run that crashed, or the instance that told it
-    void on_parts_blocked(std::span<const fingerprint> parts,
-                          std::string_view evidence);
-    void record_run_end(std::string_view run, time_point now);
+    void announce_blocked(std::span<const fingerprint> parts,
+                          std::string_view evidence, time_point now);
+    [[nodiscard]] blocked_prompt_parts
+    make_message(std::span<const crashing_prompt_parts::blocked_part> blocked,
+                 time_point now) const;
 
     counters& counts_;
     callbacks callbacks_;
     crash_suspects requests_;
     crashing_prompt_parts prompt_parts_;
     std::map<std::string, crash_notice, std::less<>> notices_; ///< by run
+    /// Runs that this instance found to have ended, and when; nobody has
+    /// reported broken connections yet.
+    std::map<std::string, time_point, std::less<>> refused_runs_;
 };
 
 } // namespace lovagegate::gateway
--- a/src/lovagegate/gateway/crash_suspects.cpp
+++ b/src/lovagegate/gateway/crash_suspects.cpp
@@ -99,6 +99,18 @@
            now - it->second.last_crash <= suspect_ttl;
 }
 
+std::vector<std::string>
+crash_suspects::runs_ended_by_blocked(std::string_view run,
+                                      time_point now) const
+{
+    std::vector<std::string> runs;
+    for (const auto& [request, s] : suspects_)
+        if (is_blocked(request, now) &&
+            std::ranges::find(s.engines, run) != s.engines.end())
+            runs.insert(runs.end(), s.engines.begin(), s.engines.end());
+    return runs;
+}
+
 void crash_suspects::expire(time_point now)
 {
     std::erase_if(ended_runs_, [&](const auto& ended) {
--- a/src/lovagegate/gateway/crash_suspects.hpp
+++ b/src/lovagegate/gateway/crash_suspects.hpp
@@ -54,6 +54,11 @@
     /// @return whether the request must not be sent again
     [[nodiscard]] bool is_blocked(fingerprint request, time_point now) const;
 
+    /// @return all runs that crashed under those blocked requests that were
+    ///         running when this run ended
+    [[nodiscard]] std::vector<std::string>
+    runs_ended_by_blocked(std::string_view run, time_point now) const;
+
     /// Erases expired records.
     void expire(time_point now);
 
--- a/src/lovagegate/gateway/crashing_prompt_parts.cpp
+++ b/src/lovagegate/gateway/crashing_prompt_parts.cpp
@@ -14,18 +14,31 @@
 constexpr std::size_t crash_limit = 3;
 /// Crashes closer together than this count as one.
 constexpr duration min_crash_distance = 100ms;
+/// The same for a part that an engine has answered before.
+constexpr std::size_t answered_crash_limit = 6;
+/// Crashes after which a part that was never answered is blocked although they
+/// are close together, since many requests with it may arrive at once. The
+/// block is short, since these engines may also have been lost for one other
+/// reason.
+constexpr std::size_t burst_crash_limit = 5;
+constexpr duration burst_block_ttl = 10s;
+/// Separate crashes, the burst included, that block such a part for long.
+constexpr std::size_t crash_limit_after_burst = 2;
 /// Different requests that must be in the crashes of one part.
 constexpr std::size_t min_requests = 2;
 /// A crashed engine refuses connections, is listed with a new start time or
 /// expires from the store within seconds.
 constexpr duration run_end_window = 15s;
-/// Suspicion ends if a part is in no further crash for this long.
+/// Suspicion ends if no further connection breaks for this long.
 constexpr duration suspect_ttl = 120s;
 /// A blocked part is tried again this long after its last crash. Each trial
 /// may cost several engines.
 constexpr duration block_ttl = std::chrono::hours(1);
 constexpr std::size_t max_runs = 1000;
 constexpr std::size_t max_suspects = 10000;
+/// Parts of which the latest answer is remembered, and for how long.
+constexpr std::size_t max_answers = 10000;
+constexpr duration answer_ttl = 120s;
 constexpr std::uint64_t part_seed = 4;
 
 /// Adds a request unless there are already enough different ones.
@@ -48,51 +61,73 @@
 {
     if (request.prompt_parts.empty())
         return {};
-    if (suspects_.size() >= max_suspects || runs_.size() >= max_runs)
+    if (suspects_.size() >= max_suspects)
         expire(now);
-    auto& item = find_or_add_run(run, now);
-    engine_run_evidence& r = item.second;
+    auto* const item = find_or_add_run(run, now);
+    if (item == nullptr)
+        return {};
+    engine_run_evidence& r = item->second;
+    r.last_break = now;
     if (r.ended_at && now - *r.ended_at > run_end_window)
         return {};
     for (const fingerprint part : request.prompt_parts) {
-        if (suspects_.size() >= max_suspects && !suspects_.contains(part))
+        if (!make_room_for(part))
             continue;
         suspects_[part].last_seen = now;
         broken_requests& broken = r.parts[part];
         broken.at = now;
         add_distinct(broken.requests, request.request_and_prompt);
         if (r.ended_at)
-            add_crash(part, broken, item);
+            add_crash(part, broken, *item);
     }
-    return r.ended_at ? block_likely_causes(r) : std::vector<fingerprint>{};
+    return r.ended_at ? block_likely_causes(r, now)
+                      : std::vector<fingerprint>{};
 }
 
 std::vector<fingerprint>
 crashing_prompt_parts::on_run_ended(std::string_view run, time_point now)
 {
-    auto& item = find_or_add_run(run, now);
-    engine_run_evidence& r = item.second;
-    if (r.ended_at)
+    auto* const item = find_or_add_run(run, now);
+    if (item == nullptr || item->second.ended_at)
         return {};
+    engine_run_evidence& r = item->second;
     r.ended_at = now;
     // Earlier connections broke for another reason.
     std::erase_if(r.parts, [&](const auto& broken) {
         return now - broken.second.at > run_end_window;
     });
     for (const auto& [part, broken] : r.parts)
-        add_crash(part, broken, item);
-    return block_likely_causes(r);
+        add_crash(part, broken, *item);
+    return block_likely_causes(r, now);
 }
 
-crashing_prompt_parts::run_map::value_type&
+crashing_prompt_parts::run_map::value_type*
 crashing_prompt_parts::find_or_add_run(std::string_view run, time_point now)
 {
     const auto it = runs_.find(run);
     if (it != runs_.end())
-        return *it;
+        return &*it;
+    if (runs_.size() >= max_runs)
+        expire(now);
+    if (runs_.size() >= max_runs)
+        return nullptr;
     engine_run_evidence created;
-    created.created_at = now;
-    return *runs_.emplace(std::string(run), std::move(created)).first;
+    created.last_break = now;
+    return &*runs_.emplace(std::string(run), std::move(created)).first;
+}
+
+bool crashing_prompt_parts::make_room_for(fingerprint part)
+{
+    if (suspects_.size() < max_suspects || suspects_.contains(part))
+        return true;
+    const auto least_suspected =
+        std::ranges::find_if(suspects_, [](const auto& item) {
+            return !item.second.blocked && item.second.crashes.empty();
+        });
+    if (least_suspected == suspects_.end())
+        return false;
+    suspects_.erase(least_suspected);
+    return true;
 }
 
 void crashing_prompt_parts::add_crash(fingerprint part,
@@ -103,13 +138,18 @@
     if (it == suspects_.end())
         return;
     suspect& s = it->second;
-    if (s.answered_at && *s.answered_at > broken.at)
+    const auto answer = answers_.find(part);
+    if (answer != answers_.end() && answer->second > broken.at)
         return;
     if (s.blocked) {
         s.last_crash = std::max(s.last_crash, broken.at);
         explain(run);
     } else if (!run.second.explained) {
-        s.crashes.insert_or_assign(run.first, broken);
+        // A later break of the same run is no further crash.
+        broken_requests& crash =
+            s.crashes.try_emplace(run.first, broken).first->second;
+        for (const fingerprint request : broken.requests)
+            add_distinct(crash.requests, request);
     }
 }
 
@@ -131,10 +171,9 @@
             explain(*it);
 }
 
-bool crashing_prompt_parts::is_likely_cause(const suspect& s)
+crashing_prompt_parts::crash_summary
+crashing_prompt_parts::summarize(const suspect& s)
 {
-    if (s.crashes.size() < crash_limit)
-        return false;
     std::vector<time_point> times;
     std::vector<fingerprint> requests;
     for (const auto& [run, broken] : s.crashes) {
@@ -142,49 +181,97 @@
         for (const fingerprint request : broken.requests)
             add_distinct(requests, request);
     }
-    if (requests.size() < min_requests)
-        return false; // a single request may be the cause
     std::ranges::sort(times);
-    std::size_t separate = 1;
-    time_point counted = times.front();
+    std::size_t separate = 0;
+    time_point counted{};
     for (const time_point at : times)
-        if (at - counted >= min_crash_distance) {
+        if (separate == 0 || at - counted >= min_crash_distance) {
             counted = at;
             ++separate;
         }
-    return separate >= crash_limit;
+    return {times.size(), separate, requests.size()};
 }
 
 std::vector<fingerprint>
-crashing_prompt_parts::block_likely_causes(const engine_run_evidence& run)
+crashing_prompt_parts::likely_causes(const engine_run_evidence& run) const
 {
-    std::vector<fingerprint> blocked;
-    for (;;) {
-        // The parts that were in most crashes come first, because they may
-        // explain the crashes of the others.
-        std::size_t most = crash_limit;
-        std::vector<fingerprint> causes;
-        for (const auto& [part, broken] : run.parts) {
-            const auto it = suspects_.find(part);
-            if (it == suspects_.end() || it->second.crashes.size() < most ||
-                !is_likely_cause(it->second))
-                continue;
-            if (it->second.crashes.size() > most)
-                causes.clear();
-            most = it->second.crashes.size();
+    std::vector<fingerprint> never_answered;
+    std::vector<fingerprint> answered;
+    std::size_t most_of_never_answered = 0;
+    std::size_t most_of_answered = 0;
+    for (const auto& [part, broken] : run.parts) {
+        const auto it = suspects_.find(part);
+        if (it == suspects_.end() || it->second.crashes.size() < crash_limit)
+            continue;
+        const bool was_answered = answers_.contains(part);
+        const crash_summary found = summarize(it->second);
+        const bool was_suspended = it->second.suspended_until != time_point{};
+        // With a single request, the request itself may be the cause.
+        if (found.separate <
+                (was_suspended ? crash_limit_after_burst : crash_limit) ||
+            found.requests < min_requests ||
+            (was_answered && found.crashes < answered_crash_limit))
+            continue;
+        auto& causes = was_answered ? answered : never_answered;
+        auto& most = was_answered ? most_of_answered : most_of_never_answered;
+        if (found.crashes > most)
+            causes.clear();
+        if (found.crashes >= most)
             causes.push_back(part);
-        }
-        if (causes.empty())
-            return blocked;
-        for (const fingerprint part : causes) {
-            suspect& s = suspects_.at(part);
-            s.blocked = true;
-            for (const auto& [name, broken] : s.crashes)
-                s.last_crash = std::max(s.last_crash, broken.at);
-            blocked.push_back(part);
-        }
+        most = std::max(most, found.crashes);
+    }
+    if (!never_answered.empty())
+        return never_answered;
+    // Several parts that were answered before can't be told apart yet.
+    return answered.size() == 1 ? answered : std::vector<fingerprint>{};
+}
+
+std::vector<fingerprint>
+crashing_prompt_parts::suspend_parts(const engine_run_evidence& run,
+                                     time_point now)
+{
+    std::vector<fingerprint> suspended;
+    for (const auto& [part, broken] : run.parts) {
+        const auto it = suspects_.find(part);
+        if (it == suspects_.end() || answers_.contains(part) ||
+            it->second.blocked || now <= it->second.suspended_until)
+            continue;
+        const crash_summary found = summarize(it->second);
+        if (found.crashes < burst_crash_limit || found.requests < min_requests)
+            continue;
+        it->second.suspended_until = now + burst_block_ttl;
+        suspended.push_back(part);
+    }
+    return suspended;
+}
+
+std::vector<fingerprint>
+crashing_prompt_parts::block_likely_causes(const engine_run_evidence& run,
+                                           time_point now)
+{
+    std::vector<fingerprint> blocked;
+    // A blocked part may explain the crashes of the others, so these are judged
+    // again.
+    for (auto causes = likely_causes(run); !causes.empty();
+         causes = likely_causes(run)) {
+        for (const fingerprint part : causes)
+            block(suspects_.at(part));
         for (const fingerprint part : causes)
             explain_crashes_of(suspects_.at(part));
+        blocked.insert(blocked.end(), causes.begin(), causes.end());
+    }
+    const auto suspended = suspend_parts(run, now);
+    blocked.insert(blocked.end(), suspended.begin(), suspended.end());
+    return blocked;
+}
+
+void crashing_prompt_parts::block(suspect& s)
+{
+    s.blocked = true;
+    s.first_crash = time_point::max();
+    for (const auto& [run, broken] : s.crashes) {
+        s.first_crash = std::min(s.first_crash, broken.at);
+        s.last_crash = std::max(s.last_crash, broken.at);
     }
 }
 
@@ -193,37 +280,56 @@
                                  time_point now)
 {
     std::vector<fingerprint> suspected;
-    if (suspects_.empty())
-        return suspected;
     for (const fingerprint part : parts) {
         const auto it = suspects_.find(part);
-        if (it == suspects_.end())
-            continue;
-        suspect& s = it->second;
-        if (s.blocked || !s.answered_at || s.last_seen >= *s.answered_at)
-            suspected.push_back(part);
-        s.blocked = false;
-        s.crashes.clear();
-        s.answered_at = now;
+        if (it != suspects_.end()) {
+            suspect& s = it->second;
+            const auto answer = answers_.find(part);
+            if (s.blocked || answer == answers_.end() ||
+                s.last_seen >= answer->second)
+                suspected.push_back(part);
+            s.blocked = false;
+            s.suspended_until = {};
+            s.crashes.clear();
+        }
+        remember_answer(part, now);
     }
     return suspected;
 }
 
-peer_block crashing_prompt_parts::on_blocked_by_peer(fingerprint part,
-                                                     time_point last_crash,
+void crashing_prompt_parts::remember_answer(fingerprint part, time_point now)
+{
+    if (answers_.size() >= max_answers && !answers_.contains(part)) {
+        std::erase_if(answers_, [&](const auto& answer) {
+            return now - answer.second > answer_ttl;
+        });
+        if (answers_.size() >= max_answers)
+            answers_.erase(answers_.begin());
+    }
+    answers_.insert_or_assign(part, now);
+}
+
+void crashing_prompt_parts::on_run_explained(std::string_view run)
+{
+    if (const auto it = runs_.find(run); it != runs_.end())
+        explain(*it);
+}
+
+peer_block crashing_prompt_parts::on_blocked_by_peer(const blocked_part& block,
                                                      time_point now)
 {
-    const bool is_full =
-        suspects_.size() >= max_suspects && !suspects_.contains(part);
-    if (now - last_crash > block_ttl || is_full)
+    if (now - block.last_crash > block_ttl || !make_room_for(block.part))
         return peer_block::known;
-    suspect& s = suspects_[part];
-    if (s.answered_at && *s.answered_at > last_crash)
+    const auto answer = answers_.find(block.part);
+    if (answer != answers_.end() && answer->second > block.first_crash)
         return peer_block::refuted;
-    s.last_crash = std::max(s.last_crash, last_crash);
-    s.last_seen = std::max(s.last_seen, last_crash);
-    if (std::exchange(s.blocked, true))
+    suspect& s = suspects_[block.part];
+    s.last_crash = std::max(s.last_crash, block.last_crash);
+    s.last_seen = std::max(s.last_seen, block.last_crash);
+    if (s.blocked)
         return peer_block::known;
+    s.blocked = true;
+    s.first_crash = block.first_crash;
     explain_crashes_of(s);
     return peer_block::added;
 }
@@ -236,7 +342,8 @@
 
 bool crashing_prompt_parts::is_blocked(const suspect& s, time_point now)
 {
-    return s.blocked && now - s.last_crash <= block_ttl;
+    return now <= s.suspended_until ||
+           (s.blocked && now - s.last_crash <= block_ttl);
 }
 
 std::optional<fingerprint>
@@ -258,8 +365,8 @@
 {
     std::vector<blocked_part> all;
     for (const auto& [part, s] : suspects_)
-        if (is_blocked(s, now))
-            all.push_back({part, s.last_crash});
+        if (s.blocked && is_blocked(s, now))
+            all.push_back({part, s.first_crash, s.last_crash});
     std::ranges::sort(all, std::ranges::greater{}, &blocked_part::last_crash);
     if (all.size() > count)
         all.resize(count);
@@ -270,11 +377,16 @@
 {
     std::erase_if(suspects_, [&](const auto& item) {
         const suspect& s = item.second;
-        return !is_blocked(s, now) && now - s.last_seen > suspect_ttl;
+        return !is_blocked(s, now) &&
+               now - s.last_seen >
+                   (s.crashes.empty() ? run_end_window : suspect_ttl);
+    });
+    std::erase_if(answers_, [&](const auto& answer) {
+        return now - answer.second > answer_ttl;
     });
     std::erase_if(runs_, [&](const auto& item) {
         const engine_run_evidence& r = item.second;
-        return now - r.ended_at.value_or(r.created_at) >
+        return now - r.ended_at.value_or(r.last_break) >
                (r.ended_at ? suspect_ttl : run_end_window);
     });
 }
--- a/src/lovagegate/gateway/crashing_prompt_parts.hpp
+++ b/src/lovagegate/gateway/crashing_prompt_parts.hpp
@@ -23,7 +23,7 @@
 {
     added,
     known,  ///< blocked here before
-    refuted ///< an engine has answered a request with it since its last crash
+    refuted ///< an engine has answered a request with it since its first crash
 };
 
 /// Finds the shared parts of prompts that crash each engine which begins to
@@ -31,10 +31,11 @@
 /// hold.
 ///
 /// A part is suspected if a request with it had no answer yet when its engine
-/// crashed. It is blocked after several crashes, unless an engine answers a
-/// request with it in between. Crashes at almost the same time count once,
-/// since a fault of many engines also hits popular parts at all of them. A
-/// crash that a blocked part explains is held against no other part.
+/// crashed. It is blocked after several crashes under different requests,
+/// unless an engine answers a request with it in between. Crashes at almost the
+/// same time count once, since a fault of many engines also hits popular parts
+/// at all of them. Parts that were never answered are blocked before others,
+/// and a crash that a blocked part explains is held against no other part.
 class crashing_prompt_parts
 {
 public:
@@ -61,10 +62,19 @@
     std::vector<fingerprint> on_answer(std::span<const fingerprint> parts,
                                        time_point now);
 
+    /// Called when the end of a run has another cause than a part of a prompt.
+    void on_run_explained(std::string_view run);
+
+    /// A part and the crashes that are ascribed to it.
+    struct blocked_part
+    {
+        fingerprint part = 0;
+        time_point first_crash{};
+        time_point last_crash{};
+    };
+
     /// Called when another instance has blocked a part.
-    /// @param last_crash latest crash that the instance ascribes to it
-    peer_block on_blocked_by_peer(fingerprint part, time_point last_crash,
-                                  time_point now);
+    peer_block on_blocked_by_peer(const blocked_part& block, time_point now);
 
     /// @return whether broken connections to this run were reported, but not
     ///         yet whether the run has ended
@@ -74,12 +84,6 @@
     [[nodiscard]] std::optional<fingerprint>
     blocked_among(std::span<const fingerprint> parts, time_point now) const;
 
-    struct blocked_part
-    {
-        fingerprint part = 0;
-        time_point last_crash{};
-    };
-
     /// @return the blocked parts with the latest crashes, at most `count`
     [[nodiscard]] std::vector<blocked_part> blocked(std::size_t count,
                                                     time_point now) const;
@@ -97,10 +101,10 @@
 
     struct engine_run_evidence
     {
-        time_point created_at{};
+        time_point last_break{}; ///< latest broken connection
         std::optional<time_point> ended_at;
         std::map<fingerprint, broken_requests> parts;
-        bool explained = false; ///< a blocked part was on the engine
+        bool explained = false; ///< the cause of its end is known
     };
 
     using run_map = std::map<std::string, engine_run_evidence, std::less<>>;
@@ -109,26 +113,48 @@
     {
         /// Crashes that no blocked part explains, by run.
         std::map<std::string, broken_requests, std::less<>> crashes;
-        time_point last_seen{};  ///< latest broken connection
-        time_point last_crash{}; ///< latest crash, if blocked
-        /// Latest answer since it was suspected.
-        std::optional<time_point> answered_at;
+        time_point last_seen{};   ///< latest broken connection
+        time_point first_crash{}; ///< of those that led to the block
+        time_point last_crash{};  ///< latest crash, if blocked
         bool blocked = false;
+        /// Blocked for crashes close together, which may have another cause.
+        time_point suspended_until{};
     };
 
-    run_map::value_type& find_or_add_run(std::string_view run, time_point now);
+    /// @return null if there are too many runs
+    run_map::value_type* find_or_add_run(std::string_view run, time_point now);
+    /// Drops a part that was in no crash if there are too many suspects.
+    /// @return whether the part can be added
+    bool make_room_for(fingerprint part);
     void add_crash(fingerprint part, const broken_requests& broken,
                    run_map::value_type& run);
     void explain(run_map::value_type& run);
     void explain_crashes_of(suspect& s);
     /// Blocks those parts of the run that are the likely causes of crashes.
-    std::vector<fingerprint>
-    block_likely_causes(const engine_run_evidence& run);
-    [[nodiscard]] static bool is_likely_cause(const suspect& s);
+    std::vector<fingerprint> block_likely_causes(const engine_run_evidence& run,
+                                                 time_point now);
+    /// What the crashes of a part amount to.
+    struct crash_summary
+    {
+        std::size_t crashes = 0;
+        std::size_t separate = 0; ///< those not close together
+        std::size_t requests = 0; ///< counted up to a limit
+    };
+
+    [[nodiscard]] static crash_summary summarize(const suspect& s);
+    /// @return the parts of the run that are to be blocked first
+    [[nodiscard]] std::vector<fingerprint>
+    likely_causes(const engine_run_evidence& run) const;
+    /// Blocks parts for a short time whose crashes are close together.
+    std::vector<fingerprint> suspend_parts(const engine_run_evidence& run,
+                                           time_point now);
+    void block(suspect& s);
+    void remember_answer(fingerprint part, time_point now);
     [[nodiscard]] static bool is_blocked(const suspect& s, time_point now);
 
     run_map runs_;
     std::unordered_map<fingerprint, suspect> suspects_;
+    std::unordered_map<fingerprint, time_point> answers_; ///< latest, by part
 };
 
 } // namespace lovagegate::gateway
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -30,8 +30,8 @@
     adapter_coordinator& adapters;
     std::mt19937_64& random;
     crash_reports& crashes;
-    /// Called when a connection to an engine broke during a request.
-    std::function<void(const target_entry&)> on_connection_broken;
+    /// Called when `crashes` has notices to send.
+    std::function<void()> on_crash_notice;
     /// Called when a target's address refuses the connection (nothing listens
     /// there).
     std::function<void(const std::string& target)> on_connect_refused;
@@ -82,6 +82,8 @@
     /// Answers a request that crashes engines.
     /// @return whether the request has ended
     bool reject_if_crashing(time_point now);
+    /// Logs which part of the prompt is blocked.
+    void log_blocked_part(time_point now) const;
     /// Called when enough of an answer has arrived to show that the request
     /// doesn't crash its engine.
     void on_answer_begun();
@@ -127,6 +129,13 @@
     void on_discarded();
     void record_event_gap(time_point now);
     void on_interrupted(call_failure f);
+    /// Reports that the connection to the target broke, which may mean that the
+    /// target crashed.
+    void report_broken_connection();
+    /// @return whether a complete stream may end where its engine crashed: it
+    ///         ended with its connection before the engine has shown that it
+    ///         lives
+    [[nodiscard]] bool may_have_been_cut() const;
     /// Retries after a delay if a target was abandoned only because it was
     /// silent, since its answer might still have completed, or if a stream has
     /// begun: neither may fail merely because no other target is available or
@@ -179,6 +188,7 @@
     net::timer_id timer_ = 0;
     std::uint64_t adapter_request_id_ = 0; ///< pending adapter request, 0: none
     std::string target_;                   ///< target that has the request
+    std::string target_run_;               ///< its run, see engine_run()
     std::string last_misdirected_; ///< last target that lacked the adapter
     std::string adapter_;          ///< MODEL/NAME; empty without an adapter
     std::unique_ptr<target_call> call_;
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -129,6 +129,7 @@
                 [this](const std::string& to, const peer_message& m) {
                     send_to_peer(to, m);
                 },
+                [this](const peer_message& m) { send_to_some(m); },
                 [this] {
                     // Deferred, because a request may be the caller.
                     loop_.call_later(duration::zero(),
@@ -141,7 +142,7 @@
           adapters_,
           random_,
           crashes_,
-          [this](const target_entry& t) { on_connection_broken(t); },
+          [this] { schedule_crash_notices(); },
           [this](const std::string& target) {
               if (const auto* t = state_.targets.find(target))
                   crashes_.on_connection_refused(
@@ -513,7 +514,7 @@
                           net::event_loop::now().mono);
 }
 
-void gateway_daemon::on_connection_broken(const target_entry&)
+void gateway_daemon::schedule_crash_notices()
 {
     // The other connections to a crashed target break in the same turn of the
     // loop.
@@ -529,13 +530,29 @@
             send_datagram(address, datagram);
 }
 
+std::vector<std::string> gateway_daemon::random_others(std::size_t count)
+{
+    auto others = state_.members.alive(net::event_loop::now().mono);
+    std::erase(others, state_.boot.address);
+    std::ranges::shuffle(others, random_);
+    others.resize(std::min(others.size(), count));
+    return others;
+}
+
+void gateway_daemon::send_to_some(const peer_message& message)
+{
+    // Each receiver that learns something passes it on, so that all have it
+    // after a few steps.
+    constexpr std::size_t receivers = 4;
+    for (const auto& address : random_others(receivers))
+        send_to_peer(address, message);
+}
+
 void gateway_daemon::repeat_crash_reports()
 {
     const time_point now = net::event_loop::now().mono;
-    auto others = state_.members.alive(now);
-    std::erase(others, state_.boot.address);
-    if (!others.empty())
-        crashes_.repeat_blocked_parts(others[random_() % others.size()], now);
+    for (const auto& address : random_others(1))
+        crashes_.repeat_blocked_parts(address, now);
 }
 
 void gateway_daemon::send_to_peer(const std::string& address,
@@ -860,6 +877,8 @@
                        static_cast<double>(state_.ownership.all().size())},
         metrics::gauge{"adapter_loads_in_transit",
                        static_cast<double>(adapters_.loads_in_transit())},
+        metrics::gauge{"blocked_prompt_parts",
+                       static_cast<double>(crashes_.blocked_parts(now))},
         metrics::gauge{"config_version",
                        static_cast<double>(state_.routes.version())},
         metrics::gauge{"store_out_of_contact_seconds",
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -48,8 +48,11 @@
     void on_target_item(const platform_wire::store_item& item, bool in_doubt);
     /// Counts the broken connections to this run of the target as crashes.
     void record_run_end(const target_state& t);
-    /// Tells other instances of broken connections to a target, all at once.
-    void on_connection_broken(const target_entry& target);
+    /// Tells other instances of broken connections to targets, all at once.
+    void schedule_crash_notices();
+    void send_to_some(const peer_message& message);
+    /// @return addresses of other live instances, at most `count`
+    [[nodiscard]] std::vector<std::string> random_others(std::size_t count);
     void send_to_others(const peer_message& message);
     /// Repeats to another instance what it may have missed.
     void repeat_crash_reports();
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -87,7 +87,8 @@
 {
     json parts = json::array();
     for (const auto& p : m.parts)
-        parts.push_back(json::array({p.part, p.since_last_crash.count()}));
+        parts.push_back(json::array(
+            {p.part, p.since_first_crash.count(), p.since_last_crash.count()}));
     return json::array({tag::blocked_prompt_parts, std::move(parts)});
 }
 
@@ -191,7 +192,8 @@
     blocked_prompt_parts m;
     for (const json& p : j.at(1))
         m.parts.push_back({p.at(0).get<fingerprint>(),
-                           duration(p.at(1).get<duration::rep>())});
+                           duration(p.at(1).get<duration::rep>()),
+                           duration(p.at(2).get<duration::rep>())});
     return m;
 }
 
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -133,7 +133,10 @@
     struct entry
     {
         fingerprint part = 0;
-        duration since_last_crash{}; ///< when the message was sent
+        /// Of the crashes that led to the block, and the latest one, when the
+        /// message was sent.
+        duration since_first_crash{};
+        duration since_last_crash{};
     };
     std::vector<entry> parts;
 };
--- a/tests/gateway/crash_reports_test.cpp
+++ b/tests/gateway/crash_reports_test.cpp
@@ -35,6 +35,10 @@
                 [this, i](const std::string& to, const peer_message& m) {
                     mail_.push_back({i, std::stoul(to), m});
                 },
+                [this, i](const peer_message& m) {
+                    if (reports_.size() > 1)
+                        mail_.push_back({i, (i + 1) % reports_.size(), m});
+                },
                 [this] { ++blockings; }});
     }
 
