Obey what a target says of itself in its answers

Callers would see requests fail at an engine that has said that it leaves, and an engine that sheds load would get the requests that it asked not to get: the instance knew only the entries in the store, and after a 503 it avoided an engine for 0.15 s whatever Retry-After said.

A leaving target is a last resort at once and gets nothing after half the drain limit, whatever entries of the same start say later. A target that refuses with Retry-After gets nothing until then, plus up to a tenth (at most 0.3 s) at random. If all targets of a service pause, callers are refused with the time at which the first one returns, spread over 0.5 s. Requests that wait for an adapter there go elsewhere, and an owner orders no load on an engine that leaves.

Only an answer with the request's own attempt id counts, and it must be signed or state that the request was not run, because refusals need no signature.

Tests: target_directory_test, http_fields_test and adapter_planner_test did not compile before. Of target_notices_test 6 of 12 cases failed before (20 assertions); two of the others were made stricter, and fail with the notices ignored. Trusting unsigned answers fails "an answer that isn't the target's own".

--- a/src/lovagegate/gateway/adapter_coordinator.cpp
+++ b/src/lovagegate/gateway/adapter_coordinator.cpp
@@ -139,6 +139,56 @@
     pending_requests_.erase(number);
 }
 
+bool adapter_coordinator::leaves_by_notice(const std::string& engine) const
+{
+    const target_state* t = state_.targets.find(engine);
+    return t != nullptr && t->leaves_by_notice;
+}
+
+void adapter_coordinator::on_target_taken_out(const std::string& engine)
+{
+    // Deferred, since the requests that are refused choose other targets at
+    // once, and the caller is in the middle of an answer.
+    loop_.call_later(duration::zero(),
+                     [this, engine] { refuse_requests(engine); });
+}
+
+void adapter_coordinator::refuse_requests(const std::string& engine)
+{
+    if (const auto it = owned_engines_.find(engine); it != owned_engines_.end())
+        refuse_waiters(it->second, engine, !leaves_by_notice(engine));
+    std::vector<std::uint64_t> numbers;
+    for (const auto& [number, ask] : pending_requests_)
+        if (ask.engine == engine)
+            numbers.push_back(number);
+    for (const auto number : numbers)
+        finish(number, adapter_status::refused, 0);
+}
+
+void adapter_coordinator::refuse_waiters(owned_engine& e,
+                                         const std::string& engine,
+                                         bool own_only)
+{
+    std::vector<waiter> refused;
+    std::erase_if(e.waiters, [&](const waiter& w) {
+        if (own_only && !w.from.empty())
+            return false;
+        refused.push_back(w);
+        return true;
+    });
+    for (const auto& w : refused) {
+        const bool still_wanted =
+            std::ranges::any_of(e.waiters, [&](const waiter& other) {
+                return other.wanted.model == w.wanted.model &&
+                       other.wanted.adapter == w.wanted.adapter;
+            });
+        if (!still_wanted)
+            e.planner.withdraw_load(w.wanted);
+    }
+    for (const auto& w : refused)
+        reply(w, engine, adapter_status::refused, 0);
+}
+
 void adapter_coordinator::finish(std::uint64_t number, adapter_status status,
                                  std::uint64_t version)
 {
@@ -235,6 +285,13 @@
     if (ask.was_absent)
         e.planner.on_not_loaded(
             adapter_name(ask.wanted.model, ask.wanted.adapter), now);
+    const auto known_state =
+        e.planner.look_up(ask.wanted.model, ask.wanted.adapter, now);
+    if (leaves_by_notice(ask.engine) &&
+        known_state.status == adapter_status::loading) {
+        reply(w, ask.engine, adapter_status::refused, 0);
+        return;
+    }
     const auto status = e.planner.require_adapter(ask.wanted, now, w.until);
     if (status != adapter_status::loading) {
         e.planner.on_granted(adapter_name(ask.wanted.model, ask.wanted.adapter),
@@ -428,7 +485,7 @@
                                          time_point now)
 {
     answer_waiters(e, id, now);
-    if (!state_.ownership.find(id))
+    if (!state_.ownership.find(id) || leaves_by_notice(id))
         return;
     for (const auto& order : e.planner.plan(now))
         send_order(id, e, order);
--- a/src/lovagegate/gateway/adapter_coordinator.hpp
+++ b/src/lovagegate/gateway/adapter_coordinator.hpp
@@ -42,6 +42,13 @@
 
     void cancel(std::uint64_t number);
 
+    /// Called when an engine told this instance that it leaves, or that it
+    /// takes no requests for some time. Requests of this instance that wait for
+    /// an adapter there are refused, and so are those of other instances if the
+    /// engine leaves; adapters that nobody waits for any more are not loaded.
+    /// Takes effect in the next turn of the loop.
+    void on_target_taken_out(const std::string& engine);
+
     /// Marks an adapter as used by a request of this instance, so that its
     /// owner doesn't evict it. Each call of begin_use() is paired with one of
     /// end_use().
@@ -136,6 +143,12 @@
                     const engine_order& order);
     void on_order_done(const std::string& id, std::uint64_t number,
                        const engine_order& order, const short_call::result& r);
+    /// @return whether the engine told this instance that it leaves
+    [[nodiscard]] bool leaves_by_notice(const std::string& engine) const;
+    void refuse_requests(const std::string& engine);
+    /// @param own_only waiters of other instances stay
+    void refuse_waiters(owned_engine& e, const std::string& engine,
+                        bool own_only);
     void answer_waiters(owned_engine& e, const std::string& id, time_point now);
     void reply(const waiter& w, const std::string& engine,
                adapter_status status, std::uint64_t version);
--- a/src/lovagegate/gateway/adapter_planner.cpp
+++ b/src/lovagegate/gateway/adapter_planner.cpp
@@ -372,6 +372,14 @@
     return adapter_status::loading;
 }
 
+void adapter_planner::withdraw_load(const adapter_ref& wanted)
+{
+    std::erase_if(pending_loads_, [&](const pending_load& w) {
+        return w.wanted.model == wanted.model &&
+               w.wanted.adapter == wanted.adapter;
+    });
+}
+
 bool adapter_planner::on_usage(std::string_view instance,
                                std::span<const std::string> names,
                                time_point now)
--- a/src/lovagegate/gateway/adapter_planner.hpp
+++ b/src/lovagegate/gateway/adapter_planner.hpp
@@ -76,6 +76,10 @@
     require_adapter(const adapter_ref& wanted, time_point now,
                     time_point until = time_point::max());
 
+    /// Called when no request waits for an adapter any more: a load of it that
+    /// was not ordered yet is dropped.
+    void withdraw_load(const adapter_ref& wanted);
+
     /// Called when an instance reports which adapters have open requests.
     /// @param instance address of the instance, empty for this one
     /// @param names MODEL/NAME of all of them
--- a/src/lovagegate/gateway/caller_request.hpp
+++ b/src/lovagegate/gateway/caller_request.hpp
@@ -38,6 +38,12 @@
     bool encoded = false; ///< the body has a content coding, so it isn't the
                           ///< target's own bytes
     bool is_event_stream = false;
+    bool target_leaves = false; ///< the target states that it will end soon
+    /// The target wants no request before this time has passed; only with a
+    /// refusal.
+    std::optional<duration> accepts_again_after;
+    /// A value that should state one of the two was malformed and is ignored.
+    bool has_malformed_notice = false;
 };
 
 /// Fields that the gateway adds to a request.
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -80,12 +80,22 @@
 /// Retry-After for refused callers: by then a slot is likely to be free.
 constexpr duration refusal_retry_after = 700ms;
 constexpr duration startup_retry_after = 300ms;
+/// A pause that a target asks for is extended by a random time up to this share
+/// of it and this limit: the target may have told all instances the same, and
+/// they must not return in one burst.
+constexpr double max_pause_extension_share = 0.1;
+constexpr duration max_pause_extension = 300ms;
+/// Callers that were refused because all targets pause are told to come back
+/// within this time after the end of the first pause, at random.
+constexpr duration pause_return_spread = 500ms;
 /// After a start, requests wait at most this long for the first configuration:
 /// an eighth of the shortest deadline that callers of the operators'
 /// deployments set.
 constexpr duration max_config_wait = 75ms;
 constexpr duration config_poll_interval = 15ms;
 constexpr double whole_percent = 100;
+/// Reason for refusing a request that every target told to come later.
+constexpr std::string_view all_targets_pause = "all targets pause";
 /// An engine that crashes on a prompt may still have sent one event.
 constexpr std::uint64_t events_of_live_engine = 2;
 /// Lowest urgency that engines accept.
@@ -328,8 +338,13 @@
     const auto allowed = candidates(now);
     const auto choice =
         s.placements.choose(wanted, allowed, s.members.count(now), now);
+    if (!choice && allowed.empty()) {
+        refuse(s.targets.next_pause_end(service_, now) ? all_targets_pause
+                                                       : "no target");
+        return;
+    }
     if (!choice) {
-        refuse(allowed.empty() ? "no target" : "no further target");
+        refuse("no further target");
         return;
     }
     target_load_when_chosen_ = choice->load;
@@ -422,7 +437,9 @@
         return;
     }
     target_ = target;
-    target_run_ = engine_run(target, t->entry.started_ms);
+    target_started_ms_ = t->entry.started_ms;
+    if (s.targets.take_ended_pause(target, now.mono))
+        log("target_pause_ended", "request sent");
     target_fields fields;
     fields.target = target;
     fields.time_left = deadline_ - now.mono;
@@ -544,9 +561,57 @@
         std::erase(run_targets_, target_);
 }
 
+void forwarding::apply_notices(const net::message_head& head)
+{
+    gateway_state& s = context_.state;
+    const bool is_own_answer =
+        platform_wire::answer_attempt_id(head) == facts_.attempt_id &&
+        (answer_facts_.signed_by_target || answer_facts_.not_run);
+    if (!is_own_answer)
+        return;
+    if (answer_facts_.has_malformed_notice) {
+        s.counts.add("target_notices", "reason", "malformed");
+        log("target_notice_malformed", "ignored");
+    }
+    const time_point now = net::event_loop::now().mono;
+    if (answer_facts_.target_leaves)
+        on_leaving_notice(now);
+    if (answer_facts_.accepts_again_after)
+        on_pause(*answer_facts_.accepts_again_after, now);
+}
+
+void forwarding::on_leaving_notice(time_point now)
+{
+    gateway_state& s = context_.state;
+    if (!s.targets.on_leaving_notice(target_, target_started_ms_, now))
+        return;
+    s.counts.add("target_notices", "reason", "leaves");
+    log("target_leaving_notice", std::to_string(answer_.status));
+    context_.adapters.on_target_taken_out(target_);
+}
+
+void forwarding::on_pause(duration pause, time_point now)
+{
+    gateway_state& s = context_.state;
+    const auto longest =
+        std::min(max_pause_extension, std::chrono::duration_cast<duration>(
+                                          pause * max_pause_extension_share));
+    const duration extension(std::uniform_int_distribution<duration::rep>(
+        0, longest.count())(context_.random));
+    const bool is_new = s.targets.on_pause(target_, target_started_ms_,
+                                           now + pause + extension, now);
+    s.counts.add("target_notices", "reason", "pauses");
+    if (!is_new)
+        return;
+    log("target_pauses",
+        std::to_string(static_cast<std::uint64_t>(to_ms(pause))) + " ms");
+    context_.adapters.on_target_taken_out(target_);
+}
+
 void forwarding::on_answer_head(net::message_head& head)
 {
     classify_answer(head);
+    apply_notices(head);
     if (is_discarded())
         discarded_ = std::make_unique<discarded_body>(
             context_.loop, [this] { on_discarded(); });
@@ -745,7 +810,9 @@
         fail(bad_request, "refused by the target");
         return;
     }
-    if (adapter_expected_ && early_sends_ < max_early_sends) {
+    const target_state* const t = s.targets.find(target_);
+    const bool is_usable = t != nullptr && t->use(now) != target_use::none;
+    if (adapter_expected_ && is_usable && early_sends_ < max_early_sends) {
         ++early_sends_;
         s.counts.add("sends_too_early");
         wait_for_adapter(std::string(target_), true);
@@ -818,8 +885,9 @@
 
 void forwarding::report_broken_connection()
 {
-    context_.crashes.on_connection_broken(traits_, target_run_, answer_begun_,
-                                          net::event_loop::now().mono);
+    context_.crashes.on_connection_broken(
+        traits_, engine_run(target_, target_started_ms_), answer_begun_,
+        net::event_loop::now().mono);
     context_.on_crash_notice();
 }
 
@@ -883,15 +951,30 @@
         fail(gateway_timeout, reason);
         return;
     }
-    gateway_state& s = context_.state;
-    s.counts.add("refusals", "reason", reason);
+    context_.state.counts.add("refusals", "reason", reason);
     log("refused", reason);
     caller_->answer(unavailable, reason,
-                    s.routes.version() == 0 ? startup_retry_after
-                                            : refusal_retry_after);
+                    retry_after(net::event_loop::now().mono));
     finish("refused");
 }
 
+duration forwarding::retry_after(time_point now)
+{
+    const gateway_state& s = context_.state;
+    if (s.routes.version() == 0)
+        return startup_retry_after;
+    const auto pause_end = s.targets.next_pause_end(service_, now);
+    // The deadline of the route binds one attempt only; the caller may have
+    // time for another one.
+    const time_point latest =
+        facts_.time_left ? message_.arrived + *facts_.time_left : deadline_;
+    if (!pause_end || *pause_end >= latest)
+        return refusal_retry_after;
+    const duration spread(std::uniform_int_distribution<duration::rep>(
+        0, pause_return_spread.count())(context_.random));
+    return std::min(*pause_end + spread, latest) - now;
+}
+
 void forwarding::fail(int status, std::string_view reason)
 {
     if (head_sent_) {
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -108,6 +108,10 @@
     ///         only those that may have run it
     [[nodiscard]] std::vector<const target_state*>
     candidates(time_point now) const;
+    /// Acts on what the target says of its own availability in an answer.
+    void apply_notices(const net::message_head& head);
+    void on_leaving_notice(time_point now);
+    void on_pause(duration pause, time_point now);
     /// Decides by its head whether an answer is rejected, discarded or
     /// forwarded.
     void classify_answer(const net::message_head& head);
@@ -143,6 +147,8 @@
     /// @return whether a retry was scheduled
     bool retry_after_pause();
     void refuse(std::string_view reason);
+    /// @return Retry-After for a refusal
+    [[nodiscard]] duration retry_after(time_point now);
     void fail(int status, std::string_view reason);
     void abort_answer(std::string_view reason);
     void finish(std::string_view outcome);
@@ -188,7 +194,7 @@
     net::timer_id timer_ = 0;
     std::uint64_t adapter_request_id_ = 0; ///< pending adapter request, 0: none
     std::string target_;                   ///< target that has the request
-    std::string target_run_;               ///< its run, see engine_run()
+    std::int64_t target_started_ms_ = 0;   ///< start of the target, when sent
     std::string last_misdirected_; ///< last target that lacked the adapter
     std::string adapter_;          ///< MODEL/NAME; empty without an adapter
     std::unique_ptr<target_call> call_;
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -875,6 +875,19 @@
                        static_cast<double>(state_.members.count(now))},
         metrics::gauge{"engines_ordered",
                        static_cast<double>(state_.ownership.all().size())},
+        metrics::gauge{
+            "targets_leaving_by_notice",
+            static_cast<double>(std::ranges::count_if(
+                state_.targets.all(),
+                [](const auto& t) { return t.second.leaves_by_notice; }))},
+        metrics::gauge{
+            "targets_pausing", static_cast<double>(
+                                   std::ranges::count_if(
+                                       state_.targets.all(),
+                                       [&](const auto& t) {
+                                           return t.second.paused_until &&
+                                                  now < *t.second.paused_until;
+                                       }))},
         metrics::gauge{"adapter_loads_in_transit",
                        static_cast<double>(adapters_.loads_in_transit())},
         metrics::gauge{"blocked_prompt_parts",
--- a/src/lovagegate/gateway/target_directory.cpp
+++ b/src/lovagegate/gateway/target_directory.cpp
@@ -1,6 +1,7 @@
 #include "lovagegate/gateway/target_directory.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace lovagegate::gateway {
 
@@ -14,12 +15,28 @@
 constexpr duration lapsed_entry_ttl = 1900ms;
 /// Longer than any request to the target can take.
 constexpr duration unlisted_target_ttl = 30s;
+/// What a target said of itself must outlast an outage of the store, after
+/// which its entry may return.
+constexpr duration unlisted_leaving_target_ttl = 10min;
+
+/// Carries over what a target told this instance before a new entry of the same
+/// start.
+void keep_notices(const target_state& from, target_state& to)
+{
+    to.paused_until = from.paused_until;
+    if (!from.leaves_by_notice)
+        return;
+    to.leaves_by_notice = true;
+    to.not_preferred_from =
+        std::min(to.not_preferred_from, from.not_preferred_from);
+    to.unusable_from = std::min(to.unusable_from, from.unusable_from);
+}
 
 } // namespace
 
 target_use target_state::use(time_point now) const noexcept
 {
-    if (now >= unusable_from)
+    if (now >= unusable_from || (paused_until && now < *paused_until))
         return target_use::none;
     return now >= not_preferred_from ? target_use::last_resort
                                      : target_use::normal;
@@ -44,8 +61,7 @@
 
 void target_directory::put(target_entry entry, time_point now)
 {
-    const auto usable =
-        std::chrono::duration_cast<duration>(drain_limit_ * usable_drain_share);
+    const duration usable = usable_drain_time();
     const auto it = targets_.find(entry.id);
     target_state next;
     if (entry.leaving) {
@@ -56,6 +72,8 @@
         if (entry.leaves_in)
             next.unusable_from = std::min(next.unusable_from, now);
     }
+    if (it != targets_.end() && it->second.entry.started_ms == entry.started_ms)
+        keep_notices(it->second, next);
     if (it != targets_.end() && it->second.entry.service != entry.service)
         unindex(it->second.entry.service, entry.id);
     next.entry = std::move(entry);
@@ -72,8 +90,7 @@
         return;
     target_state& t = it->second;
     t.listed = false;
-    const auto usable =
-        std::chrono::duration_cast<duration>(drain_limit_ * usable_drain_share);
+    const duration usable = usable_drain_time();
     const bool lapsed = in_doubt && !t.entry.leaving;
     t.not_preferred_from =
         std::min(t.not_preferred_from, lapsed ? now + lapsed_entry_ttl : now);
@@ -81,11 +98,80 @@
                                lapsed ? now + lapsed_entry_ttl : now + usable);
 }
 
+duration target_directory::usable_drain_time() const
+{
+    return std::chrono::duration_cast<duration>(drain_limit_ *
+                                                usable_drain_share);
+}
+
+target_state* target_directory::find_start(std::string_view id,
+                                           std::int64_t started_ms)
+{
+    const auto it = targets_.find(id);
+    return it == targets_.end() || it->second.entry.started_ms != started_ms
+               ? nullptr
+               : &it->second;
+}
+
+bool target_directory::on_leaving_notice(std::string_view id,
+                                         std::int64_t started_ms,
+                                         time_point now)
+{
+    target_state* const t = find_start(id, started_ms);
+    if (t == nullptr || std::exchange(t->leaves_by_notice, true))
+        return false;
+    t->not_preferred_from = std::min(t->not_preferred_from, now);
+    t->unusable_from = std::min(t->unusable_from, now + usable_drain_time());
+    return true;
+}
+
+bool target_directory::on_pause(std::string_view id, std::int64_t started_ms,
+                                time_point until, time_point now)
+{
+    target_state* const t = find_start(id, started_ms);
+    if (t == nullptr || until <= now)
+        return false;
+    const bool paused = t->paused_until && now < *t->paused_until;
+    t->paused_until = paused ? std::max(*t->paused_until, until) : until;
+    return !paused;
+}
+
+bool target_directory::take_ended_pause(std::string_view id, time_point now)
+{
+    const auto it = targets_.find(id);
+    if (it == targets_.end() || !it->second.paused_until ||
+        now < *it->second.paused_until)
+        return false;
+    it->second.paused_until.reset();
+    return true;
+}
+
+std::optional<time_point>
+target_directory::next_pause_end(std::string_view service, time_point now) const
+{
+    std::optional<time_point> first;
+    const auto ids = by_service_.find(service);
+    if (ids == by_service_.end())
+        return first;
+    for (const auto& id : ids->second) {
+        const target_state& t = targets_.find(id)->second;
+        if (t.use(now) != target_use::none)
+            return std::nullopt;
+        if (!t.paused_until || now >= *t.paused_until ||
+            t.use(*t.paused_until) == target_use::none)
+            continue;
+        first = first ? std::min(*first, *t.paused_until) : *t.paused_until;
+    }
+    return first;
+}
+
 void target_directory::expire(time_point now)
 {
     for (auto it = targets_.begin(); it != targets_.end();) {
-        if (!it->second.listed &&
-            now > it->second.unusable_from + unlisted_target_ttl) {
+        const duration ttl = it->second.leaves_by_notice
+                                 ? unlisted_leaving_target_ttl
+                                 : unlisted_target_ttl;
+        if (!it->second.listed && now > it->second.unusable_from + ttl) {
             unindex(it->second.entry.service, it->first);
             it = targets_.erase(it);
         } else {
--- a/src/lovagegate/gateway/target_directory.hpp
+++ b/src/lovagegate/gateway/target_directory.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,11 @@
     /// used: a request sent after the drain limit would arrive too late.
     time_point not_preferred_from = time_point::max();
     time_point unusable_from = time_point::max();
+    /// The target told this instance that it leaves. No entry of the same start
+    /// undoes that.
+    bool leaves_by_notice = false;
+    /// The target told this instance to send nothing before this time.
+    std::optional<time_point> paused_until;
     bool listed = true;
 
     [[nodiscard]] target_use use(time_point now) const noexcept;
@@ -53,6 +59,30 @@
     ///        have returned
     void remove(std::string_view id, bool in_doubt, time_point now);
 
+    /// Called when an answer of a target said that it leaves. This holds for
+    /// the start of the target that answered, until its id starts again.
+    /// @param started_ms start of the target to which the request was sent
+    /// @return whether this is new
+    bool on_leaving_notice(std::string_view id, std::int64_t started_ms,
+                           time_point now);
+
+    /// Called when a target refused a request and wants no other one for some
+    /// time. A pause that is already known is extended, never shortened.
+    /// @param started_ms start of the target to which the request was sent
+    /// @param until time before which the target gets no request
+    /// @return whether the target didn't pause before
+    bool on_pause(std::string_view id, std::int64_t started_ms,
+                  time_point until, time_point now);
+
+    /// @return whether a pause of the target has ended since the last call that
+    ///         returned true
+    bool take_ended_pause(std::string_view id, time_point now);
+
+    /// @return the time at which the first target of a service takes requests
+    ///         again; nothing if one takes them now, or none will
+    [[nodiscard]] std::optional<time_point>
+    next_pause_end(std::string_view service, time_point now) const;
+
     /// Erases targets that have been unlisted for a long time.
     void expire(time_point now);
 
@@ -76,6 +106,10 @@
     std::map<std::string, target_state, std::less<>> targets_;
     std::map<std::string, std::vector<std::string>, std::less<>> by_service_;
 
+    [[nodiscard]] duration usable_drain_time() const;
+    /// @return the target if it is known with this start, else null
+    [[nodiscard]] target_state* find_start(std::string_view id,
+                                           std::int64_t started_ms);
     void index(const std::string& service, const std::string& id);
     void unindex(const std::string& service, const std::string& id);
 };
--- a/standins/site/dialect.cpp
+++ b/standins/site/dialect.cpp
@@ -242,6 +242,30 @@
         whole_answer(status, {id_field(r), field(header::not_run, "1")}, ""));
 }
 
+std::string leaving_header()
+{
+    return field(header::target_leaving, "1") + "\r\n";
+}
+
+std::string pause_header(const std::string& seconds)
+{
+    return field(header::retry_after, seconds) + "\r\n";
+}
+
+script with_header(script answer, const std::string& header)
+{
+    constexpr std::string_view line_end = "\r\n";
+    std::string& bytes = answer.front().bytes;
+    bytes.insert(bytes.find(line_end) + line_end.size(), header);
+    return answer;
+}
+
+script pausing_answer(const seen_request& r, const std::string& seconds)
+{
+    constexpr int unavailable = 503;
+    return with_header(not_run(r, unavailable), pause_header(seconds));
+}
+
 script misdirected(const seen_request& r)
 {
     constexpr int status = 421;
--- a/standins/site/dialect.hpp
+++ b/standins/site/dialect.hpp
@@ -134,6 +134,22 @@
 /// @return the answer of a target that did not run the request
 [[nodiscard]] script not_run(const seen_request& r, int status);
 
+/// @return a header that says that the target leaves
+[[nodiscard]] std::string leaving_header();
+
+/// @return a header that says when the target takes requests again
+/// @param seconds as written, so that it may be malformed
+[[nodiscard]] std::string pause_header(const std::string& seconds);
+
+/// @param header with its line end
+/// @return the answer with one more header, before the others
+[[nodiscard]] script with_header(script answer, const std::string& header);
+
+/// @return the answer of a target that did not run the request and wants none
+///         for some time
+[[nodiscard]] script pausing_answer(const seen_request& r,
+                                    const std::string& seconds);
+
 /// @return the answer of a target that lacks what was asked for, or is another
 ///         one than expected
 [[nodiscard]] script misdirected(const seen_request& r);
--- a/tests/gateway/adapter_planner_test.cpp
+++ b/tests/gateway/adapter_planner_test.cpp
@@ -515,3 +515,18 @@
     now += 300ms;
     CHECK(k.require_adapter(adapter("a1"), now) == adapter_status::expected);
 }
+
+TEST_CASE("an adapter that no request waits for any more is not loaded",
+          "[gateway]")
+{
+    adapter_planner planner("e", small_engine(4));
+    const time_point now{10s};
+    planner.on_report(report_with({}), now);
+    for (const auto* name : {"a1", "a2"})
+        CHECK(planner.require_adapter(adapter(name), now) ==
+              adapter_status::loading);
+    planner.withdraw_load(adapter("a1"));
+    const auto orders = planner.plan(now);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders.front().adapter == "a2");
+}
--- /dev/null
+++ b/tests/gateway/target_directory_test.cpp
@@ -0,0 +1,234 @@
+#include "lovagegate/gateway/placement.hpp"
+#include "lovagegate/gateway/target_directory.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace lovagegate;
+using namespace lovagegate::gateway;
+
+namespace {
+
+constexpr duration drain_limit = 2s;
+constexpr time_point now{10s};
+constexpr duration least = 1us;
+
+target_entry entry_of(const std::string& id, std::int64_t started_ms = 5)
+{
+    target_entry e;
+    e.id = id;
+    e.service = "s";
+    e.address = {"10.0.0.1", 80};
+    e.started_ms = started_ms;
+    return e;
+}
+
+/// @return a directory with these targets, whose start is 5
+target_directory directory_of(std::initializer_list<std::string> ids)
+{
+    target_directory targets(drain_limit);
+    for (const auto& id : ids)
+        targets.put(entry_of(id), now);
+    return targets;
+}
+
+target_use use_of(const target_directory& targets, const std::string& id,
+                  time_point at)
+{
+    return targets.find(id)->use(at);
+}
+
+} // namespace
+
+TEST_CASE("a target that says that it leaves is a last resort at once and "
+          "unusable after the drain share",
+          "[gateway]")
+{
+    auto targets = directory_of({"t"});
+    CHECK(targets.on_leaving_notice("t", 5, now));
+    CHECK(use_of(targets, "t", now) == target_use::last_resort);
+    CHECK(use_of(targets, "t", now + drain_limit / 2 - least) ==
+          target_use::last_resort);
+    CHECK(use_of(targets, "t", now + drain_limit / 2) == target_use::none);
+    CHECK(use_of(targets, "t", now + drain_limit) == target_use::none);
+    CHECK(use_of(targets, "t", now + 10min) == target_use::none);
+}
+
+TEST_CASE("repeated notices don't extend the time of a leaving target",
+          "[gateway]")
+{
+    auto targets = directory_of({"t"});
+    CHECK(targets.on_leaving_notice("t", 5, now));
+    CHECK_FALSE(targets.on_leaving_notice("t", 5, now + 900ms));
+    CHECK(use_of(targets, "t", now + 1s) == target_use::none);
+}
+
+TEST_CASE("an entry that calls a target live doesn't undo that it leaves",
+          "[gateway]")
+{
+    auto targets = directory_of({"t"});
+    targets.on_leaving_notice("t", 5, now);
+    targets.put(entry_of("t"), now + 100ms);
+    CHECK(use_of(targets, "t", now + 100ms) == target_use::last_resort);
+    auto leaving = entry_of("t");
+    leaving.leaving = true;
+    targets.put(leaving, now + 500ms);
+    targets.put(entry_of("t"), now + 600ms);
+    CHECK(use_of(targets, "t", now + 1s) == target_use::none);
+}
+
+TEST_CASE("a target that leaves stays so when its entry returns after an "
+          "outage of the store",
+          "[gateway]")
+{
+    auto targets = directory_of({"t"});
+    targets.on_leaving_notice("t", 5, now);
+    targets.remove("t", true, now + 1s);
+    targets.expire(now + 5min);
+    targets.put(entry_of("t"), now + 5min);
+    CHECK(use_of(targets, "t", now + 5min) == target_use::none);
+}
+
+TEST_CASE("an entry that left the store before the notice doesn't extend the "
+          "time of the target",
+          "[gateway]")
+{
+    auto targets = directory_of({"t"});
+    targets.remove("t", false, now);
+    targets.on_leaving_notice("t", 5, now + 900ms);
+    CHECK(use_of(targets, "t", now + 1s) == target_use::none);
+}
+
+TEST_CASE("a new start of a target is not bound by what the earlier one said",
+          "[gateway]")
+{
+    auto targets = directory_of({"t"});
+    targets.on_leaving_notice("t", 5, now);
+    targets.on_pause("t", 5, now + 5s, now);
+    targets.put(entry_of("t", 6), now + 10ms);
+    CHECK(use_of(targets, "t", now + 2s) == target_use::normal);
+    // Late answers of the earlier start.
+    CHECK_FALSE(targets.on_leaving_notice("t", 5, now + 2s));
+    CHECK_FALSE(targets.on_pause("t", 5, now + 9s, now + 2s));
+    CHECK(use_of(targets, "t", now + 3s) == target_use::normal);
+}
+
+TEST_CASE("a target at the address of one that left is usable", "[gateway]")
+{
+    auto targets = directory_of({"t"});
+    targets.on_leaving_notice("t", 5, now);
+    targets.on_pause("t", 5, now + 20s, now);
+    targets.put(entry_of("other", 5), now + 2s);
+    CHECK(use_of(targets, "other", now + 2s) == target_use::normal);
+    CHECK(targets.usable("s", now + 2s).size() == 1);
+}
+
+TEST_CASE("a pausing target is unusable until exactly the end of its pause",
+          "[gateway]")
+{
+    auto targets = directory_of({"t"});
+    CHECK(targets.on_pause("t", 5, now + 3s, now));
+    for (const duration at : {duration{}, duration{500ms} - least,
+                              duration{500ms}, duration{3s} - least}) {
+        CAPTURE(at.count());
+        CHECK(use_of(targets, "t", now + at) == target_use::none);
+        CHECK(targets.usable("s", now + at).empty());
+    }
+    CHECK(use_of(targets, "t", now + 3s) == target_use::normal);
+}
+
+TEST_CASE("a pause that is repeated before it ends lasts until the later end",
+          "[gateway]")
+{
+    auto targets = directory_of({"t"});
+    CHECK(targets.on_pause("t", 5, now + 3s, now));
+    CHECK_FALSE(targets.on_pause("t", 5, now + 2s, now + 1s));
+    CHECK(use_of(targets, "t", now + 3s - least) == target_use::none);
+    CHECK_FALSE(targets.on_pause("t", 5, now + 4s, now + 1s));
+    CHECK(use_of(targets, "t", now + 4s - least) == target_use::none);
+    CHECK(use_of(targets, "t", now + 4s) == target_use::normal);
+    CHECK(targets.on_pause("t", 5, now + 6s, now + 5s));
+}
+
+TEST_CASE("a new entry of the same start doesn't end a pause", "[gateway]")
+{
+    auto targets = directory_of({"t"});
+    targets.on_pause("t", 5, now + 3s, now);
+    targets.put(entry_of("t"), now + 1s);
+    CHECK(use_of(targets, "t", now + 3s - least) == target_use::none);
+}
+
+TEST_CASE("a pause is reported as ended once, after its end", "[gateway]")
+{
+    auto targets = directory_of({"t"});
+    targets.on_pause("t", 5, now + 3s, now);
+    CHECK_FALSE(targets.take_ended_pause("t", now + 3s - least));
+    targets.put(entry_of("t"), now + 1s);
+    CHECK(targets.take_ended_pause("t", now + 3s));
+    CHECK_FALSE(targets.take_ended_pause("t", now + 3s));
+}
+
+TEST_CASE("a target that leaves and pauses is unusable during the pause, and "
+          "for good after the drain share",
+          "[gateway]")
+{
+    auto targets = directory_of({"t"});
+    targets.on_pause("t", 5, now + 500ms, now);
+    targets.on_leaving_notice("t", 5, now);
+    CHECK(use_of(targets, "t", now + 500ms - least) == target_use::none);
+    CHECK(use_of(targets, "t", now + 500ms) == target_use::last_resort);
+    CHECK(use_of(targets, "t", now + 1s) == target_use::none);
+    auto other = directory_of({"t"});
+    other.on_leaving_notice("t", 5, now);
+    other.on_pause("t", 5, now + 5s, now);
+    CHECK(use_of(other, "t", now + 5s) == target_use::none);
+}
+
+TEST_CASE("what a target says to one instance doesn't bind another one",
+          "[gateway]")
+{
+    auto told = directory_of({"t"});
+    const auto other = directory_of({"t"});
+    told.on_leaving_notice("t", 5, now);
+    told.on_pause("t", 5, now + 3s, now);
+    CHECK(use_of(told, "t", now) == target_use::none);
+    CHECK(use_of(other, "t", now) == target_use::normal);
+}
+
+TEST_CASE("notices of unknown targets change nothing", "[gateway]")
+{
+    auto targets = directory_of({"t"});
+    CHECK_FALSE(targets.on_leaving_notice("u", 5, now));
+    CHECK_FALSE(targets.on_pause("u", 5, now + 3s, now));
+    CHECK(targets.find("u") == nullptr);
+    CHECK_FALSE(targets.take_ended_pause("u", now));
+}
+
+TEST_CASE("the next end of a pause is known while all usable targets pause",
+          "[gateway]")
+{
+    auto targets = directory_of({"a", "b", "c"});
+    targets.on_pause("a", 5, now + 5s, now);
+    targets.on_pause("b", 5, now + 3s, now);
+    CHECK_FALSE(targets.next_pause_end("s", now));
+    // A leaving target that pauses beyond its drain share doesn't return.
+    targets.on_pause("c", 5, now + 2s, now);
+    targets.on_leaving_notice("c", 5, now);
+    CHECK(targets.next_pause_end("s", now) == now + 3s);
+    CHECK_FALSE(targets.next_pause_end("s", now + 3s));
+    CHECK_FALSE(targets.next_pause_end("unknown", now));
+}
+
+TEST_CASE("a target that says that it leaves is not chosen while another one "
+          "serves, although it holds the adapter",
+          "[gateway]")
+{
+    auto targets = directory_of({"a", "b"});
+    placement p("z", 1);
+    p.on_resident("a", "m/a1", 1, now);
+    placement_request wanted;
+    wanted.service = "s";
+    wanted.adapter = adapter_ref{"m", "a1", 0};
+    CHECK(p.choose(wanted, targets.usable("s", now), 1, now)->target == "a");
+    targets.on_leaving_notice("a", 5, now);
+    CHECK(p.choose(wanted, targets.usable("s", now), 1, now)->target == "b");
+}
--- a/tests/platform_wire/http_fields_test.cpp
+++ b/tests/platform_wire/http_fields_test.cpp
@@ -145,3 +145,68 @@
     CHECK(contains(text, "X-Attempt-Id: id1\r\n"));
     CHECK(text.ends_with("\r\n\r\nbusy\n"));
 }
+
+TEST_CASE("read_answer reads that a target leaves, in any answer",
+          "[platform_wire]")
+{
+    net::message_head h;
+    for (const int status : {200, 421, 500, 503}) {
+        h.status = status;
+        h.headers = {};
+        CHECK_FALSE(read_answer(h).target_leaves);
+        h.headers = {{"server-leaving", "1"}};
+        CHECK(read_answer(h).target_leaves);
+        CHECK_FALSE(read_answer(h).has_malformed_notice);
+    }
+}
+
+TEST_CASE("a malformed Server-Leaving is ignored and noticed",
+          "[platform_wire]")
+{
+    const std::string value = GENERATE(
+        values<std::string>({"", "0", "2", "yes", "1, 1", "-1", "11111111"}));
+    CAPTURE(value);
+    net::message_head h;
+    h.status = 200;
+    h.headers = {{"Server-Leaving", value}};
+    CHECK_FALSE(read_answer(h).target_leaves);
+    CHECK(read_answer(h).has_malformed_notice);
+}
+
+TEST_CASE("read_answer reads Retry-After of a 503 in seconds and fractions",
+          "[platform_wire]")
+{
+    const auto pause = [](int status, std::string value) {
+        net::message_head h;
+        h.status = status;
+        h.headers = {{"Retry-After", std::move(value)}};
+        CHECK_FALSE(read_answer(h).has_malformed_notice);
+        return read_answer(h).accepts_again_after;
+    };
+    CHECK(pause(503, "3") == duration(3s));
+    CHECK(pause(503, "0.25") == duration(250ms));
+    CHECK(pause(503, "0") == duration(0));
+    CHECK(pause(503, "60") == duration(60s));
+    // Rounded up, so that nothing is sent too early.
+    CHECK(pause(503, "0.0000001") == duration(1us));
+    CHECK_FALSE(pause(429, "3"));
+    CHECK_FALSE(pause(200, "nonsense"));
+    net::message_head none;
+    none.status = 503;
+    CHECK_FALSE(read_answer(none).accepts_again_after);
+}
+
+TEST_CASE("a malformed Retry-After is ignored and noticed", "[platform_wire]")
+{
+    const std::string value = GENERATE(values<std::string>(
+        {"", "-1", "-0.5", "+1", "x", "1s", "1 2", "nan", "inf", "1e1",
+         "60.001", "86400", "Fri, 31 Dec 1999 23:59:59 GMT",
+         std::string(400, '9'), "0." + std::string(400, '1') + "x"}));
+    CAPTURE(value);
+    net::message_head h;
+    h.status = 503;
+    h.headers = {{"Retry-After", value}, {"Server-Leaving", "1"}};
+    CHECK_FALSE(read_answer(h).accepts_again_after);
+    CHECK(read_answer(h).has_malformed_notice);
+    CHECK(read_answer(h).target_leaves);
+}
