--- a/tests/gateway/site_fixture.hpp
+++ b/tests/gateway/site_fixture.hpp
@@ -234,6 +234,9 @@
         });
     }
 
+    /// Makes the gateway read its settings again.
+    void reload() { daemon_->reload(); }
+
     void stop()
     {
         if (!gateway_thread_.joinable())
--- a/tests/gateway/target_notices_test.cpp
+++ b/tests/gateway/target_notices_test.cpp
@@ -111,9 +111,10 @@
     CHECK(log.count() == 12);
 }
 
-TEST_CASE("the only target gets no request once the time for a leaving target "
-          "is over, although its entry calls it live",
-          "[gateway]")
+TEST_CASE(
+    "the only target gets no request once the time for a leaving target "
+    "is over, although its entry calls it live and settings are read again",
+    "[gateway]")
 {
     request_log log;
     site s({.kind = "non_idempotent"}, {with_warm_up([&](const auto& r) {
@@ -126,6 +127,7 @@
     CHECK(ask() == 200);
     CHECK(ask() == 200);     // as the last resort
     s.publish_restart(0, 1); // the same start again
+    s.reload();
     std::this_thread::sleep_for(past_last_resort);
     CHECK(ask() == 503);
     CHECK(log.count() == 2);
@@ -136,6 +138,22 @@
     CHECK(ask() == 200);
 }
 
+TEST_CASE("a target that lacks an adapter and leaves gets no request once the "
+          "time for a leaving target is over",
+          "[gateway]")
+{
+    request_log log;
+    site s({.kind = "non_idempotent"}, {with_warm_up([&](const auto& r) {
+               log.add(r);
+               return with_header(misdirected(r), leaving_header());
+           })});
+    CHECK(s.ask(request_text("id1", no_body, "POST")).head.status == 503);
+    std::this_thread::sleep_for(past_last_resort);
+    const auto sends = log.count();
+    CHECK(s.ask(request_text("id2", no_body, "POST")).head.status == 503);
+    CHECK(log.count() == sends);
+}
+
 TEST_CASE("a leaving target's stream is delivered to its end", "[gateway]")
 {
     site s({.kind = "streaming"},
