Count only a complete event as progress of a stream

What callers saw: a stream whose engine stalled but sent a byte now and then brought no event and no end until its deadline; its caller left after two seconds. Where the route allows resumption, the engine was neither probed nor left. The same before the first event.

Cause: the time since which a target counts as silent was set at every byte of a body.

Change: in a stream it is set at each complete event. Bytes of an unfinished event (or of a comment line within it) no longer put off the probe, and what a probe shows decides as it does for a silent engine: one that answers keeps the stream. Plain targets serve no report, so their bytes still show that they live, except for a first event that is overdue. In answers that aren't streams bytes stay progress.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -647,7 +647,10 @@
 
 bool forwarding::on_answer_body(std::string_view part)
 {
-    silent_since_ = net::event_loop::now().mono;
+    last_byte_at_ = net::event_loop::now().mono;
+    // The caller of a stream has nothing from bytes of an unfinished event.
+    if (!forwarding_events_)
+        silent_since_ = last_byte_at_;
     if (is_discarded()) {
         if (discarded_->add(part.size()))
             return true;
@@ -709,6 +712,7 @@
         record_event_gap(now);
     }
     last_event_ = now;
+    silent_since_ = now;
     if (splitter_.event_count() - events_before_send_ >= events_of_live_engine)
         on_answer_begun();
     caller_->send_body(whole);
@@ -1073,11 +1077,13 @@
     }
     if (silent < limit || !may_run_again() || !has_alternative(now))
         return;
+    const bool overdue = is_first_event_overdue(now);
     // Only engines serve reports; a plain target would treat the probe as a
-    // request.
-    if (is_at_engine_ && !is_first_event_overdue(now))
+    // request, so that only its bytes show that it lives.
+    const bool lives = !is_at_engine_ && now - last_byte_at_ < limit;
+    if (is_at_engine_ && !overdue)
         probe_target(now);
-    else
+    else if (!lives || overdue)
         abandon_silent_target(now);
 }
 
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -187,10 +187,12 @@
     crash_traits traits_;
     time_point deadline_{}; ///< earlier of route timeout and caller's deadline
     time_point sent_at_{};
-    time_point
-        silent_since_{};   ///< last byte from the target, or time of the send
-    duration retry_delay_; ///< before all targets may be chosen again
-    time_point next_probe_{}; ///< the target is not probed before
+    /// Last progress of the target: a complete event of a stream, a byte of
+    /// another answer, the send, or a probe that showed that the engine lives.
+    time_point silent_since_{};
+    time_point last_byte_at_{}; ///< last byte of a body from any target
+    duration retry_delay_;      ///< before all targets may be chosen again
+    time_point next_probe_{};   ///< the target is not probed before
     net::timer_id timer_ = 0;
     std::uint64_t adapter_request_id_ = 0; ///< pending adapter request, 0: none
     std::string target_;                   ///< target that has the request
