Don't take comments and empty lines for events

What callers saw: a stalled engine that sent keep-alive lines (an empty line, or a comment with an empty line) kept its stream until its deadline, although no event came. Before the first event such a line began the answer, was recorded as the first event, and the request couldn't be sent elsewhere as one without an answer.

Cause: each empty line after a line ended an event for event_splitter.

Change: a block without a field line is forwarded, but isn't counted and isn't progress. Before the first event such blocks are kept (up to the size limit of an event) and sent with that event; a retry drops them. Engines that answer probes keep their streams as before.

--- a/src/lovagegate/gateway/event_splitter.cpp
+++ b/src/lovagegate/gateway/event_splitter.cpp
@@ -14,8 +14,37 @@
     return lf < crlf ? lf + 2 : crlf + 3;
 }
 
+/// @return the first line of the text, without its end; the text starts after
+/// it
+std::string_view take_line(std::string_view& text)
+{
+    const auto newline = text.find('\n');
+    std::string_view line = text.substr(0, newline);
+    text.remove_prefix(newline == std::string_view::npos ? text.size()
+                                                         : newline + 1);
+    if (line.ends_with('\r'))
+        line.remove_suffix(1);
+    return line;
+}
+
+/// @return whether the text has a line that is neither empty nor a comment
+bool has_field(std::string_view text)
+{
+    while (!text.empty()) {
+        const auto line = take_line(text);
+        if (!line.empty() && !line.starts_with(':'))
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
+bool event_splitter::has_begun_event() const noexcept
+{
+    return has_field(pending_);
+}
+
 std::string_view event_splitter::add(std::string_view data)
 {
     constexpr std::size_t longest_end = 2; // of "\n\r\n" without the last byte
@@ -38,19 +67,15 @@
 void event_splitter::record_event(std::string_view event)
 {
     constexpr std::string_view id_field = "id:";
-    ++event_count_;
+    if (has_field(event))
+        ++event_count_;
     while (!event.empty()) {
-        const auto newline = event.find('\n');
-        std::string_view line = event.substr(0, newline);
-        event.remove_prefix(newline == std::string_view::npos ? event.size()
-                                                              : newline + 1);
+        std::string_view line = take_line(event);
         if (!line.starts_with(id_field))
             continue;
         line.remove_prefix(id_field.size());
         if (line.starts_with(' '))
             line.remove_prefix(1);
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
         last_id_ = line;
     }
 }
--- a/src/lovagegate/gateway/event_splitter.hpp
+++ b/src/lovagegate/gateway/event_splitter.hpp
@@ -23,7 +23,8 @@
         return last_id_;
     }
 
-    /// @return number of complete events so far
+    /// @return number of complete events so far; comments and empty lines,
+    ///         which only keep a connection open, are not counted
     [[nodiscard]] std::uint64_t event_count() const noexcept
     {
         return event_count_;
@@ -35,6 +36,9 @@
         return pending_;
     }
 
+    /// @return whether bytes of an event have arrived that is still incomplete
+    [[nodiscard]] bool has_begun_event() const noexcept;
+
     /// Drops the incomplete event, because another source continues the stream.
     void discard_partial_event() { pending_.clear(); }
 
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -693,10 +693,13 @@
 
 bool forwarding::deliver_events(std::string_view data)
 {
+    const std::uint64_t events = splitter_.event_count();
     const std::string_view whole = splitter_.add(data);
-    if (!whole.empty())
+    if (splitter_.event_count() > events)
         deliver_whole_events(whole);
-    if (splitter_.partial_event().size() <= max_event_bytes)
+    else
+        deliver_comments(whole);
+    if (splitter_.partial_event().size() + buffer_.size() <= max_event_bytes)
         return true;
     on_call_failed(call_failure::not_an_answer);
     return false;
@@ -715,6 +718,20 @@
     silent_since_ = now;
     if (splitter_.event_count() - events_before_send_ >= events_of_live_engine)
         on_answer_begun();
+    caller_->send_body(buffer_);
+    buffer_.clear();
+    caller_->send_body(whole);
+    pause_target(max_unsent_stream_bytes);
+}
+
+void forwarding::deliver_comments(std::string_view whole)
+{
+    if (whole.empty())
+        return;
+    if (!head_sent_) {
+        buffer_.append(whole);
+        return;
+    }
     caller_->send_body(whole);
     pause_target(max_unsent_stream_bytes);
 }
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -119,6 +119,9 @@
     /// @return false if the call to the target was destroyed
     bool deliver_events(std::string_view data);
     void deliver_whole_events(std::string_view whole);
+    /// Forwards comments and empty lines, those before the first event with
+    /// that event, since until then another target may answer instead.
+    void deliver_comments(std::string_view whole);
     /// Stops reading from the target until the caller has read what is buffered
     /// for it.
     /// @param unsent_limit number of bytes buffered for the caller at which
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -167,6 +167,21 @@
     }));
 }
 
+TEST_CASE("comments and empty lines are no events", "[gateway]")
+{
+    event_splitter splitter;
+    CHECK(splitter.add(": k\n\n") == ": k\n\n");
+    CHECK(splitter.add("\n\n\r\n\r\n") == "\n\n\r\n\r\n");
+    CHECK(splitter.event_count() == 0);
+    CHECK(splitter.add(": k\n:").empty());
+    CHECK_FALSE(splitter.has_begun_event());
+    CHECK(splitter.add(" l\nd").empty());
+    CHECK(splitter.has_begun_event());
+    CHECK(splitter.add("ata: a\n\n") == ": k\n: l\ndata: a\n\n");
+    CHECK_FALSE(splitter.has_begun_event());
+    CHECK(splitter.event_count() == 1);
+}
+
 TEST_CASE("all instances together stay within the limit on retries",
           "[gateway]")
 {
--- a/tests/gateway/trickling_stream_test.cpp
+++ b/tests/gateway/trickling_stream_test.cpp
@@ -105,6 +105,53 @@
     CHECK(sends == 2);
 }
 
+TEST_CASE(
+    "a stream goes on elsewhere if its engine sends only keep-alive lines "
+    "and doesn't answer a probe",
+    "[gateway]")
+{
+    const std::string line =
+        GENERATE(values<std::string>({"\n", ":\n", ": k\n\n", "\r\n"}));
+    CAPTURE(line);
+    std::atomic<int> resumed{0};
+    const auto engine = with_warm_up([&](const seen_request& r) -> script {
+        if (is_report(r))
+            return no_report();
+        if (resume_after(r).empty())
+            return trickle(stream_head(r) + event(1), line);
+        ++resumed;
+        return {{stream_head(r) + event(2), {}, then::close}};
+    });
+    site s({.kind = "streaming", .resumable = true, .engines = true},
+           {engine, engine});
+    const auto a = s.ask(request());
+    CHECK(a.complete);
+    CHECK(a.body.starts_with(event(1)));
+    CHECK(a.body.ends_with(event(2)));
+    CHECK(resumed == 1);
+}
+
+TEST_CASE(
+    "a request is sent elsewhere if its engine sends only keep-alive lines "
+    "before the first event and doesn't answer a probe",
+    "[gateway]")
+{
+    std::atomic<int> sends{0};
+    const auto engine = with_warm_up([&](const seen_request& r) -> script {
+        if (is_report(r))
+            return no_report();
+        if (++sends == 1)
+            return trickle(stream_head(r) + "\n", ": k\n\n");
+        return {{stream_head(r) + event(1), {}, then::close}};
+    });
+    site s({.kind = "streaming", .resumable = true, .engines = true},
+           {engine, engine});
+    const auto a = s.ask(request());
+    CHECK(a.complete);
+    CHECK(a.body == event(1));
+    CHECK(sends == 2);
+}
+
 // The opposite fault: what is slow but works is given up.
 
 TEST_CASE("a stream stays at an engine that sends complete events far apart",
@@ -166,6 +213,38 @@
     CHECK(resumed == 0);
 }
 
+TEST_CASE("a stream stays at an engine that sends keep-alive lines and answers "
+          "a probe",
+          "[gateway]")
+{
+    const std::string line = GENERATE(values<std::string>({":\n", ": k\n\n"}));
+    CAPTURE(line);
+    const bool begun = GENERATE(true, false);
+    CAPTURE(begun);
+    std::atomic<int> sends{0};
+    const auto slow = with_warm_up([&](const seen_request& r) -> script {
+        if (is_report(r))
+            return report_answer("[]");
+        ++sends;
+        script all{{stream_head(r) + (begun ? event(1) : ""), {}, then::go_on}};
+        for (int i = 0; i < 12; ++i)
+            all.push_back({line, 200ms, then::go_on});
+        all.push_back({"\n" + event(2), {}, then::go_on});
+        all.push_back({":\n\n", 100ms, then::close});
+        return all;
+    });
+    site s({.kind = "streaming", .resumable = true, .engines = true},
+           {slow, slow});
+    const auto a = s.ask(request());
+    std::string lines;
+    for (int i = 0; i < 12; ++i)
+        lines += line;
+    CHECK(a.complete);
+    CHECK(a.body ==
+          (begun ? event(1) : "") + lines + "\n" + event(2) + ":\n\n");
+    CHECK(sends == 1);
+}
+
 TEST_CASE(
     "a stream stays at an engine that sends bytes of one event for long if "
     "it can't go on elsewhere",
