Play and judge what targets say of themselves in the soak

Targets of the soak leave, which all their answers say while they go on serving, and turn requests away with Retry-After; singly, both at once, and while the store is silent. notice_watch judges two rules: nothing that a caller sent later than drainMs after an instance had passed on such an answer reaches that target from it, and two requests at most reach a target from half a second after a 503 with Retry-After until its end.

fault_plan_test: the expression that told faults of instances from those of targets is is_of_instance() now, with a test of its own, and the series of planned work are counted without the notices; both are as strict as before.

src/ doesn't obey yet, so that the soak fails on it.

--- a/soak/config_watch.cpp
+++ b/soak/config_watch.cpp
@@ -13,8 +13,7 @@
 
 } // namespace
 
-config_watch::config_watch(const calm_record& calm,
-                           judge::report_handler report)
+config_watch::config_watch(const calm_record& calm, report_handler report)
     : calm_(calm), report_(std::move(report))
 {
 }
--- a/soak/config_watch.hpp
+++ b/soak/config_watch.hpp
@@ -14,7 +14,7 @@
 class config_watch
 {
 public:
-    config_watch(const calm_record& calm, judge::report_handler report);
+    config_watch(const calm_record& calm, report_handler report);
 
     /// The store acknowledged a version. Versions count up by one.
     void on_acknowledged(std::uint64_t version, time_point now);
@@ -46,7 +46,7 @@
                                  time_point sent) const;
 
     const calm_record& calm_;
-    judge::report_handler report_;
+    report_handler report_;
     std::uint64_t newest_ = 0;
     time_point newest_acknowledged_{};
     std::map<std::string, lifetime> lifetimes_;
--- a/soak/fault_plan.hpp
+++ b/soak/fault_plan.hpp
@@ -32,14 +32,23 @@
     store_reset,       ///< all connections of the store
     callers_slow,      ///< the link of one instance's callers is delayed
     callers_reset,     ///< connections between callers and one instance
+    target_leaves,     ///< a target says so in its answers, then is replaced
+    target_turns_away, ///< a target says for how long it wants no requests
 };
 
 /// @return name for messages
 [[nodiscard]] std::string_view name_of(fault f) noexcept;
 
-/// @return whether it is planned work, around which nothing may be lost
+/// @return whether it is what a target says of itself
+[[nodiscard]] bool is_notice(fault f) noexcept;
+
+/// @return whether it is planned work or a notice, around which nothing may be
+///         lost
 [[nodiscard]] bool is_planned(fault f) noexcept;
 
+/// @return whether it is done to an instance or its callers
+[[nodiscard]] bool is_of_instance(fault f) noexcept;
+
 /// One fault of a plan.
 struct planned_fault
 {
@@ -59,7 +68,8 @@
 };
 
 /// Draws series of overlapping faults in turn with series of planned work in
-/// calm times. The same settings give the same plan.
+/// calm times, and notices of targets all the time. The same settings give the
+/// same plan.
 /// @return sorted by time
 [[nodiscard]] std::vector<planned_fault> draw_plan(const plan_settings& s);
 
--- a/soak/judge.cpp
+++ b/soak/judge.cpp
@@ -41,7 +41,8 @@
 
 judge::judge(const calm_record& calm, duration stop_grace,
              report_handler report)
-    : calm_(calm), stop_grace_(stop_grace), report_(std::move(report))
+    : calm_(calm), stop_grace_(stop_grace), report_(std::move(report)),
+      notices_(report_)
 {
 }
 
@@ -50,6 +51,7 @@
 {
     ++counts_.sent;
     attempts_[w.id] = {w, instance, now, time_left, kept};
+    notices_.on_sent(w.id, instance, now);
 }
 
 void judge::on_run(const std::string& id, const std::optional<work>& seen,
@@ -80,6 +82,7 @@
     if (status >= ok && status < first_redirect) {
         ++counts_.served;
         check_success(a, answer, now);
+        notices_.on_passed_on(id, now);
     } else if (is_refusal(status)) {
         ++counts_.refused;
         check_refusal(a, answer, now);
@@ -135,6 +138,7 @@
     check_part(a, part, now);
     if (why == unanswered::out_of_time) {
         ++counts_.out_of_time;
+        notices_.on_caller_left(id);
         return;
     }
     ++counts_.lost;
--- a/soak/judge.hpp
+++ b/soak/judge.hpp
@@ -1,11 +1,12 @@
 #ifndef LOVAGEGATE_SOAK_JUDGE_HPP
 #define LOVAGEGATE_SOAK_JUDGE_HPP
 
+#include "soak/broken_promise.hpp"
 #include "soak/calm.hpp"
+#include "soak/notice_watch.hpp"
 #include "soak/work.hpp"
 
 #include <cstddef>
-#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -13,16 +14,6 @@
 
 namespace lovagegate::soak {
 
-/// One broken promise.
-struct broken_promise
-{
-    time_point at;
-    std::string instance;
-    std::string request;
-    std::string seen;
-    std::string expected;
-};
-
 /// What a caller got on its connection.
 struct answer_facts
 {
@@ -59,8 +50,6 @@
 class judge
 {
 public:
-    using report_handler = std::function<void(const broken_promise&)>;
-
     /// @param calm when no fault was at work; outlives the judge
     /// @param stop_grace time that a planned stop may take
     judge(const calm_record& calm, duration stop_grace, report_handler report);
@@ -95,6 +84,13 @@
     /// Decides what had to wait for later faults to be known.
     void settle(time_point now);
 
+    /// @return the part that judges how notices of targets are heeded
+    [[nodiscard]] notice_watch& notices() noexcept { return notices_; }
+    [[nodiscard]] const notice_watch& notices() const noexcept
+    {
+        return notices_;
+    }
+
     [[nodiscard]] const tally& counts() const noexcept { return counts_; }
 
 private:
@@ -125,6 +121,7 @@
     const calm_record& calm_;
     duration stop_grace_;
     report_handler report_;
+    notice_watch notices_;
     std::map<std::string, attempt> attempts_;
     std::vector<loss> losses_;
     std::map<std::string, std::vector<time_point>> stops_;
--- a/soak/site.cpp
+++ b/soak/site.cpp
@@ -95,7 +95,10 @@
 void site::add_instances()
 {
     const instance_events events{
-        [this](const std::string& name) { configs_.on_started(name, now()); },
+        [this](const std::string& name) {
+            configs_.on_started(name, now());
+            judge_.notices().on_interrupted(name, now());
+        },
         [this](const std::string& name) {
             judge_.on_stop(name, now());
             configs_.on_stop(name);
@@ -112,7 +115,8 @@
                 .address = address_of(i),
                 .seed = address_of(0),
                 .store_port = store_link_.port(),
-                .stop_grace_s = static_cast<int>(stop_grace / 1s)},
+                .stop_grace_s = static_cast<int>(stop_grace / 1s),
+                .drain_ms = static_cast<int>(drain_after_notice / 1ms)},
             events));
 }
 
@@ -210,6 +214,8 @@
     if (t - last_look_ > own_delay_limit) {
         ++delays_of_our_own_;
         calm_.disturb(last_look_, t);
+        for (const auto& i : instances_)
+            excuse(*i);
     }
     last_look_ = t;
     for (const auto& i : instances_)
@@ -265,18 +271,21 @@
 std::string site::summary() const
 {
     const tally& t = judge_.counts();
+    const notice_tally& n = judge_.notices().counts();
     std::ostringstream out;
     out << "seed " << settings_.plan.seed << ": " << t.sent << " sent, "
         << t.served << " served, " << t.refused << " refused, "
         << t.unknown_routes << " routes unknown, " << t.failed << " failed, "
         << t.lost << " lost (" << t.lost_in_calm << " in calm, " << t.crossed
         << " crossed a close), " << t.out_of_time << " out of time or left, "
-        << t.runs << " runs; " << configs_.newest()
-        << " configurations; at most " << largest_.resident_kb << " kB, "
+        << t.runs << " runs; " << configs_.newest() << " configurations; "
+        << n.leaving << " answers that a target leaves, " << n.passed_on
+        << " lives known to leave, " << n.retry_after
+        << " with Retry-After; at most " << largest_.resident_kb << " kB, "
         << largest_.descriptors << " descriptors; own delays "
         << delays_of_our_own_ << "; faults:";
-    for (const auto& [f, n] : played_)
-        out << ' ' << name_of(f) << ' ' << n;
+    for (const auto& [f, times] : played_)
+        out << ' ' << name_of(f) << ' ' << times;
     out << "; broken " << broken_;
     return out.str();
 }
--- a/soak/site.hpp
+++ b/soak/site.hpp
@@ -53,6 +53,8 @@
     void publish_config();
     void play(const planned_fault& f);
     void harm_target(const planned_fault& f, soak_target& target);
+    /// What it was told by targets until now may not have been read.
+    void excuse(const instance& i);
     void harm_store(const planned_fault& f);
     void harm_callers(const planned_fault& f, instance& i);
     /// Sets a link and opens it again later.
--- a/soak/site_faults.cpp
+++ b/soak/site_faults.cpp
@@ -13,6 +13,14 @@
 /// A killed process is down at least so long.
 constexpr duration least_down = 50ms;
 
+/// @return for how long answers of a harmed target are held back
+duration time_of_cut(const planned_fault& f)
+{
+    const bool at_once =
+        f.what == fault::target_reset || f.what == fault::target_stuck;
+    return at_once ? duration::zero() : f.lasts;
+}
+
 } // namespace
 
 void site::note(const planned_fault& f)
@@ -47,7 +55,11 @@
         break;
     case fault::pause:
         instances_[whom]->pause(f.lasts);
-        loop_.call_later(f.lasts, [this, whom] { instances_[whom]->resume(); });
+        excuse(*instances_[whom]);
+        loop_.call_later(f.lasts, [this, whom] {
+            instances_[whom]->resume();
+            excuse(*instances_[whom]);
+        });
         break;
     case fault::store_down:
     case fault::store_silent:
@@ -59,11 +71,22 @@
     case fault::callers_reset:
         harm_callers(f, *instances_[whom]);
         break;
+    case fault::target_leaves:
+        targets_[whom]->leave(f.lasts, f.variant);
+        break;
+    case fault::target_turns_away:
+        targets_[whom]->turn_away(f.lasts, f.variant);
+        break;
     default:
         harm_target(f, *targets_[whom]);
     }
 }
 
+void site::excuse(const instance& i)
+{
+    judge_.notices().on_interrupted(i.name(), now());
+}
+
 void site::harm_link(tcp_proxy& link, const link_state& state, duration lasts)
 {
     link.set(state);
@@ -73,6 +96,8 @@
 void site::harm_target(const planned_fault& f, soak_target& target)
 {
     tcp_proxy& link = target.link();
+    if (f.what != fault::target_slow)
+        judge_.notices().on_cut(target.name(), now() + time_of_cut(f));
     switch (f.what) {
     case fault::target_reset:
         link.reset_all();
--- a/standins/site/dialect.cpp
+++ b/standins/site/dialect.cpp
@@ -89,12 +89,14 @@
 }
 
 std::string entry_text(std::uint16_t port, std::int64_t started_ms,
-                       const std::string& service)
-{
-    return json{
-        {"service", service}, {"address", "127.0.0.1:" + std::to_string(port)},
-        {"zone", "z"},        {"slots", 6},
-        {"state", "ready"},   {"born", started_ms}}
+                       const std::string& service, bool leaving)
+{
+    return json{{"service", service},
+                {"address", "127.0.0.1:" + std::to_string(port)},
+                {"zone", "z"},
+                {"slots", 6},
+                {"state", leaving ? "draining" : "ready"},
+                {"born", started_ms}}
         .dump();
 }
 
@@ -110,6 +112,7 @@
            ":8144\nbootstrap=" + (instance.first_start ? "true" : "false") +
            "\nlimits.fileDescriptors=1000\nbounds.gracePeriodS=" +
            std::to_string(instance.stop_grace_s) +
+           "\nbounds.drainMs=" + std::to_string(instance.drain_ms) +
            "\nplatform.address=127.0.0.1:" +
            std::to_string(instance.store_port) + "\n";
 }
--- a/standins/site/dialect.hpp
+++ b/standins/site/dialect.hpp
@@ -46,9 +46,11 @@
 /// @return what a ready target publishes about itself
 /// @param started_ms Unix time of its start
 /// @param service that it belongs to
+/// @param leaving it says that it leaves, instead of that it is ready
 [[nodiscard]] std::string entry_text(std::uint16_t port,
                                      std::int64_t started_ms = 1,
-                                     const std::string& service = "s");
+                                     const std::string& service = "s",
+                                     bool leaving = false);
 
 /// What an instance's settings file says that differs between instances.
 struct instance_description
@@ -58,6 +60,7 @@
     std::string seed;    ///< IP number of another instance
     std::uint16_t store_port = 0;
     int stop_grace_s = 0;
+    int drain_ms = 0; ///< after the notice of a leaving target
     bool first_start = false;
 };
 
--- a/tests/soak/fault_plan_test.cpp
+++ b/tests/soak/fault_plan_test.cpp
@@ -46,9 +46,7 @@
         for (const auto& f : plan) {
             CHECK(f.at >= 2s);
             CHECK(f.at + f.lasts <= 17s);
-            const bool of_instance =
-                f.what <= fault::pause || f.what >= fault::callers_slow;
-            CHECK(f.whom < (of_instance ? instances : targets));
+            CHECK(f.whom < (is_of_instance(f.what) ? instances : targets));
         }
     }
 }
@@ -65,7 +63,7 @@
                 ++overlapping;
         }
     }
-    CHECK(kinds.size() == 19);
+    CHECK(kinds.size() == 21);
     CHECK(overlapping > seeds);
 }
 
@@ -80,9 +78,59 @@
         for (const auto& f : plan_of(seed, 60s)) {
             if (!is_planned(f.what))
                 storm_end = std::max(storm_end, f.at + f.lasts);
-            else if (f.at > storm_end + 4s)
+            else if (!is_notice(f.what) && f.at > storm_end + 4s)
                 ++in_calm;
         }
         CHECK(in_calm > 3);
     }
 }
+
+TEST_CASE("faults of instances and their callers name an instance", "[soak]")
+{
+    using enum fault;
+    for (const fault f : {stop, reload, new_config, kill, kill_all, pause,
+                          callers_slow, callers_reset})
+        CHECK(is_of_instance(f));
+    for (const fault f : {target_reset, target_crash, store_down, store_reset,
+                          target_leaves, target_turns_away})
+        CHECK_FALSE(is_of_instance(f));
+}
+
+// Without these plans the soak would play notices that no rule tells apart
+// from what the store says, or from those of the other kind.
+TEST_CASE("notices come singly and together, and while the store is silent",
+          "[soak]")
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        const auto plan = plan_of(seed, 60s);
+        const auto count = [&](auto&& is_counted) {
+            return std::ranges::count_if(plan, is_counted);
+        };
+        const auto one_besides = [&](const planned_fault& f, fault what) {
+            return std::ranges::any_of(plan, [&](const planned_fault& other) {
+                return other.what == what && other.whom == f.whom &&
+                       other.at == f.at;
+            });
+        };
+        CHECK(count([&](const planned_fault& f) {
+                  return f.what == fault::target_leaves &&
+                         one_besides(f, fault::target_turns_away);
+              }) > 0);
+        const auto alone = [&](fault what, fault other) {
+            return count([&](const planned_fault& f) {
+                return f.what == what && !one_besides(f, other);
+            });
+        };
+        CHECK(alone(fault::target_leaves, fault::target_turns_away) > 0);
+        CHECK(alone(fault::target_turns_away, fault::target_leaves) > 0);
+        CHECK(count([&](const planned_fault& f) {
+                  return f.what == fault::target_leaves &&
+                         std::ranges::any_of(plan, [&](const auto& s) {
+                             return s.what == fault::store_silent &&
+                                    s.at <= f.at && s.lasts > 1s &&
+                                    f.at + 1s < s.at + s.lasts;
+                         });
+              }) > 0);
+    }
+}
