--- a/src/lovagegate/gateway/event_splitter.cpp
+++ b/src/lovagegate/gateway/event_splitter.cpp
@@ -40,11 +40,6 @@
 
 } // namespace
 
-bool event_splitter::has_begun_event() const noexcept
-{
-    return has_field(pending_);
-}
-
 std::string_view event_splitter::add(std::string_view data)
 {
     constexpr std::size_t longest_end = 2; // of "\n\r\n" without the last byte
--- a/src/lovagegate/gateway/event_splitter.hpp
+++ b/src/lovagegate/gateway/event_splitter.hpp
@@ -36,9 +36,6 @@
         return pending_;
     }
 
-    /// @return whether bytes of an event have arrived that is still incomplete
-    [[nodiscard]] bool has_begun_event() const noexcept;
-
     /// Drops the incomplete event, because another source continues the stream.
     void discard_partial_event() { pending_.clear(); }
 
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -174,11 +174,8 @@
     CHECK(splitter.add("\n\n\r\n\r\n") == "\n\n\r\n\r\n");
     CHECK(splitter.event_count() == 0);
     CHECK(splitter.add(": k\n:").empty());
-    CHECK_FALSE(splitter.has_begun_event());
     CHECK(splitter.add(" l\nd").empty());
-    CHECK(splitter.has_begun_event());
     CHECK(splitter.add("ata: a\n\n") == ": k\n: l\ndata: a\n\n");
-    CHECK_FALSE(splitter.has_begun_event());
     CHECK(splitter.event_count() == 1);
 }
 
