Give a new reader of the store a short first call

Change: the first watch of an instance that begins to read is as short as the one after an interrupted call, 0.2 s and 0.8 s for the answer.

The new test failed before (no failure within 20 s with a watch of 40 s) and passes.

--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -242,6 +242,7 @@
     if (active == active_)
         return;
     active_ = active;
+    contact_uncertain_ = active;
     logging::write(logging::level::info,
                    active ? "store_reading_begun" : "store_reading_ended",
                    {{"prefix", prefix_}, {"revision", revision_}});
@@ -251,8 +252,9 @@
 
 void store_reader::watch()
 {
-    const duration wait =
-        interrupted_ ? settings_.probe_watch_timeout : settings_.watch_timeout;
+    const duration wait = interrupted_ || contact_uncertain_
+                              ? settings_.probe_watch_timeout
+                              : settings_.watch_timeout;
     call(platform_wire::watch_path(prefix_, revision_, wait),
          wait + settings_.response_margin, &store_reader::on_watch);
 }
@@ -307,6 +309,7 @@
                               net::event_loop::now().mono - failing_since_))}});
     failing_ = false;
     interrupted_ = false;
+    contact_uncertain_ = false;
     backoff_ = {};
 }
 
--- a/src/lovagegate/gateway/store_reader.hpp
+++ b/src/lovagegate/gateway/store_reader.hpp
@@ -22,8 +22,9 @@
     /// How long the store may hold a watch open. A connection that has gone
     /// silent is detected after this time.
     duration watch_timeout = 2500ms;
-    /// The same time for the call after an interrupted one, which only checks
-    /// whether the store still answers.
+    /// The same time for the call after an interrupted one and for the first of
+    /// an instance that begins to read: they only check whether the store
+    /// answers.
     duration probe_watch_timeout = 200ms;
     /// Added to the watch time before a call counts as failed.
     duration response_margin = 800ms;
@@ -159,6 +160,8 @@
     std::uint64_t newest_ = 0;
     bool failing_ = false;
     bool interrupted_ = false; ///< the last call was interrupted
+    /// No call was answered since the instance began to read.
+    bool contact_uncertain_ = false;
     bool loaded_ = false;
     bool active_ = true;
     bool polling_ = false; ///< a call is pending or scheduled
--- a/standins/site/platform_store.cpp
+++ b/standins/site/platform_store.cpp
@@ -116,6 +116,8 @@
         --to_cut_;
         return {{{}, {}, then::reset}};
     }
+    if (silent_)
+        return {{"", 60s, then::close}};
     if (down_)
         return {{whole_answer(503, {}, ""), {}, then::go_on}};
     const std::string text = argument(target, "after");
--- a/standins/site/platform_store.hpp
+++ b/standins/site/platform_store.hpp
@@ -28,6 +28,9 @@
     /// Calls get 503 while the store is down.
     void set_down(bool down) { down_ = down; }
 
+    /// Leaves calls without an answer.
+    void set_silent(bool silent) { silent_ = silent; }
+
     /// Forgets the history: watches from before get 410.
     void compact() { compacted_ = revision_; }
 
@@ -62,6 +65,7 @@
     std::uint64_t revision_ = 1;
     std::uint64_t compacted_ = 0;
     bool down_ = false;
+    bool silent_ = false;
     int to_cut_ = 0;
     std::size_t items_per_page_ = 500;
     std::function<void()> on_page_;
--- a/tests/gateway/store_reader_test.cpp
+++ b/tests/gateway/store_reader_test.cpp
@@ -25,7 +25,8 @@
     bool failed = false;           ///< the reader lost contact at some time
     std::unique_ptr<store_reader> reader;
 
-    reading()
+    /// @param active whether the reader goes on reading after the first page
+    explicit reading(store_reader_settings settings = {}, bool active = true)
     {
         store.put_config("first");
         reader = std::make_unique<store_reader>(
@@ -35,7 +36,8 @@
                 seen.push_back(item.value);
                 in_doubt = doubt;
             },
-            [](const store_reader::batch&) {});
+            [](const store_reader::batch&) {}, settings);
+        reader->set_active(active);
         reader->start();
         REQUIRE(run_until([&] { return seen.size() == 1; }));
         REQUIRE(run_until([&] { return !reader->is_failing(); }));
@@ -100,6 +102,20 @@
     CHECK(r.run_until([&] { return !r.reader->is_failing(); }));
 }
 
+TEST_CASE("a new reader that the store doesn't answer fails before a whole "
+          "watch has passed",
+          "[gateway]")
+{
+    // The store may turn several instances away; until one that it answers
+    // takes over, no instance learns of changes.
+    store_reader_settings settings;
+    settings.watch_timeout = 2 * max_wait;
+    reading r(settings, false);
+    r.store.set_silent(true);
+    r.reader->set_active(true);
+    CHECK(r.run_until([&] { return r.failed; }));
+}
+
 TEST_CASE("a deletion in the state of another instance is in doubt only if it "
           "is for that instance",
           "[gateway]")
