Describe when a part of a prompt is blocked as the code decides it

The comment on crashing_prompt_parts still described the decision before the review: it didn't say that parts that were answered need more crashes, nor that many crashes at almost the same time block a part for a short time only. Comment only.

--- a/src/lovagegate/gateway/crashing_prompt_parts.hpp
+++ b/src/lovagegate/gateway/crashing_prompt_parts.hpp
@@ -32,10 +32,12 @@
 ///
 /// A part is suspected if a request with it had no answer yet when its engine
 /// crashed. It is blocked after several crashes under different requests,
-/// unless an engine answers a request with it in between. Crashes at almost the
-/// same time count once, since a fault of many engines also hits popular parts
-/// at all of them. Parts that were never answered are blocked before others,
-/// and a crash that a blocked part explains is held against no other part.
+/// unless an engine answers a request with it in between. A part that was
+/// answered not long before needs more crashes, and must be the only one in so
+/// many. Crashes at almost the same time count once, since a fault of many
+/// engines also hits popular parts at all of them; many such crashes block a
+/// part that was never answered for a short time only. A crash that a blocked
+/// part explains is held against no other part.
 class crashing_prompt_parts
 {
 public:
