Give the reasons of the limits on crashing prompts where they stand

A reader of the file alone could not tell why crashes are counted apart, why answered parts need more of them, and which limits only bound memory. Comments only; one stood between two constants and read as if it belonged to the wrong one.

--- a/src/lovagegate/gateway/crash_reports.cpp
+++ b/src/lovagegate/gateway/crash_reports.cpp
@@ -9,11 +9,14 @@
 
 namespace {
 
-/// Fingerprints in one datagram, each of up to nine bytes.
+/// Fingerprints of up to nine bytes after which a notice is sent, so that it
+/// fits into one packet as a rule.
 constexpr std::size_t max_fingerprints = 100;
-/// Reports of broken connections arrive within milliseconds.
+/// How long a run that was found to have ended is remembered in case reports of
+/// broken connections follow, which take milliseconds.
 constexpr duration refused_run_ttl = 5s;
-/// Blocked parts that are repeated, those with the latest crashes.
+/// Blocked parts that are repeated in one datagram, those with the latest
+/// crashes.
 constexpr std::size_t max_repeated_parts = 32;
 
 std::size_t fingerprint_count(const crash_notice& notice)
--- a/src/lovagegate/gateway/crashing_prompt_parts.cpp
+++ b/src/lovagegate/gateway/crashing_prompt_parts.cpp
@@ -9,22 +9,27 @@
 
 namespace {
 
-/// Crashes after which a part is blocked. A sound part is rarely waiting for
-/// its answer at three crashes in a row.
+/// Crashes after which a part is blocked that no engine has answered lately. A
+/// sound part is rarely waiting for its answer at three crashes in a row.
 constexpr std::size_t crash_limit = 3;
-/// Crashes closer together than this count as one.
-constexpr duration min_crash_distance = 100ms;
-/// The same for a part that an engine has answered before.
+/// The same for a part that an engine has answered within answer_ttl: while no
+/// engine answers, popular parts wait at every crash.
 constexpr std::size_t answered_crash_limit = 6;
-/// Crashes after which a part that was never answered is blocked although they
-/// are close together, since many requests with it may arrive at once. The
-/// block is short, since these engines may also have been lost for one other
-/// reason.
+/// Crashes closer together than this count as one: engines that are lost for
+/// one reason, such as a failure domain without power, are lost almost at once,
+/// and popular parts wait at many of them.
+constexpr duration min_crash_distance = 100ms;
+/// Crashes after which a part that no engine has answered lately is blocked
+/// although they are close together, since many requests with it may arrive at
+/// once. The block is short, because these engines may also have been lost for
+/// one other reason.
 constexpr std::size_t burst_crash_limit = 5;
 constexpr duration burst_block_ttl = 10s;
-/// Separate crashes, the burst included, that block such a part for long.
+/// Separate crashes, with those close together as one, that block such a part
+/// for long.
 constexpr std::size_t crash_limit_after_burst = 2;
-/// Different requests that must be in the crashes of one part.
+/// Different requests that must be in the crashes of one part. If all crashes
+/// are of a single request, crash_suspects blocks that request alone.
 constexpr std::size_t min_requests = 2;
 /// A crashed engine refuses connections, is listed with a new start time or
 /// expires from the store within seconds.
@@ -34,11 +39,13 @@
 /// A blocked part is tried again this long after its last crash. Each trial
 /// may cost several engines.
 constexpr duration block_ttl = std::chrono::hours(1);
+/// Bounds on memory, whatever callers and other instances send.
 constexpr std::size_t max_runs = 1000;
 constexpr std::size_t max_suspects = 10000;
 /// Parts of which the latest answer is remembered, and for how long.
 constexpr std::size_t max_answers = 10000;
 constexpr duration answer_ttl = 120s;
+/// Keeps fingerprints of parts apart from those of crash_suspects.
 constexpr std::uint64_t part_seed = 4;
 
 /// Adds a request unless there are already enough different ones.
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -96,7 +96,8 @@
 constexpr double whole_percent = 100;
 /// Reason for refusing a request that every target told to come later.
 constexpr std::string_view all_targets_pause = "all targets pause";
-/// An engine that crashes on a prompt may still have sent one event.
+/// Events of one send after which the engine is assumed not to crash on the
+/// prompt; an engine that crashes on it may still have sent one.
 constexpr std::uint64_t events_of_live_engine = 2;
 /// Lowest urgency that engines accept.
 constexpr std::uint32_t lowest_priority = 9;
