Send large changes of the store in parts instead of having each instance pull them

Cause of the failing checks: a change that doesn't fit into a datagram was announced without its value, so that 83 instances pulled the whole state from the two readers of the store, which packed it for each of them (5 ms of a core, 40 ms with 0.12).

Now such a change goes over the relays in parts of 12 KB, which are spread over time, since a full link drops datagrams. An instance that misses a part pulls as before.

--- a/src/lovagegate/gateway/boot_settings.hpp
+++ b/src/lovagegate/gateway/boot_settings.hpp
@@ -31,6 +31,7 @@
     settings::endpoint store;
     std::size_t memory_mb = 260;
     std::size_t descriptors = 4100;
+    double link_bytes_per_s = 125e6; ///< bandwidth of the machine's link
 
     duration drain_after_notice =
         2s; ///< time in which a leaving target still gets requests
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -202,7 +202,10 @@
           [this](const platform_wire::store_item& item, bool in_doubt) {
               on_target_item(item, in_doubt);
           },
-          [this](const store_reader::batch& b) { send_store_changes(true, b); })
+          [this](const store_reader::batch& b) {
+              send_store_changes(true, b);
+          }),
+      link_pacer_(state_.boot.link_bytes_per_s)
 {
     ready_server_ = make_page_server(state_.boot.readiness.address,
                                      state_.boot.readiness.port);
@@ -569,6 +572,25 @@
     peers_.send({address, state_.boot.peer_port}, datagram);
 }
 
+void gateway_daemon::send_paced(const std::string& address,
+                                std::string datagram)
+{
+    const duration delay =
+        link_pacer_.reserve(datagram.size(), net::event_loop::now().mono);
+    loop_.call_later(delay, [this, address, datagram = std::move(datagram)] {
+        send_datagram(address, datagram);
+    });
+}
+
+void gateway_daemon::send_news(const std::string& address,
+                               const store_changes& message)
+{
+    if (message.part_count > 1)
+        send_paced(address, encode(message));
+    else
+        send_datagram(address, encode(message));
+}
+
 void gateway_daemon::on_datagram(const settings::endpoint& from,
                                  std::string_view data)
 {
@@ -697,7 +719,7 @@
     for (auto& message : pack_changes(of_targets, news))
         for (const auto& group : groups) {
             message.relay_to = group.others;
-            send_datagram(group.relay, encode(message));
+            send_news(group.relay, message);
         }
 }
 
@@ -706,18 +728,22 @@
     const auto receivers = std::exchange(news.relay_to, {});
     if (receivers.empty())
         return;
-    const std::string datagram = encode(news);
     for (const auto& address : receivers)
         if (address != state_.boot.address)
-            send_datagram(address, datagram);
+            send_news(address, news);
 }
 
 void gateway_daemon::on_store_changes(const settings::endpoint& from,
                                       const store_changes& news)
 {
     relay_store_changes(news);
+    const auto whole = assembler_.add(news, net::event_loop::now().mono);
+    // If a part is lost, the changes are pulled once a heartbeat shows that
+    // they are missing.
+    if (!whole)
+        return;
     store_reader& reader = news.of_targets ? target_reader_ : operator_reader_;
-    const auto batch = unpack_changes(news, reader.items());
+    const auto batch = unpack_changes(*whole, reader.items());
     if (!batch)
         state_.counts.add("news_to_be_pulled");
     const bool complete = batch && reader.apply_peer_changes(*batch);
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -5,6 +5,8 @@
 #include "lovagegate/gateway/caller_connection.hpp"
 #include "lovagegate/gateway/forwarding.hpp"
 #include "lovagegate/gateway/gateway_state.hpp"
+#include "lovagegate/gateway/link_pacer.hpp"
+#include "lovagegate/gateway/news_assembler.hpp"
 #include "lovagegate/gateway/news_codec.hpp"
 #include "lovagegate/gateway/store_reader.hpp"
 #include "lovagegate/metrics/registry.hpp"
@@ -67,6 +69,9 @@
     void on_datagram(const settings::endpoint& from, std::string_view data);
     void send_to_peer(const std::string& address, const peer_message& message);
     void send_datagram(const std::string& address, std::string_view datagram);
+    /// Sends a part of large changes when the link has room for it.
+    void send_paced(const std::string& address, std::string datagram);
+    void send_news(const std::string& address, const store_changes& message);
     void send_heartbeats();
     void tick();
     void check_connections();
@@ -132,6 +137,8 @@
     std::unique_ptr<net::http_server> metrics_server_;
     store_reader operator_reader_;
     store_reader target_reader_;
+    news_assembler assembler_;
+    link_pacer link_pacer_;
     std::unique_ptr<short_call> pull_;
     time_point last_pull_{};
     known_revisions missing_revisions_; ///< newest that peers had then
--- a/src/lovagegate/gateway/news_codec.cpp
+++ b/src/lovagegate/gateway/news_codec.cpp
@@ -1,10 +1,12 @@
 #include "lovagegate/gateway/news_codec.hpp"
 
 #include "lovagegate/core/compression.hpp"
+#include "lovagegate/core/hash.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace lovagegate::gateway {
 
@@ -16,7 +18,7 @@
 /// Size of the values in one message before compression; about one packet when
 /// compressed.
 constexpr std::size_t target_message_bytes = 6000;
-/// Larger messages are not sent as datagrams.
+/// Compressed bytes in one datagram.
 constexpr std::size_t max_message_bytes = 12000;
 /// A value has at most a megabyte, and a message that contains such a value
 /// holds little else.
@@ -41,11 +43,31 @@
     return out;
 }
 
+/// Appends a message, in parts if it is too large for one datagram.
+void append_parts(std::vector<store_changes>& out, store_changes message)
+{
+    const std::string packed = std::exchange(message.packed, {});
+    const std::size_t count =
+        (packed.size() + max_message_bytes - 1) / max_message_bytes;
+    if (count > max_message_parts) {
+        out.push_back(std::move(message));
+        return;
+    }
+    message.part_count = static_cast<std::uint32_t>(count);
+    if (count > 1)
+        message.content = stable_hash(packed);
+    for (; message.part < count; ++message.part) {
+        out.push_back(message);
+        out.back().packed =
+            packed.substr(message.part * max_message_bytes, max_message_bytes);
+    }
+}
+
 store_changes pack(bool of_targets, const store_reader::batch& news,
                    std::uint64_t after, std::uint64_t revision,
                    std::span<const store_item> items)
 {
-    store_changes out{of_targets, after, revision, news.in_doubt, {}, {}, {}};
+    store_changes out{of_targets, after, revision, news.in_doubt};
     std::string dictionary;
     json content = json::array();
     for (const auto& item : items) {
@@ -57,8 +79,6 @@
         dictionary += before->second.value;
     }
     out.packed = compress(to_bytes(content), dictionary);
-    if (out.packed.size() > max_message_bytes)
-        out.packed.clear();
     return out;
 }
 
@@ -81,8 +101,8 @@
         const bool last = to == items.size();
         const std::uint64_t revision =
             last ? news.revision : items[to - 1].revision;
-        out.push_back(pack(of_targets, news, after, revision,
-                           std::span(items).subspan(from, to - from)));
+        append_parts(out, pack(of_targets, news, after, revision,
+                               std::span(items).subspan(from, to - from)));
         after = revision;
         from = to;
     }
--- a/src/lovagegate/gateway/news_codec.hpp
+++ b/src/lovagegate/gateway/news_codec.hpp
@@ -16,13 +16,19 @@
 /// the dictionary.
 namespace lovagegate::gateway {
 
+/// Largest number of messages into which changes are divided.
+inline constexpr std::uint32_t max_message_parts = 32;
+
 /// Packs changes into messages of bounded size.
 /// @param of_targets whether the changes are of the targets' entries
-/// @return the messages in order; if a message would be too large, its `packed`
-///         is empty, and receivers must pull its changes
+/// @return the messages in order. Changes that don't fit into one message are
+///         divided into parts, see news_assembler; if they don't fit into the
+///         largest number of parts, `packed` is empty, and receivers must pull
+///         the changes.
 [[nodiscard]] std::vector<store_changes>
 pack_changes(bool of_targets, const store_reader::batch& news);
 
+/// @param message a whole message
 /// @param known values known to this instance
 /// @return nothing if the changes were too large to be sent, or are compressed
 ///         with values that this instance doesn't have
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -98,7 +98,8 @@
     for (const auto& b : m.bases)
         bases.push_back(json::array({b.key, b.revision}));
     return json::array({tag::store_changes, m.of_targets, m.after, m.revision,
-                        m.in_doubt, std::move(bases), m.packed, m.relay_to});
+                        m.in_doubt, std::move(bases), m.packed, m.relay_to,
+                        m.part, m.part_count, m.content});
 }
 
 store_changes read_news(const json& j)
@@ -115,6 +116,12 @@
     constexpr std::size_t relay_position = 7;
     if (j.size() > relay_position) // absent in messages of earlier versions
         n.relay_to = j.at(relay_position).get<std::vector<std::string>>();
+    constexpr std::size_t part_position = 8;
+    if (j.size() > part_position) {
+        n.part = j.at(part_position).get<std::uint32_t>();
+        n.part_count = j.at(part_position + 1).get<std::uint32_t>();
+        n.content = j.at(part_position + 2).get<fingerprint>();
+    }
     return n;
 }
 
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -157,11 +157,16 @@
     std::uint64_t after = 0; ///< changes up to this revision were sent before
     std::uint64_t revision = 0; ///< of the last change in this message
     bool in_doubt = false;      ///< deleted entries may merely have expired
-    std::vector<base> bases;
+    std::vector<base> bases{};
     std::string
-        packed; ///< compressed changes; empty if they are too large to send
+        packed{}; ///< compressed changes; empty if they are too large to send
     /// Addresses to which the receiver passes the message on, without these.
-    std::vector<std::string> relay_to;
+    std::vector<std::string> relay_to{};
+    /// Changes that are too large for a datagram are sent in several messages
+    /// that differ only in `packed` and `part`.
+    std::uint32_t part = 0;
+    std::uint32_t part_count = 1;
+    fingerprint content = 0; ///< of the joined `packed`, if there are parts
 };
 
 using peer_message = std::variant<heartbeat, adapter_request, adapter_reply,
