Order revisions of the store by era

Cause: readers, news and pulls took a store's revision for a point in one growing history. A restored store gives its numbers out again, so that each change was ignored until it had passed the highest number known.

Now a revision is the pair of the store's era and its number, compared in that order. An answer of a later era makes a reader list all keys; one of an earlier or unreadable era is a failed call. What the copy lacks is deleted in doubt, and an entry of the copy that is older than what the target said before is ignored. Messages between instances got the era at their ends, so that instances of earlier versions still read them. A late message no longer brings back a key that was deleted since.

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -104,6 +104,34 @@
             false};
 }
 
+/// @return path that requests what is newer than the known revisions:
+///         /peer/state/OPERATOR_NUMBER/TARGET_NUMBER/OPERATOR_ERA/TARGET_ERA
+std::string write_peer_state_path(const known_revisions& known)
+{
+    std::string path = peer_state_path;
+    for (const auto n : {known.operator_keys.number, known.targets.number,
+                         known.operator_keys.era})
+        path += std::to_string(n) + '/';
+    return path + std::to_string(known.targets.era);
+}
+
+/// @return the known revisions; what the path lacks is 0
+known_revisions parse_peer_state_path(std::string_view path)
+{
+    path.remove_prefix(std::string_view(peer_state_path).size());
+    known_revisions known;
+    const char* at = path.data();
+    const char* const end = at + path.size();
+    for (auto* const n : {&known.operator_keys.number, &known.targets.number,
+                          &known.operator_keys.era, &known.targets.era}) {
+        const auto read = std::from_chars(at, end, *n);
+        if (read.ec != std::errc() || read.ptr == end)
+            break;
+        at = read.ptr + 1;
+    }
+    return known;
+}
+
 void respond(net::exchange& exchange, int status, const char* type,
              const std::string& body)
 {
@@ -428,11 +456,12 @@
                 logging::write(logging::level::info, "config_in_force",
                                {{"version", version},
                                 {"routes", routes},
-                                {"revision", item.revision}});
+                                {"revision", to_string(item.revision)}});
         } catch (const published_error& e) {
             state_.counts.add("config_unreadable");
-            logging::write(logging::level::error, "config_unreadable",
-                           {{"revision", item.revision}, {"reason", e.what()}});
+            logging::write(
+                logging::level::error, "config_unreadable",
+                {{"revision", to_string(item.revision)}, {"reason", e.what()}});
         }
         return;
     }
@@ -479,11 +508,11 @@
             in_doubt || record_removal(known->entry.service, now);
         logging::write(logging::level::info, "target_unlisted",
                        {{"target", id},
-                        {"revision", item.revision},
+                        {"revision", to_string(item.revision)},
                         {"in_doubt", doubt ? "yes" : "no"}});
         if (!in_doubt)
             record_run_end(*known);
-        state_.targets.remove(id, doubt, now);
+        state_.targets.remove(id, doubt, now, item.revision.era);
         return;
     }
     auto entry = parse_target(item.key, item.value);
@@ -491,24 +520,33 @@
         state_.counts.add("entries_unreadable");
         return;
     }
-    if (known == nullptr || !known->listed ||
-        known->entry.leaving != entry->leaving ||
-        known->entry.started_ms != entry->started_ms)
+    const std::optional<target_state> before =
+        known ? std::optional(*known) : std::nullopt;
+    if (!state_.targets.put(*entry, now, item.revision.era)) {
+        state_.counts.add("entries_outdated");
+        logging::write(logging::level::info, "target_entry_outdated",
+                       {{"target", id},
+                        {"sequence", entry->sequence},
+                        {"known", before->entry.sequence},
+                        {"revision", to_string(item.revision)}});
+        return;
+    }
+    if (!before || !before->listed || before->entry.leaving != entry->leaving ||
+        before->entry.started_ms != entry->started_ms)
         logging::write(logging::level::info, "target_listed",
                        {{"target", id},
                         {"service", entry->service},
                         {"address", to_string(entry->address)},
                         {"leaving", entry->leaving ? "yes" : "no"},
-                        {"revision", item.revision}});
-    if (known != nullptr && known->entry.started_ms != entry->started_ms) {
-        record_run_end(*known);
+                        {"revision", to_string(item.revision)}});
+    if (before && before->entry.started_ms != entry->started_ms) {
+        record_run_end(*before);
         pool_.close_idle_connections(id);
     }
     const service_spec* service = state_.routes.service(entry->service);
     state_.placements.on_published_entry(
         *entry, service && service->engine ? service->engine->adapter_slots : 0,
         now);
-    state_.targets.put(std::move(*entry), now);
 }
 
 void gateway_daemon::record_run_end(const target_state& t)
@@ -800,9 +838,8 @@
     target_request request;
     request.target = "peer " + peer.address;
     request.address = peer;
-    request.head = platform_wire::write_get_head(
-        to_string(peer), peer_state_path + std::to_string(known.operator_keys) +
-                             '/' + std::to_string(known.targets));
+    request.head = platform_wire::write_get_head(to_string(peer),
+                                                 write_peer_state_path(known));
     state_.counts.add("peer_state_pulls");
     pull_ = std::make_unique<short_call>(
         loop_, control_pool_, request, 2, pull_timeout, max_peer_state_bytes,
@@ -818,15 +855,8 @@
 
 std::string gateway_daemon::peer_state(std::string_view path) const
 {
-    // /peer/state/OPERATOR_REVISION/TARGET_REVISION
-    path.remove_prefix(std::string_view(peer_state_path).size());
-    known_revisions known;
-    const char* const end = path.data() + path.size();
-    const auto first = std::from_chars(path.data(), end, known.operator_keys);
-    if (first.ec == std::errc() && first.ptr != end)
-        std::from_chars(first.ptr + 1, end, known.targets);
-    return pack_state(operator_reader_, target_reader_, known,
-                      net::event_loop::now().mono);
+    return pack_state(operator_reader_, target_reader_,
+                      parse_peer_state_path(path), net::event_loop::now().mono);
 }
 
 void gateway_daemon::apply_peer_state(const std::string& body)
--- a/src/lovagegate/gateway/news_codec.cpp
+++ b/src/lovagegate/gateway/news_codec.cpp
@@ -25,15 +25,25 @@
 constexpr std::size_t max_content_bytes = std::size_t{2} * 1024 * 1024;
 constexpr std::size_t max_state_bytes = std::size_t{16} * 1024 * 1024;
 
+/// @return the era at a position of an array, 0 if the array comes from an
+///         earlier version, which doesn't know eras
+std::uint64_t era_at(const json& j, std::size_t position)
+{
+    return j.size() > position ? j.at(position).get<std::uint64_t>() : 0;
+}
+
 json write(const store_item& i)
 {
-    return json::array({i.key, i.value, i.revision, i.deleted});
+    return json::array(
+        {i.key, i.value, i.revision.number, i.deleted, i.revision.era});
 }
 
 store_item read(const json& j)
 {
-    return {j.at(0).get<std::string>(), j.at(1).get<std::string>(),
-            j.at(2).get<std::uint64_t>(), j.at(3).get<bool>()};
+    return {j.at(0).get<std::string>(),
+            j.at(1).get<std::string>(),
+            {j.at(2).get<std::uint64_t>(), era_at(j, 4)},
+            j.at(3).get<bool>()};
 }
 
 std::string to_bytes(const json& j)
@@ -64,7 +74,7 @@
 }
 
 store_changes pack(bool of_targets, const store_reader::batch& news,
-                   std::uint64_t after, std::uint64_t revision,
+                   store_revision after, store_revision revision,
                    std::span<const store_item> items)
 {
     store_changes out{of_targets, after, revision, news.in_doubt};
@@ -90,7 +100,7 @@
     auto items = news.items;
     std::ranges::sort(items, {}, &store_item::revision);
     std::vector<store_changes> out;
-    std::uint64_t after = news.after;
+    store_revision after = news.after;
     for (std::size_t from = 0; from < items.size();) {
         std::size_t to = from;
         std::size_t bytes = 0;
@@ -99,8 +109,9 @@
                 bytes + items[to].value.size() <= target_message_bytes))
             bytes += items[to++].value.size();
         const bool last = to == items.size();
-        const std::uint64_t revision =
-            last ? news.revision : items[to - 1].revision;
+        const store_revision revision =
+            last ? news.revision
+                 : std::min(items[to - 1].revision, news.revision);
         append_parts(out, pack(of_targets, news, after, revision,
                                std::span(items).subspan(from, to - from)));
         after = revision;
@@ -145,7 +156,7 @@
 {
     json keys = json::array();
     json items = json::array();
-    const auto add = [&](const store_reader& reader, std::uint64_t after) {
+    const auto add = [&](const store_reader& reader, store_revision after) {
         for (const auto& [key, item] : reader.items()) {
             keys.push_back(key);
             if (item.revision > after)
@@ -154,17 +165,18 @@
     };
     add(operator_keys, known.operator_keys);
     add(targets, known.targets);
-    return compress(to_bytes(
-        json::array({operator_keys.newest(), targets.newest(), std::move(keys),
-                     std::move(items), targets.doubt_left(now).count()})));
+    return compress(to_bytes(json::array(
+        {operator_keys.newest().number, targets.newest().number,
+         std::move(keys), std::move(items), targets.doubt_left(now).count(),
+         operator_keys.newest().era, targets.newest().era})));
 }
 
 state_snapshot unpack_state(std::string_view packed)
 {
     const json page = json::from_cbor(decompress(packed, max_state_bytes));
     state_snapshot out;
-    out.newest = {page.at(0).get<std::uint64_t>(),
-                  page.at(1).get<std::uint64_t>()};
+    out.newest = {{page.at(0).get<std::uint64_t>(), era_at(page, 5)},
+                  {page.at(1).get<std::uint64_t>(), era_at(page, 6)}};
     out.keys = page.at(2).get<std::vector<std::string>>();
     for (const json& item : page.at(3))
         out.items.push_back(read(item));
--- a/src/lovagegate/gateway/news_codec.hpp
+++ b/src/lovagegate/gateway/news_codec.hpp
@@ -39,8 +39,8 @@
 /// Newest revisions that an instance knows.
 struct known_revisions
 {
-    std::uint64_t operator_keys = 0;
-    std::uint64_t targets = 0;
+    store_revision operator_keys;
+    store_revision targets;
 };
 
 /// State that is sent to an instance which has missed changes.
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -36,9 +36,10 @@
     for (const auto& c : m.claims)
         claims.push_back(write(c));
     return json::array({m.address, m.start, m.beat, m.leaving, m.config_version,
-                        m.operator_revision, m.target_revision, m.store_silent,
-                        m.failure_domain, m.members, m.claims_omitted,
-                        std::move(claims)});
+                        m.operator_revision.number, m.target_revision.number,
+                        m.store_silent, m.failure_domain, m.members,
+                        m.claims_omitted, std::move(claims),
+                        m.operator_revision.era, m.target_revision.era});
 }
 
 json write(const heartbeat& m)
@@ -96,22 +97,33 @@
 {
     json bases = json::array();
     for (const auto& b : m.bases)
-        bases.push_back(json::array({b.key, b.revision}));
-    return json::array({tag::store_changes, m.of_targets, m.after, m.revision,
-                        m.in_doubt, std::move(bases), m.packed, m.relay_to,
-                        m.part, m.part_count, m.content});
+        bases.push_back(
+            json::array({b.key, b.revision.number, b.revision.era}));
+    return json::array({tag::store_changes, m.of_targets, m.after.number,
+                        m.revision.number, m.in_doubt, std::move(bases),
+                        m.packed, m.relay_to, m.part, m.part_count, m.content,
+                        m.after.era, m.revision.era});
+}
+
+/// @param number_position position of the revision's number in the array
+/// @param era_position of its era, which messages of earlier versions lack
+store_revision read_revision(const json& j, std::size_t number_position,
+                             std::size_t era_position)
+{
+    return {j.at(number_position).get<std::uint64_t>(),
+            j.size() > era_position ? j.at(era_position).get<std::uint64_t>()
+                                    : 0};
 }
 
 store_changes read_news(const json& j)
 {
     store_changes n;
     n.of_targets = j.at(1).get<bool>();
-    n.after = j.at(2).get<std::uint64_t>();
-    n.revision = j.at(3).get<std::uint64_t>();
+    n.after = read_revision(j, 2, 11);
+    n.revision = read_revision(j, 3, 12);
     n.in_doubt = j.at(4).get<bool>();
     for (const json& b : j.at(5))
-        n.bases.push_back(
-            {b.at(0).get<std::string>(), b.at(1).get<std::uint64_t>()});
+        n.bases.push_back({b.at(0).get<std::string>(), read_revision(b, 1, 2)});
     n.packed = j.at(6).get<std::string>();
     constexpr std::size_t relay_position = 7;
     if (j.size() > relay_position) // absent in messages of earlier versions
@@ -145,8 +157,8 @@
     m.beat = j.at(2).get<std::uint64_t>();
     m.leaving = j.at(3).get<bool>();
     m.config_version = j.at(4).get<std::uint64_t>();
-    m.operator_revision = j.at(5).get<std::uint64_t>();
-    m.target_revision = j.at(6).get<std::uint64_t>();
+    m.operator_revision = read_revision(j, 5, 12);
+    m.target_revision = read_revision(j, 6, 13);
     m.store_silent = j.at(7).get<bool>();
     m.failure_domain = j.at(8).get<std::string>();
     m.members = j.at(9).get<std::uint64_t>();
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -4,6 +4,7 @@
 #include "lovagegate/core/identifiers.hpp"
 #include "lovagegate/core/time.hpp"
 #include "lovagegate/gateway/crash_traits.hpp"
+#include "lovagegate/gateway/store_revision.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -43,8 +44,8 @@
     std::uint64_t config_version = 0;
     /// Newest revisions known to the instance, of the operators' keys and of
     /// the targets' entries.
-    std::uint64_t operator_revision = 0;
-    std::uint64_t target_revision = 0;
+    store_revision operator_revision;
+    store_revision target_revision;
     bool store_silent = false; ///< the store doesn't answer this instance
     std::string failure_domain;
     std::uint64_t members =
@@ -149,14 +150,14 @@
     struct base
     {
         std::string key;
-        std::uint64_t revision = 0;
+        store_revision revision;
     };
 
     bool of_targets =
         false; ///< of the targets' entries; otherwise of the operators' keys
-    std::uint64_t after = 0; ///< changes up to this revision were sent before
-    std::uint64_t revision = 0; ///< of the last change in this message
-    bool in_doubt = false;      ///< deleted entries may merely have expired
+    store_revision after;    ///< changes up to this revision were sent before
+    store_revision revision; ///< of the last change in this message
+    bool in_doubt = false;   ///< deleted entries may merely have expired
     std::vector<base> bases{};
     std::string
         packed{}; ///< compressed changes; empty if they are too large to send
--- a/src/lovagegate/gateway/short_call.cpp
+++ b/src/lovagegate/gateway/short_call.cpp
@@ -37,6 +37,7 @@
 {
     result_.status = head.status;
     result_.head_received = true;
+    result_.head = head;
 }
 
 bool short_call::on_answer_body(std::string_view part)
--- a/src/lovagegate/gateway/short_call.hpp
+++ b/src/lovagegate/gateway/short_call.hpp
@@ -20,6 +20,7 @@
     {
         int status = 0;             ///< 0 if there is no complete answer
         bool head_received = false; ///< the target began to answer
+        net::message_head head;     ///< if it was received
         std::string body;
         std::optional<call_failure>
             failure; ///< nothing if the time limit passed
--- a/src/lovagegate/gateway/site_config.hpp
+++ b/src/lovagegate/gateway/site_config.hpp
@@ -109,6 +109,9 @@
     std::string failure_domain;
     std::int64_t started_ms =
         0; ///< Unix time; distinguishes starts with the same id
+    /// Rises with each entry that the target writes after its start; 0 if the
+    /// entry has none.
+    std::uint64_t sequence = 0;
     std::uint32_t slots = 1;
     bool leaving = false;
     std::optional<duration> leaves_in;
--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -104,11 +104,17 @@
     }
     platform_wire::store_reply reply;
     try {
-        reply = platform_wire::parse_range(r.body);
-    } catch (const platform_wire::published_error&) {
+        reply = platform_wire::parse_range(r.body, checked_era(r.head));
+    } catch (const platform_wire::published_error& e) {
         partial_items_.clear();
-        on_failure(r);
-        schedule_next(backoff_, true);
+        on_unusable_answer(r, e.what());
+        return;
+    }
+    if (!partial_items_.empty() &&
+        reply.revision.era != first_page_revision_.era) {
+        // The pages before are of an earlier history of the store.
+        partial_items_.clear();
+        schedule_next(duration::zero(), true);
         return;
     }
     // The pages don't form a snapshot: changes made while they are read are
@@ -124,6 +130,8 @@
     }
     const auto all = std::move(partial_items_);
     partial_items_.clear();
+    if (loaded_ && first_page_revision_.era > newest_.era)
+        on_restored(first_page_revision_.era);
     const bool doubt = in_doubt(net::event_loop::now().mono) || loaded_;
     auto news = apply_all(all, first_page_revision_, doubt);
     revision_ = std::max(revision_, first_page_revision_);
@@ -136,7 +144,7 @@
 }
 
 store_reader::batch store_reader::apply_all(const item_map& all,
-                                            std::uint64_t revision,
+                                            store_revision revision,
                                             bool in_doubt)
 {
     batch news;
@@ -157,7 +165,7 @@
 }
 
 bool store_reader::apply_peer_snapshot(
-    std::uint64_t newest, std::span<const std::string> keys,
+    store_revision newest, std::span<const std::string> keys,
     std::span<const platform_wire::store_item> items, duration doubt_left)
 {
     if (newest <= newest_ && loaded_)
@@ -218,7 +226,9 @@
     const auto it = items_.find(item.key);
     if (it != items_.end() && it->second.revision >= item.revision)
         return false;
-    if (it == items_.end() && item.deleted)
+    // An unknown key that was changed before the newest complete state has been
+    // deleted since: the message that tells of the change is late.
+    if (it == items_.end() && (item.deleted || item.revision <= newest_))
         return false;
     if (item.deleted)
         items_.erase(item.key);
@@ -245,7 +255,7 @@
     contact_uncertain_ = active;
     logging::write(logging::level::info,
                    active ? "store_reading_begun" : "store_reading_ended",
-                   {{"prefix", prefix_}, {"revision", revision_}});
+                   {{"prefix", prefix_}, {"revision", to_string(revision_)}});
     if (active && !polling_)
         schedule_next(duration::zero(), !loaded_);
 }
@@ -255,7 +265,7 @@
     const duration wait = interrupted_ || contact_uncertain_
                               ? settings_.probe_watch_timeout
                               : settings_.watch_timeout;
-    call(platform_wire::watch_path(prefix_, revision_, wait),
+    call(platform_wire::watch_path(prefix_, revision_.number, wait),
          wait + settings_.response_margin, &store_reader::on_watch);
 }
 
@@ -273,7 +283,14 @@
         return;
     }
     try {
-        const auto reply = platform_wire::parse_watch(r.body);
+        const auto reply =
+            platform_wire::parse_watch(r.body, checked_era(r.head));
+        if (reply.revision.era > revision_.era) {
+            // The store has the number again, of another change.
+            on_answered();
+            schedule_next(duration::zero(), true);
+            return;
+        }
         batch news;
         news.after = newest_;
         news.in_doubt = in_doubt(net::event_loop::now().mono);
@@ -281,15 +298,42 @@
             apply_to(news, item);
         revision_ = std::max(revision_, reply.revision);
         publish_changes(std::move(news));
-    } catch (const platform_wire::published_error&) {
-        on_failure(r);
-        schedule_next(backoff_, true);
+    } catch (const platform_wire::published_error& e) {
+        on_unusable_answer(r, e.what());
         return;
     }
     on_answered();
     schedule_next(settings_.watch_interval, false);
 }
 
+std::uint64_t store_reader::checked_era(const net::message_head& answer) const
+{
+    const std::uint64_t era = platform_wire::read_store_era(answer);
+    if (era < newest_.era)
+        throw platform_wire::published_error(
+            "era of the store: expected at least " +
+            std::to_string(newest_.era) + ", found " + std::to_string(era));
+    return era;
+}
+
+void store_reader::on_restored(std::uint64_t era)
+{
+    extend_doubt(settings_.in_doubt_period, net::event_loop::now().mono);
+    counts_.add("store_restorations");
+    logging::write(
+        logging::level::warning, "store_restored",
+        {{"prefix", prefix_}, {"era", era}, {"newest", to_string(newest_)}});
+}
+
+void store_reader::on_unusable_answer(const short_call::result& r,
+                                      std::string_view reason)
+{
+    logging::write(logging::level::warning, "store_answer_unusable",
+                   {{"prefix", prefix_}, {"reason", reason}});
+    on_failure(r);
+    schedule_next(backoff_, true);
+}
+
 bool store_reader::is_first_interruption(const short_call::result& r)
 {
     const bool first = !interrupted_ && !failing_;
@@ -304,7 +348,7 @@
         logging::write(
             logging::level::info, "store_contact",
             {{"prefix", prefix_},
-             {"revision", revision_},
+             {"revision", to_string(revision_)},
              {"after_ms", static_cast<std::uint64_t>(to_ms(
                               net::event_loop::now().mono - failing_since_))}});
     failing_ = false;
@@ -334,7 +378,7 @@
     logging::write(logging::level::warning, "store_contact_lost",
                    {{"prefix", prefix_},
                     {"status", static_cast<std::uint64_t>(r.status)},
-                    {"revision", revision_}});
+                    {"revision", to_string(revision_)}});
 }
 
 void store_reader::schedule_next(duration after, bool from_start)
--- a/src/lovagegate/gateway/store_reader.hpp
+++ b/src/lovagegate/gateway/store_reader.hpp
@@ -3,6 +3,7 @@
 
 #include "lovagegate/core/counters.hpp"
 #include "lovagegate/gateway/short_call.hpp"
+#include "lovagegate/gateway/store_revision.hpp"
 #include "lovagegate/net/event_loop.hpp"
 #include "lovagegate/settings/endpoint.hpp"
 #include "platform/published.hpp"
@@ -12,6 +13,7 @@
 #include <map>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace lovagegate::gateway {
 
@@ -54,8 +56,8 @@
     /// Changes that were received together.
     struct batch
     {
-        std::uint64_t after = 0;    ///< newest revision before these changes
-        std::uint64_t revision = 0; ///< newest revision among these changes
+        store_revision after;    ///< newest revision before these changes
+        store_revision revision; ///< newest revision among these changes
         bool in_doubt = false;
         std::vector<platform_wire::store_item> items;
         item_map previous_values; ///< values before the changes, where there
@@ -84,7 +86,7 @@
     /// @param items items that may have changed since this instance's state
     /// @param doubt_left doubt_left() of that instance
     /// @return whether no item was missing
-    bool apply_peer_snapshot(std::uint64_t newest,
+    bool apply_peer_snapshot(store_revision newest,
                              std::span<const std::string> keys,
                              std::span<const platform_wire::store_item> items,
                              duration doubt_left);
@@ -93,8 +95,9 @@
     /// @return whether no change is missing between the known state and these
     bool apply_peer_changes(const batch& news);
 
-    /// @return the newest known revision, 0 before the first read
-    [[nodiscard]] std::uint64_t newest() const noexcept { return newest_; }
+    /// @return the revision up to which the state is complete, 0 before the
+    ///         first read
+    [[nodiscard]] store_revision newest() const noexcept { return newest_; }
 
     /// @return whether all keys were read once, by this or another instance
     [[nodiscard]] bool is_loaded() const noexcept { return loaded_; }
@@ -128,6 +131,18 @@
     void on_watch(const short_call::result& r);
     void on_failure(const short_call::result& r);
     void on_answered();
+    /// Reads the store from the start after an answer that can't be used.
+    void on_unusable_answer(const short_call::result& r,
+                            std::string_view reason);
+    /// Reads the era of a successful answer.
+    /// @throws platform_wire::published_error if it isn't a number, or precedes
+    ///         the known one: such an answer was made before the store was
+    ///         restored
+    [[nodiscard]] std::uint64_t
+    checked_era(const net::message_head& answer) const;
+    /// Called when the store turns out to have been restored from a copy.
+    /// Absence from the copy doesn't show that an entry was deleted.
+    void on_restored(std::uint64_t era);
     /// @return whether the call was interrupted and the one before it was not
     bool is_first_interruption(const short_call::result& r);
     void schedule_next(duration after, bool from_start);
@@ -135,7 +150,8 @@
     void apply_to(batch& news, const platform_wire::store_item& item);
     void publish_changes(batch news);
     /// @param all complete state as of the revision; single items may be newer
-    batch apply_all(const item_map& all, std::uint64_t revision, bool in_doubt);
+    batch apply_all(const item_map& all, store_revision revision,
+                    bool in_doubt);
     void extend_doubt(duration from_now, time_point now);
     [[nodiscard]] bool in_doubt(time_point now) const;
 
@@ -149,15 +165,15 @@
     store_reader_settings settings_;
     item_map items_;
     item_map partial_items_;
-    std::uint64_t first_page_revision_ = 0;
-    std::uint64_t revision_ = 0;
+    store_revision first_page_revision_;
+    store_revision revision_; ///< watches continue from here
     time_point failing_since_{};
     time_point doubt_until_{};
     time_point started_{};
     duration backoff_{};
     net::timer_id timer_ = 0;
     std::unique_ptr<short_call> call_;
-    std::uint64_t newest_ = 0;
+    store_revision newest_;
     bool failing_ = false;
     bool interrupted_ = false; ///< the last call was interrupted
     /// No call was answered since the instance began to read.
--- a/src/lovagegate/gateway/target_directory.cpp
+++ b/src/lovagegate/gateway/target_directory.cpp
@@ -1,6 +1,7 @@
 #include "lovagegate/gateway/target_directory.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace lovagegate::gateway {
@@ -19,6 +20,14 @@
 /// which its entry may return.
 constexpr duration unlisted_leaving_target_ttl = 10min;
 
+/// @return whether the target wrote the second entry later. What a store tells
+///         after it was restored may be older than what it told before.
+bool is_newer(const target_entry& before, const target_entry& after)
+{
+    return std::tie(before.started_ms, before.sequence) <
+           std::tie(after.started_ms, after.sequence);
+}
+
 /// Carries over what a target told this instance before a new entry of the same
 /// start.
 void keep_notices(const target_state& from, target_state& to)
@@ -59,11 +68,17 @@
         ids.erase(at);
 }
 
-void target_directory::put(target_entry entry, time_point now)
+bool target_directory::put(target_entry entry, time_point now,
+                           std::uint64_t store_era)
 {
     const duration usable = usable_drain_time();
     const auto it = targets_.find(entry.id);
+    if (it != targets_.end() &&
+        std::exchange(it->second.store_era, store_era) < store_era &&
+        !is_newer(it->second.entry, entry))
+        return false;
     target_state next;
+    next.store_era = store_era;
     if (entry.leaving) {
         const bool known = it != targets_.end() && it->second.entry.leaving &&
                            it->second.entry.started_ms == entry.started_ms;
@@ -80,16 +95,18 @@
     index(next.entry.service, next.entry.id);
     const std::string id = next.entry.id;
     targets_.insert_or_assign(id, std::move(next));
+    return true;
 }
 
 void target_directory::remove(std::string_view id, bool in_doubt,
-                              time_point now)
+                              time_point now, std::uint64_t store_era)
 {
     const auto it = targets_.find(id);
     if (it == targets_.end() || !it->second.listed)
         return;
     target_state& t = it->second;
     t.listed = false;
+    t.store_era = store_era;
     const duration usable = usable_drain_time();
     const bool lapsed = in_doubt && !t.entry.leaving;
     t.not_preferred_from =
--- a/src/lovagegate/gateway/target_directory.hpp
+++ b/src/lovagegate/gateway/target_directory.hpp
@@ -35,6 +35,7 @@
     /// The target told this instance to send nothing before this time.
     std::optional<time_point> paused_until;
     bool listed = true;
+    std::uint64_t store_era = 0; ///< in which the store last told of it
 
     [[nodiscard]] target_use use(time_point now) const noexcept;
 };
@@ -51,13 +52,18 @@
     }
 
     /// Adds or replaces a published target.
-    void put(target_entry entry, time_point now);
+    /// @param store_era in which the store gave the entry
+    /// @return false if the entry is ignored: a restored store gave it, and it
+    ///         is older than what the target said before
+    bool put(target_entry entry, time_point now, std::uint64_t store_era = 0);
 
     /// Called when the entry of a target was removed.
     /// @param in_doubt the entry may have expired while the store was
     ///        unreachable: the target stays fully usable until entries should
     ///        have returned
-    void remove(std::string_view id, bool in_doubt, time_point now);
+    /// @param store_era in which the store no longer had the entry
+    void remove(std::string_view id, bool in_doubt, time_point now,
+                std::uint64_t store_era = 0);
 
     /// Called when an answer of a target said that it leaves. This holds for
     /// the start of the target that answered, until its id starts again.
--- a/standins/site/platform_store.cpp
+++ b/standins/site/platform_store.cpp
@@ -108,6 +108,29 @@
     return json{{"events", events}, {"currentRev", revision_}}.dump();
 }
 
+platform_store::copy platform_store::make_copy() const
+{
+    return {items_, history_, revision_};
+}
+
+void platform_store::restore(const copy& from)
+{
+    items_ = from.items;
+    history_ = from.history;
+    revision_ = from.revision;
+    ++era_;
+}
+
+std::string platform_store::with_era(int status, const std::string& body) const
+{
+    const std::string era = era_text_.value_or(std::to_string(era_));
+    std::vector<std::string> headers;
+    if (!era.empty())
+        headers.push_back(std::string(platform_wire::header::store_era) + ": " +
+                          era);
+    return whole_answer(status, headers, body);
+}
+
 script platform_store::answer(const seen_request& request)
 {
     const std::string& target = request.head.target;
@@ -119,20 +142,19 @@
     if (silent_)
         return {{"", 60s, then::close}};
     if (down_)
-        return {{whole_answer(503, {}, ""), {}, then::go_on}};
+        return {{with_era(503, ""), {}, then::go_on}};
     const std::string text = argument(target, "after");
     if (target.starts_with(platform_wire::path::read_range)) {
-        const std::string page = range(prefix, text);
+        const std::string page = with_era(200, range(prefix, text));
         if (on_page_)
             on_page_();
-        return {{whole_answer(200, {}, page), {}, then::go_on}};
+        return {{page, {}, then::go_on}};
     }
     std::uint64_t after = 0;
     std::from_chars(text.data(), text.data() + text.size(), after);
-    if (after < compacted_)
-        return {{whole_answer(410, {}, ""), {}, then::go_on}};
-    return {{whole_answer(200, {}, changes(prefix, after)), watch_time,
-             then::go_on}};
+    if (after < compacted_ || after > revision_)
+        return {{with_era(410, ""), {}, then::go_on}};
+    return {{with_era(200, changes(prefix, after)), watch_time, then::go_on}};
 }
 
 } // namespace lovagegate::standins
--- a/standins/site/platform_store.hpp
+++ b/standins/site/platform_store.hpp
@@ -6,7 +6,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace lovagegate::standins {
 
@@ -34,6 +37,18 @@
     /// Forgets the history: watches from before get 410.
     void compact() { compacted_ = revision_; }
 
+    /// Contents of the store at one time.
+    struct copy;
+
+    [[nodiscard]] copy make_copy() const;
+
+    /// Loses all changes since the copy was made, and begins a new era: numbers
+    /// of revisions are given out again.
+    void restore(const copy& from);
+
+    /// Sets the era that answers name, as it is written.
+    void set_era_text(std::string text) { era_text_ = std::move(text); }
+
     /// Splits the answers to reads into pages.
     /// @param on_page called after each page, and may change the store
     void set_pages(std::size_t items_per_page, std::function<void()> on_page)
@@ -55,6 +70,9 @@
     };
 
     script answer(const seen_request& request);
+    /// @return an answer with the header that names the era
+    [[nodiscard]] std::string with_era(int status,
+                                       const std::string& body) const;
     [[nodiscard]] std::string range(const std::string& prefix,
                                     const std::string& after) const;
     [[nodiscard]] std::string changes(const std::string& prefix,
@@ -64,6 +82,8 @@
     std::vector<change> history_;
     std::uint64_t revision_ = 1;
     std::uint64_t compacted_ = 0;
+    std::uint64_t era_ = 1;
+    std::optional<std::string> era_text_; ///< instead of the era
     bool down_ = false;
     bool silent_ = false;
     int to_cut_ = 0;
@@ -72,6 +92,13 @@
     scripted_server server_;
 };
 
+struct platform_store::copy
+{
+    std::map<std::string, change> items;
+    std::vector<change> history;
+    std::uint64_t revision = 0;
+};
+
 } // namespace lovagegate::standins
 
 #endif
--- a/tests/gateway/news_codec_test.cpp
+++ b/tests/gateway/news_codec_test.cpp
@@ -63,7 +63,7 @@
 {
     const writes w;
     std::vector<store_item> got;
-    std::uint64_t told = w.news.after;
+    store_revision told = w.news.after;
     for (const auto& message : pack_changes(true, w.news)) {
         CHECK(message.after == told);
         told = message.revision;
@@ -92,7 +92,7 @@
 {
     writes w;
     const auto messages = pack_changes(true, w.news);
-    w.known.begin()->second.revision += 1;
+    ++w.known.begin()->second.revision.number;
     CHECK_FALSE(unpack_changes(messages.front(), w.known));
     w.known.clear();
     CHECK_FALSE(unpack_changes(messages.front(), w.known));
--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -61,6 +61,29 @@
     CHECK(std::get<store_changes>(*news).bases.front().key == "servers/x");
 }
 
+TEST_CASE("revisions keep their eras between instances", "[gateway]")
+{
+    heartbeat h;
+    h.self.operator_revision = {10, 2};
+    h.self.target_revision = {11, 3};
+    const auto beat = decode(encode(h));
+    REQUIRE(beat);
+    CHECK(std::get<heartbeat>(*beat).self.operator_revision ==
+          store_revision(10, 2));
+    CHECK(std::get<heartbeat>(*beat).self.target_revision ==
+          store_revision(11, 3));
+    store_changes changes;
+    changes.after = {4, 2};
+    changes.revision = {1, 3};
+    changes.bases = {{"servers/x", {7, 2}}};
+    const auto news = decode(encode(changes));
+    REQUIRE(news);
+    CHECK(std::get<store_changes>(*news).after == changes.after);
+    CHECK(std::get<store_changes>(*news).revision == changes.revision);
+    CHECK(std::get<store_changes>(*news).bases.front().revision ==
+          store_revision(7, 2));
+}
+
 TEST_CASE("messages about crashes are decoded as they were encoded",
           "[gateway]")
 {
--- a/tests/gateway/store_reader_test.cpp
+++ b/tests/gateway/store_reader_test.cpp
@@ -3,6 +3,7 @@
 #include "standins/site/platform_store.hpp"
 
 #include <catch2/catch.hpp>
+#include <utility>
 
 using namespace lovagegate;
 using namespace lovagegate::gateway;
@@ -125,7 +126,8 @@
     reading r;
     const auto newest = r.reader->newest();
     const bool doubted = GENERATE(false, true);
-    CHECK(r.reader->apply_peer_snapshot(newest + 1, {}, {}, doubted ? 1s : 0s));
+    CHECK(r.reader->apply_peer_snapshot({newest.number + 1, newest.era}, {}, {},
+                                        doubted ? 1s : 0s));
     CHECK(r.reader->items().empty());
     CHECK(r.in_doubt == doubted);
     CHECK((r.reader->doubt_left(net::event_loop::now().mono) > 0s) == doubted);
@@ -142,7 +144,7 @@
     counters counts;
     store.put("servers/a", "old");
     store.put("servers/b", "old");
-    std::uint64_t complete = 0;
+    store_revision complete;
     std::size_t pages = 0;
     std::vector<store_reader::batch> told;
     store.set_pages(1, [&] {
@@ -159,7 +161,8 @@
             complete = std::max(complete, b.revision);
             for (const auto& [key, item] : reader.items())
                 if (item.value == "old")
-                    CHECK(complete <= item.revision + 1);
+                    CHECK(complete <= store_revision(item.revision.number + 1,
+                                                     item.revision.era));
         });
     reader.start();
     const time_point until = net::event_loop::now().mono + max_wait;
@@ -171,3 +174,130 @@
     CHECK(reader.items().at("servers/a").value == "new");
     CHECK(told.back().after == told.front().revision);
 }
+
+TEST_CASE("changes that a restored store acknowledges under lower revisions "
+          "come into force",
+          "[gateway]")
+{
+    reading r;
+    const auto copy = r.store.make_copy();
+    r.store.put_config("lost 1");
+    r.store.put_config("lost 2");
+    REQUIRE(r.run_until([&] { return r.seen.back() == "lost 2"; }));
+    r.store.restore(copy);
+    r.store.put_config("written again");
+    REQUIRE(r.run_until([&] { return r.seen.back() == "written again"; }));
+    r.store.put_config("next");
+    REQUIRE(r.run_until([&] { return r.seen.back() == "next"; }));
+    CHECK(r.reader->newest().era == 2);
+}
+
+TEST_CASE("a restored store that has reached its old revision is read anew",
+          "[gateway]")
+{
+    reading r;
+    const auto copy = r.store.make_copy();
+    r.store.put_config("lost");
+    REQUIRE(r.run_until([&] { return r.seen.back() == "lost"; }));
+    r.store.restore(copy);
+    r.store.put("op/other", "with the revision of the lost one");
+    CHECK(r.run_until([&] { return r.reader->items().contains("op/other"); }));
+    CHECK(r.seen.back() == "with the revision of the lost one");
+}
+
+TEST_CASE("an entry that a restored store lacks is deleted only in doubt",
+          "[gateway]")
+{
+    reading r;
+    const auto copy = r.store.make_copy();
+    r.store.put("op/x", "lost");
+    REQUIRE(r.run_until([&] { return r.reader->items().contains("op/x"); }));
+    r.store.restore(copy);
+    REQUIRE(r.run_until([&] { return !r.reader->items().contains("op/x"); }));
+    CHECK(r.in_doubt);
+    CHECK(r.reader->doubt_left(net::event_loop::now().mono) > 0s);
+}
+
+TEST_CASE("pages that a store gave before and after it was restored are not "
+          "joined",
+          "[gateway]")
+{
+    net::event_loop loop;
+    standins::platform_store store(loop);
+    target_pool pool(loop);
+    counters counts;
+    store.put("servers/a", "copied");
+    const auto copy = store.make_copy();
+    store.put("servers/a", "lost");
+    store.put("servers/b", "lost");
+    bool restored = false;
+    store.set_pages(1, [&] {
+        if (!std::exchange(restored, true))
+            store.restore(copy);
+    });
+    store_reader reader(
+        loop, pool, settings::endpoint{"127.0.0.1", store.port()}, "servers/",
+        counts, [](const platform_wire::store_item&, bool) {},
+        [](const store_reader::batch&) {});
+    reader.start();
+    const time_point until = net::event_loop::now().mono + max_wait;
+    while (!reader.is_loaded() && net::event_loop::now().mono < until) {
+        loop.call_later(5ms, [] {});
+        loop.run_once();
+    }
+    REQUIRE(reader.is_loaded());
+    CHECK(reader.items().at("servers/a").value == "copied");
+    CHECK_FALSE(reader.items().contains("servers/b"));
+}
+
+TEST_CASE("an answer whose era is missing, unreadable or past isn't used",
+          "[gateway]")
+{
+    reading r;
+    const std::string era = GENERATE("", "x", "0");
+    r.store.set_era_text(era);
+    r.store.put_config("of an unknown era");
+    CHECK(r.run_until([&] { return r.failed; }));
+    CHECK(r.seen.back() == "first");
+    r.store.set_era_text("1");
+    CHECK(r.run_until([&] { return r.seen.back() == "of an unknown era"; }));
+}
+
+TEST_CASE("a late message of another instance doesn't bring back an entry that "
+          "was deleted since",
+          "[gateway]")
+{
+    reading r({}, false);
+    const auto known = r.reader->newest();
+    const store_revision written(known.number + 1, known.era);
+    const store_revision deleted(known.number + 2, known.era);
+    const bool restored = GENERATE(false, true);
+    const store_revision newest =
+        restored ? store_revision(1, known.era + 1) : deleted;
+    CHECK(r.reader->apply_peer_snapshot(newest, {}, {}, 0s));
+    store_reader::batch late;
+    late.after = known;
+    late.revision = written;
+    late.items = {{"op/x", "deleted since", written, false}};
+    (void)r.reader->apply_peer_changes(late);
+    CHECK(r.reader->items().empty());
+    CHECK(r.reader->newest() == newest);
+}
+
+TEST_CASE("the state of an instance that has read the restored store replaces "
+          "that of the earlier era",
+          "[gateway]")
+{
+    reading r({}, false);
+    const auto known = r.reader->newest();
+    const store_revision restored(1, known.era + 1);
+    const std::vector<std::string> keys{"op/x"};
+    const std::vector<platform_wire::store_item> items{
+        {"op/x", "copied", restored, false}};
+    CHECK(r.reader->apply_peer_snapshot(restored, keys, items, 0s));
+    CHECK(r.reader->items().size() == 1);
+    CHECK(r.seen.back() == "copied");
+    const store_revision old(known.number + 9, known.era);
+    CHECK(r.reader->apply_peer_snapshot(old, {}, {}, 0s));
+    CHECK(r.reader->items().size() == 1);
+}
--- a/tests/gateway/target_directory_test.cpp
+++ b/tests/gateway/target_directory_test.cpp
@@ -232,3 +232,60 @@
     targets.on_leaving_notice("a", 5, now);
     CHECK(p.choose(wanted, targets.usable("s", now), 1, now)->target == "b");
 }
+
+TEST_CASE(
+    "an entry of a restored store doesn't undo what the target said since",
+    "[gateway]")
+{
+    auto entry = entry_of("t");
+    entry.sequence = 7;
+    target_directory targets(drain_limit);
+    REQUIRE(targets.put(entry, now, 1));
+    auto later = entry;
+    later.sequence = 9;
+    later.leaving = true;
+    SECTION("that it leaves")
+    {
+        REQUIRE(targets.put(later, now, 1));
+        CHECK_FALSE(targets.put(entry, now, 2));
+        CHECK(use_of(targets, "t", now) == target_use::last_resort);
+        CHECK(use_of(targets, "t", now + drain_limit) == target_use::none);
+    }
+    SECTION("that it has left")
+    {
+        targets.remove("t", false, now, 1);
+        CHECK_FALSE(targets.put(entry, now, 2));
+        CHECK(use_of(targets, "t", now + drain_limit) == target_use::none);
+    }
+    SECTION("that it has started again")
+    {
+        auto restarted = entry_of("t", 6);
+        REQUIRE(targets.put(restarted, now, 1));
+        CHECK_FALSE(targets.put(entry, now, 2));
+        CHECK(targets.find("t")->entry.started_ms == 6);
+    }
+}
+
+TEST_CASE(
+    "a target that writes its entry again after the store was restored is "
+    "used",
+    "[gateway]")
+{
+    auto entry = entry_of("t");
+    entry.sequence = 7;
+    target_directory targets(drain_limit);
+    REQUIRE(targets.put(entry, now, 1));
+    targets.remove("t", true, now, 2);
+    CHECK(use_of(targets, "t", now) == target_use::normal);
+    SECTION("with a newer entry")
+    {
+        entry.sequence = 8;
+    }
+    SECTION("with the entry that was lost") {}
+    SECTION("of a start that a clock puts earlier")
+    {
+        entry.started_ms = 4;
+    }
+    CHECK(targets.put(entry, now + 1s, 2));
+    CHECK(use_of(targets, "t", now + 10s) == target_use::normal);
+}
--- a/tests/platform_wire/published_test.cpp
+++ b/tests/platform_wire/published_test.cpp
@@ -73,14 +73,30 @@
     const auto r = parse_watch(R"({"events":[
         {"key":"a","value":"bm9kZS0x","revision":412,"created":4,"lease":0},
         {"key":"b","revision":413,"tombstone":true},
-        {"key":"c","value":"***","revision":414}],"currentRev":414})");
+        {"key":"c","value":"***","revision":414}],"currentRev":414})",
+                               3);
     REQUIRE(r.items.size() == 3);
     CHECK(r.items[0].value == "node-1");
     CHECK(r.items[1].deleted);
     CHECK(r.items[2].value.empty());
-    CHECK(r.revision == 414);
-    CHECK_THROWS_AS(parse_watch(R"({"events":[]})"), published_error);
-    CHECK_THROWS_AS(parse_range("oops"), published_error);
+    CHECK(r.items[1].revision == gateway::store_revision(413, 3));
+    CHECK(r.revision == gateway::store_revision(414, 3));
+    CHECK_THROWS_AS(parse_watch(R"({"events":[]})", 0), published_error);
+    CHECK_THROWS_AS(parse_range("oops", 0), published_error);
+}
+
+TEST_CASE("the era of the store is a number above 0", "[platform_wire]")
+{
+    net::message_head head;
+    CHECK(read_store_era(head) == 0);
+    head.headers.push_back({"store-era", "12"});
+    CHECK(read_store_era(head) == 12);
+    for (const std::string text :
+         {"", "0", "-1", "x", "2 ", "1.5", "99999999999999999999"}) {
+        CAPTURE(text);
+        head.headers.front().value = text;
+        CHECK_THROWS_AS(read_store_era(head), published_error);
+    }
 }
 
 TEST_CASE("paths of store requests are percent-encoded", "[platform_wire]")
@@ -114,7 +130,7 @@
         (void)parse_target("servers/x", bytes);
         (void)parse_release(bytes);
         for (const auto read :
-             {+[](std::string_view b) { (void)parse_range(b); },
+             {+[](std::string_view b) { (void)parse_range(b, 0); },
               +[](std::string_view b) { (void)parse_config(b); },
               +[](std::string_view b) { (void)parse_report(b); }}) {
             try {
