Don't reuse a connection for an attempt that its engine has refused on it

What callers could see: 'not run, try again' for a request that an engine was running (REFUSED), or a second run of it at another engine (TWICE).

Cause: an engine that lacks an adapter refuses a request, and gets it again, with the same attempt id and often on the same connection, once the adapter is loaded. A faulty engine that writes the refusal once more answers the second send with it, and the id matches.

Now an attempt isn't sent again on a connection on which it was refused, and a connection on which a refusal without an id was read isn't used again: nothing would tell its copy from the answer to the next request.

--- a/src/lovagegate/gateway/target_pool.cpp
+++ b/src/lovagegate/gateway/target_pool.cpp
@@ -38,6 +38,10 @@
 /// announces.
 constexpr duration keep_alive_margin = 400ms;
 
+/// A connection on which its target has refused this many attempts isn't used
+/// again.
+constexpr std::size_t max_refused_attempts = 32;
+
 /// @return the value of "timeout=N" in a Keep-Alive header
 std::optional<duration> parse_keep_alive_timeout(std::string_view value)
 {
@@ -118,6 +122,14 @@
     {
         return stream_.has_unread_input();
     }
+    /// @return whether the target has refused this attempt here. It may repeat
+    ///         the refusal, which would then pass for the answer to another
+    ///         send of the attempt.
+    [[nodiscard]] bool has_refused(std::string_view attempt_id) const
+    {
+        return std::ranges::find(refused_attempts_, attempt_id) !=
+               refused_attempts_.end();
+    }
     [[nodiscard]] const std::string& target() const noexcept { return target_; }
     [[nodiscard]] time_point idle_since() const noexcept { return idle_since_; }
     [[nodiscard]] time_point idle_until() const noexcept { return idle_until_; }
@@ -194,6 +206,8 @@
             return;
         }
         head_received_ = true;
+        if (platform_wire::read_answer(head).not_run)
+            record_refusal(id);
         const auto limit = parse_keep_alive_timeout(head.header("Keep-Alive"));
         idle_allowance_ = std::min(limit ? *limit - keep_alive_margin
                                          : pool_.settings_.idle_timeout,
@@ -201,6 +215,17 @@
         handler_->on_answer_head(head);
     }
 
+    /// @param id attempt that the refusal names, empty if it names none
+    void record_refusal(std::string_view id)
+    {
+        // Nothing would tell a repeated refusal without an id from the answer
+        // to the next request.
+        if (id.empty() || refused_attempts_.size() >= max_refused_attempts)
+            not_reusable_ = true;
+        else
+            refused_attempts_.emplace_back(id);
+    }
+
     /// @param nothing_follows whether no bytes were received after the answer
     bool complete(bool nothing_follows)
     {
@@ -283,6 +308,7 @@
     duration idle_allowance_{};
     std::size_t skipped_bytes_ =
         0; ///< of interim answers and of answers to other requests
+    std::vector<std::string> refused_attempts_;
     bool head_received_ = false;
     bool skipping_ =
         false; ///< the current answer belongs to another request or is interim
@@ -313,17 +339,18 @@
 target_pool::~target_pool() = default;
 
 internal::target_connection*
-target_pool::idle_connection(connection_list& all, bool needs_fresh_connection,
-                             time_point now)
+target_pool::idle_connection(connection_list& all,
+                             const target_request& request, time_point now)
 {
     // The connection that was used last is the least likely to have been closed
     // by the target.
     internal::target_connection* best = nullptr;
     for (const auto& c : all)
         if (c->is_idle() && now < c->idle_until() &&
+            !c->has_refused(request.attempt_id) &&
             (best == nullptr || c->idle_since() > best->idle_since()))
             best = c.get();
-    if (best && needs_fresh_connection &&
+    if (best && request.needs_fresh_connection &&
         now - best->idle_since() > settings_.fresh_connection_max_idle)
         return nullptr;
     return best;
@@ -335,14 +362,13 @@
 {
     auto& all = connections_[request.target];
     const time_point now = net::event_loop::now().mono;
-    internal::target_connection* c =
-        idle_connection(all, request.needs_fresh_connection, now);
+    internal::target_connection* c = idle_connection(all, request, now);
     // The target may have closed an idle connection since the event loop last
     // read from it.
     while (c && c->has_unread_input()) {
         ++counts_.stale;
         discard(*c);
-        c = idle_connection(all, request.needs_fresh_connection, now);
+        c = idle_connection(all, request, now);
     }
     if (c) {
         ++counts_.reused;
--- a/src/lovagegate/gateway/target_pool.hpp
+++ b/src/lovagegate/gateway/target_pool.hpp
@@ -147,7 +147,7 @@
         std::list<std::unique_ptr<internal::target_connection>>;
 
     internal::target_connection* idle_connection(connection_list& all,
-                                                 bool needs_fresh_connection,
+                                                 const target_request& request,
                                                  time_point now);
     void discard(internal::target_connection& c);
 
