Continue a stream only with an answer of the kind that was begun

Cause: the answer of the engine that should resume a stream was taken if its status was any 2xx, so that a 204, a 206 or an answer of another type continued or ended the stream. An answer head that a faulty engine writes into a stream without a length looks like an event with unknown fields.

Now the answer must have the status and the kind of the one that was begun towards the caller, and a block that starts like an HTTP answer is malformed: the stream is resumed elsewhere. That a 500 is not written into a stream held before.

Tests: "an error of the engine that should resume a stream is not written into the stream", "the head of an error that an engine writes into its stream doesn't reach the caller".

--- a/src/lovagegate/gateway/event_splitter.cpp
+++ b/src/lovagegate/gateway/event_splitter.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+/// A faulty engine may write an error answer into the stream that it has begun.
+constexpr std::string_view http_answer_start = "HTTP/1.";
+
 /// @return end of the first event, npos if it is incomplete
 std::size_t end_of_event(std::string_view text, std::size_t from)
 {
@@ -50,7 +53,11 @@
     std::size_t from = seen;
     for (auto end = end_of_event(pending_, from); end != std::string::npos;
          end = end_of_event(pending_, from)) {
-        record_event(std::string_view(pending_).substr(done, end - done));
+        const auto event = std::string_view(pending_).substr(done, end - done);
+        malformed_ = malformed_ || event.starts_with(http_answer_start);
+        if (malformed_)
+            break;
+        record_event(event);
         done = end;
         from = end;
     }
--- a/src/lovagegate/gateway/event_splitter.hpp
+++ b/src/lovagegate/gateway/event_splitter.hpp
@@ -36,8 +36,16 @@
         return pending_;
     }
 
+    /// @return whether the head of an HTTP answer was found instead of an
+    ///         event. It and all that follows belong to the incomplete event.
+    [[nodiscard]] bool is_malformed() const noexcept { return malformed_; }
+
     /// Drops the incomplete event, because another source continues the stream.
-    void discard_partial_event() { pending_.clear(); }
+    void discard_partial_event()
+    {
+        pending_.clear();
+        malformed_ = false;
+    }
 
 private:
     void record_event(std::string_view event);
@@ -46,6 +54,7 @@
     std::string whole_;
     std::string last_id_;
     std::uint64_t event_count_ = 0;
+    bool malformed_ = false;
 };
 
 } // namespace lovagegate::gateway
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -635,8 +635,8 @@
         context_.state.counts.add("answers_bad", "reason", "unsigned");
         return;
     }
-    if (head_sent_ && !success) {
-        discarding_ = true; // the engine did not resume the stream
+    if (head_sent_ && !continues_answer(head)) {
+        discarding_ = true;
         return;
     }
     if (head.status >= first_server_error) {
@@ -646,6 +646,12 @@
     forwarding_events_ = success && is_stream();
 }
 
+bool forwarding::continues_answer(const net::message_head& head) const
+{
+    return head.status == begun_answer_.status &&
+           answer_facts_.is_event_stream == begun_answer_.is_event_stream;
+}
+
 bool forwarding::on_answer_body(std::string_view part)
 {
     last_byte_at_ = net::event_loop::now().mono;
@@ -689,6 +695,7 @@
         platform_wire::write_answer_head(head, framing, buffer_.size(), close),
         !whole, close);
     head_sent_ = true;
+    begun_answer_ = {head.status, answer_facts_.is_event_stream};
     time_to_first_byte_ = elapsed();
 }
 
@@ -700,7 +707,8 @@
         deliver_whole_events(whole);
     else
         deliver_comments(whole);
-    if (splitter_.partial_event().size() + buffer_.size() <= max_event_bytes)
+    if (!splitter_.is_malformed() &&
+        splitter_.partial_event().size() + buffer_.size() <= max_event_bytes)
         return true;
     on_call_failed(call_failure::not_an_answer);
     return false;
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -115,6 +115,9 @@
     /// Decides by its head whether an answer is rejected, discarded or
     /// forwarded.
     void classify_answer(const net::message_head& head);
+    /// @return whether the answer is of the kind that was begun towards the
+    ///         caller, and not an error of the target that should resume it
+    [[nodiscard]] bool continues_answer(const net::message_head& head) const;
     void deliver_head(const net::message_head& head, bool whole);
     /// @return false if the call to the target was destroyed
     bool deliver_events(std::string_view data);
@@ -228,7 +231,13 @@
     bool rejected_ = false;   ///< the answer says that the request was not run
     bool discarding_ = false; ///< the answer is a failure that is not forwarded
     bool head_sent_ = false;  ///< the answer's head was sent to the caller
-    bool resuming_ = false;   ///< the answer continues an earlier one
+    /// Kind of the answer whose head was sent to the caller.
+    struct
+    {
+        int status = 0;
+        bool is_event_stream = false;
+    } begun_answer_;
+    bool resuming_ = false; ///< the answer continues an earlier one
     bool forwarding_events_ = false;
     bool target_paused_ = false;
     bool abandoned_silent_target_ =
--- a/standins/site/dialect.cpp
+++ b/standins/site/dialect.cpp
@@ -137,6 +137,11 @@
            field(header::time_left_ms, "15000") + "\r\n" + more + "\r\n";
 }
 
+std::string signature_header()
+{
+    return field(header::target_signature, signature) + "\r\n";
+}
+
 std::string id_header(const std::string& id)
 {
     return field(header::attempt_id, id) + "\r\n";
--- a/standins/site/dialect.hpp
+++ b/standins/site/dialect.hpp
@@ -90,6 +90,9 @@
                                        const std::string& more = {},
                                        const std::string& method = "GET");
 
+/// @return the header that shows that a target made the answer
+[[nodiscard]] std::string signature_header();
+
 /// @return the header that bears an attempt's id
 [[nodiscard]] std::string id_header(const std::string& id);
 
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -567,6 +567,66 @@
     CHECK((a.body == event(1) || a.body == event(1) + event(2)));
 }
 
+TEST_CASE("an error of the engine that should resume a stream is not written "
+          "into the stream",
+          "[gateway]")
+{
+    const std::string text = "id: 7\ndata: error\n\n";
+    const auto answer = GENERATE_COPY(
+        std::pair("500",
+                  whole_answer(500, {"Content-Type: text/event-stream"}, text)),
+        std::pair("302", whole_answer(302, {"Location: /"}, text)),
+        std::pair("204", whole_answer(204, {}, "")),
+        std::pair("206", whole_answer(206, {}, text)),
+        std::pair("200, another type",
+                  whole_answer(200, {"Content-Type: text/plain"}, text)),
+        std::pair("200, without a type", whole_answer(200, {}, text)),
+        std::pair("200, nothing", whole_answer(200, {}, "")));
+    CAPTURE(answer.first);
+    std::atomic<int> resumed{0};
+    const auto target = with_warm_up([&](const seen_request& r) -> script {
+        if (resume_after(r).empty())
+            return {{stream_head(r) + event(1), {}, then::go_on},
+                    {"", 5ms, then::reset}};
+        if (resumed++ == 0)
+            return with_header({{answer.second, {}, then::go_on}},
+                               id_header(attempt_id(r)) + signature_header());
+        return {{stream_head(r) + event(2), {}, then::close}};
+    });
+    site s({.kind = "streaming", .resumable = true}, {target, target});
+    const auto a = s.ask(request_text("id1", no_body, "POST"));
+    CHECK(resumed == 2);
+    CHECK(a.complete);
+    CHECK(a.body == event(1) + event(2));
+}
+
+TEST_CASE("the head of an error that an engine writes into its stream doesn't "
+          "reach the caller",
+          "[gateway]")
+{
+    const std::string error =
+        "HTTP/1.1 500 Error\r\nContent-Length: 6\r\n\r\nerror\n\n";
+    const bool after_event = GENERATE(true, false);
+    const auto target = with_warm_up([&](const seen_request& r) -> script {
+        if (resume_after(r).empty() && after_event)
+            return {{stream_head(r) + event(1) + error, {}, then::close}};
+        if (resume_after(r).empty())
+            return {{stream_head(r) + event(1), {}, then::go_on},
+                    {"", 5ms, then::reset}};
+        if (!after_event && resume_after(r) == "1")
+            return {{stream_head(r) + event(2) + error, {}, then::close}};
+        const int last = after_event ? 1 : 2;
+        return {{stream_head(r) + event(last + 1), {}, then::close}};
+    });
+    site s({.kind = "streaming", .resumable = true, .attempts = 3},
+           {target, target, target});
+    const auto a = s.ask(request_text("id1", no_body, "POST"));
+    CHECK(a.complete);
+    CHECK(a.body.find("HTTP/1.1") == std::string::npos);
+    CHECK(a.body ==
+          (after_event ? event(1) + event(2) : event(1) + event(2) + event(3)));
+}
+
 TEST_CASE("a silent stream stays at its target if the retry budget is empty",
           "[gateway]")
 {
