Reject odd entries of targets instead of reading them as something else

What operators of other systems saw: one entry of another writer (nested very deeply, with a number too large, a port out of range) ended the processes that read the list, or they stopped following it. A port out of range was rejected before; no such entry ended a process.

Changes of keys outside a reader's prefix, which peers could send, are ignored: their ids were cut out of too short a key, which throws.

Tests: "odd entries among those of the targets neither end the process nor stop it from following the store", "a deeply nested value is rejected", "a target entry with a number of a wrong type or out of range is rejected", "times that are out of range don't overflow". The case that took "slots": "many" for 1 now has a wrong type in a field that isn't needed: the pages say that such an entry names no engine.

--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -223,6 +223,8 @@
 
 bool store_reader::apply(const platform_wire::store_item& item, bool in_doubt)
 {
+    if (!item.key.starts_with(prefix_))
+        return false;
     const auto it = items_.find(item.key);
     if (it != items_.end() && it->second.revision >= item.revision)
         return false;
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -730,6 +730,41 @@
     CHECK(status == 404);
 }
 
+TEST_CASE("odd entries among those of the targets neither end the process nor "
+          "stop it from following the store",
+          "[gateway]")
+{
+    const auto target =
+        with_warm_up([](const seen_request& r) { return good(r); });
+    site s({.kind = "idempotent"}, {target, target});
+    s.change([](platform_store& store) {
+        constexpr std::size_t depth = 100000;
+        store.put_target("odd-1", std::string(depth, '['));
+        store.put_target("odd-2", std::string(depth, '{'));
+        store.put_target("odd-3",
+                         R"({"service":"s","address":"127.0.0.1:99999",)"
+                         R"("state":"ready","born":1e400})");
+        store.put_target("odd-4", R"({"service":"s","address":"127.0.0.1:1",)"
+                                  R"("state":"ready","slots":1e300})");
+        store.put_target("odd-5", "\xff\xfe\x00");
+        store.put("op/version/odd", R"({"model":{},"version":-1e300})");
+    });
+    s.unlist(0);
+    s.change([](platform_store& store) {
+        store.put_config(
+            config_text(site_description{.version = 2, .prefix = "/new/"}));
+    });
+    const auto text = [] {
+        auto t = request_text("id1");
+        return t.replace(t.find("/p/"), 3, "/new/");
+    }();
+    const auto until = std::chrono::steady_clock::now() + max_wait;
+    while (s.ask(text).head.status != 200 &&
+           std::chrono::steady_clock::now() < until)
+        std::this_thread::sleep_for(10ms);
+    CHECK(s.ask(text).head.status == 200);
+}
+
 TEST_CASE("requests are served while the store is down", "[gateway]")
 {
     site s({.kind = "idempotent"},
--- a/tests/platform_wire/published_test.cpp
+++ b/tests/platform_wire/published_test.cpp
@@ -47,19 +47,61 @@
     const std::string key = "servers/i-1";
     CHECK(parse_target(key, R"({"service":"s","address":"10.0.0.1:80",
         "state":"ready","slots":6,"born":17})"));
-    const auto text =
-        GENERATE(R"({"service":7,"address":"10.0.0.1:80","state":"ready"})",
-                 R"({"service":"s","address":"nowhere","state":"ready"})",
-                 R"({"service":"s","address":"10.0.0.1:80","state":"odd"})",
-                 R"({"address":"10.0.0.1:80","state":"ready"})", R"([1,2])",
-                 "\xff\xfe", "");
+    const auto text = GENERATE(
+        R"({"service":7,"address":"10.0.0.1:80","state":"ready"})",
+        R"({"service":"s","address":"nowhere","state":"ready"})",
+        R"({"service":"s","address":"10.0.0.1:80","state":"odd"})",
+        R"({"address":"10.0.0.1:80","state":"ready"})", R"([1,2])",
+        R"({"service":"s","address":"10.0.0.1:65536","state":"ready"})",
+        R"({"service":"s","address":"10.0.0.1:0","state":"ready"})",
+        R"({"service":"s","address":"[::1]:80","state":"ready"})", "\xff\xfe",
+        "");
     CHECK_FALSE(parse_target(key, text));
 }
 
+TEST_CASE("a target entry with a number of a wrong type or out of range is "
+          "rejected",
+          "[platform_wire]")
+{
+    const std::string field =
+        GENERATE("slots", "born", "sequence", "remainingMs");
+    const std::string number = GENERATE("\"many\"", "-1", "1e300", "1e999",
+                                        "99999999999999999999", "[]", "null");
+    CAPTURE(field, number);
+    CHECK_FALSE(
+        parse_target("servers/i-1", R"({"service":"s","address":"10.0.0.1:80",)"
+                                    R"("state":"ready",")" +
+                                        field + "\":" + number + '}'));
+}
+
+TEST_CASE("a deeply nested value is rejected", "[platform_wire]")
+{
+    constexpr std::size_t depth = 100000;
+    const std::string nested =
+        std::string(depth, '[') + std::string(depth, ']');
+    const std::string entry = R"({"service":"s","address":"10.0.0.1:80",)"
+                              R"("state":"ready","version":1,"x":)" +
+                              nested + '}';
+    CHECK_FALSE(parse_target("servers/i-1", entry));
+    CHECK_FALSE(parse_release(entry));
+    CHECK_THROWS_AS(parse_config(entry), published_error);
+    CHECK_THROWS_AS(parse_report(entry), published_error);
+}
+
+TEST_CASE("times that are out of range don't overflow", "[platform_wire]")
+{
+    const auto c =
+        parse_config(R"({"version":1,"routes":[{"name":"r","timeoutMs":1e300,)"
+                     R"("gapAimMs":-5}]})");
+    CHECK(c.routes.front().timeout > 24h);
+    CHECK(c.routes.front().timeout + time_point::duration(1h) > 24h);
+    CHECK(c.routes.front().max_event_gap == 0s);
+}
+
 TEST_CASE("optional fields of a wrong type are ignored", "[platform_wire]")
 {
     const auto t = parse_target("servers/i-1", R"({"service":"s",
-        "address":"10.0.0.1:80","state":"draining","slots":"many",
+        "address":"10.0.0.1:80","state":"draining","zone":7,
         "models":[3,{"name":"m","adapters":[1,"a@2"]}],"remainingMs":1500})");
     REQUIRE(t);
     CHECK(t->slots == 1);
