--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -765,6 +765,26 @@
     CHECK(s.ask(text).head.status == 200);
 }
 
+TEST_CASE("a request for an adapter whose name is not UTF-8 doesn't end the "
+          "process",
+          "[gateway]")
+{
+    slow_engine engine(1ms);
+    site s({.kind = "non_idempotent",
+            .latency_objective_ms = 100,
+            .engines = true},
+           {with_warm_up(
+               [&](const seen_request& r) { return engine.answer(r); })});
+    const auto ask_for = [&](const std::string& adapter) {
+        return s.ask(
+            request_text("id1", no_body + adapter_header(adapter), "POST"));
+    };
+    while (ask_for("a0").head.status != 200)
+        std::this_thread::sleep_for(20ms);
+    (void)ask_for("\xff\xfe");
+    CHECK(ask_for("a0").head.status == 200);
+}
+
 TEST_CASE("requests are served while the store is down", "[gateway]")
 {
     site s({.kind = "idempotent"},
--- a/tests/platform_wire/published_test.cpp
+++ b/tests/platform_wire/published_test.cpp
@@ -98,6 +98,12 @@
     CHECK(c.routes.front().max_event_gap == 0s);
 }
 
+TEST_CASE("an order for an adapter whose name is not UTF-8 can be written",
+          "[platform_wire]")
+{
+    CHECK_FALSE(write_order({true, "m", "\xff", 3, "n1", 41}).empty());
+}
+
 TEST_CASE("optional fields of a wrong type are ignored", "[platform_wire]")
 {
     const auto t = parse_target("servers/i-1", R"({"service":"s",
