Bound the nesting of messages between instances

The CBOR reader of the library recurses into nested values: a datagram of 60,000 array heads uses a stack frame for each.

Test: "a deeply nested datagram is rejected".

--- a/src/lovagegate/gateway/news_codec.cpp
+++ b/src/lovagegate/gateway/news_codec.cpp
@@ -1,10 +1,9 @@
 #include "lovagegate/gateway/news_codec.hpp"
 
+#include "lovagegate/core/cbor.hpp"
 #include "lovagegate/core/compression.hpp"
 #include "lovagegate/core/hash.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -46,13 +45,6 @@
             j.at(3).get<bool>()};
 }
 
-std::string to_bytes(const json& j)
-{
-    std::string out;
-    json::to_cbor(j, nlohmann::detail::output_adapter<char>(out));
-    return out;
-}
-
 /// Appends a message, in parts if it is too large for one datagram.
 void append_parts(std::vector<store_changes>& out, store_changes message)
 {
@@ -88,7 +80,7 @@
         out.bases.push_back({item.key, before->second.revision});
         dictionary += before->second.value;
     }
-    out.packed = compress(to_bytes(content), dictionary);
+    out.packed = compress(write_cbor(content), dictionary);
     return out;
 }
 
@@ -138,7 +130,7 @@
     out.revision = message.revision;
     out.in_doubt = message.in_doubt;
     try {
-        const json content = json::from_cbor(
+        const json content = read_cbor(
             decompress(message.packed, max_content_bytes, dictionary));
         for (const json& item : content)
             out.items.push_back(read(item));
@@ -165,7 +157,7 @@
     };
     add(operator_keys, known.operator_keys);
     add(targets, known.targets);
-    return compress(to_bytes(json::array(
+    return compress(write_cbor(json::array(
         {operator_keys.newest().number, targets.newest().number,
          std::move(keys), std::move(items), targets.doubt_left(now).count(),
          operator_keys.newest().era, targets.newest().era})));
@@ -173,7 +165,7 @@
 
 state_snapshot unpack_state(std::string_view packed)
 {
-    const json page = json::from_cbor(decompress(packed, max_state_bytes));
+    const json page = read_cbor(decompress(packed, max_state_bytes));
     state_snapshot out;
     out.newest = {{page.at(0).get<std::uint64_t>(), era_at(page, 5)},
                   {page.at(1).get<std::uint64_t>(), era_at(page, 6)}};
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -1,6 +1,6 @@
 #include "lovagegate/gateway/peer_messages.hpp"
 
-#include <nlohmann/json.hpp>
+#include "lovagegate/core/cbor.hpp"
 
 namespace lovagegate::gateway {
 
@@ -258,15 +258,13 @@
 std::string encode(const peer_message& message)
 {
     const json j = std::visit([](const auto& m) { return write(m); }, message);
-    std::string out;
-    json::to_cbor(j, nlohmann::detail::output_adapter<char>(out));
-    return out;
+    return write_cbor(j);
 }
 
 std::optional<peer_message> decode(std::string_view datagram)
 {
     try {
-        return read(json::from_cbor(datagram));
+        return read(read_cbor(datagram));
     } catch (const json::exception&) {
         return std::nullopt; // the caller counts unreadable datagrams
     }
--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -138,3 +138,11 @@
         (void)decode(bytes);
     }));
 }
+
+TEST_CASE("a deeply nested datagram is rejected", "[gateway]")
+{
+    constexpr std::size_t depth = 60000;
+    constexpr char array_of_one = '\x81';
+    CHECK_FALSE(decode(std::string(depth, array_of_one)));
+    CHECK_FALSE(decode(std::string(depth, array_of_one) + '\x01'));
+}
