Play a store that is restored from an older copy in the soak

Twice in each storm the store is away for 0.1 to 1 s and returns from a copy that is up to five seconds old; 0.1 s later the operator and the targets write again what the copy lacks. The plan test counts one kind of fault more.

--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -20,16 +20,19 @@
 constexpr duration silence = 2s;
 constexpr int planned_kinds = 3;
 constexpr int storm_kinds = static_cast<int>(fault::callers_reset) + 1;
-constexpr int all_kinds = static_cast<int>(fault::target_turns_away) + 1;
+constexpr int all_kinds = static_cast<int>(fault::store_restored) + 1;
 /// Notices are drawn apart, so that a seed's other faults don't depend on them.
 constexpr std::uint64_t notices_stream = 0x6e6f74696365;
+/// The same of the store's restorations.
+constexpr std::uint64_t restorations_stream = 0x726573746f7265;
 
 /// Draws one plan.
 class draft
 {
 public:
     explicit draft(const plan_settings& s)
-        : settings_(s), random_(s.seed), notices_(s.seed ^ notices_stream)
+        : settings_(s), random_(s.seed), notices_(s.seed ^ notices_stream),
+          restorations_(s.seed ^ restorations_stream)
     {
     }
 
@@ -45,6 +48,7 @@
             storm = !storm;
         }
         draw_notices();
+        draw_restorations();
         std::ranges::stable_sort(plan_, {}, &planned_fault::at);
         return std::move(plan_);
     }
@@ -134,6 +138,17 @@
         }
     }
 
+    void draw_restorations()
+    {
+        // Twice in a storm, so that a copy may be older than the one before.
+        for (const auto& s : storms_)
+            for (duration at = s.from; at + 1s < s.until; at += 2s) {
+                const duration lasts = between(restorations_, 100ms, 1s);
+                plan_.push_back({at, fault::store_restored, 0, lasts,
+                                 restorations_() % 2 == 0});
+            }
+    }
+
     std::size_t draw_target() { return notices_() % settings_.targets; }
 
     void add_leaving(duration at, std::size_t whom)
@@ -163,6 +178,7 @@
     plan_settings settings_;
     std::mt19937_64 random_;
     std::mt19937_64 notices_;
+    std::mt19937_64 restorations_;
     std::vector<interval> storms_;
     std::vector<planned_fault> plan_;
 };
@@ -192,7 +208,9 @@
         "callers_slow",
         "callers_reset",
         "target_leaves",
-        "target_turns_away"};
+        "target_turns_away",
+        "store_restored",
+    };
     return names[static_cast<std::size_t>(f)];
 }
 
--- a/soak/fault_plan.hpp
+++ b/soak/fault_plan.hpp
@@ -34,6 +34,7 @@
     callers_reset,     ///< connections between callers and one instance
     target_leaves,     ///< a target says so in its answers, then is replaced
     target_turns_away, ///< a target says for how long it wants no requests
+    store_restored,    ///< the store is away, and returns from an older copy
 };
 
 /// @return name for messages
--- a/soak/site.cpp
+++ b/soak/site.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr duration look_interval = 20ms;
+/// Between two copies of the store, one of which may replace its contents.
+constexpr duration copy_interval = 1s;
 constexpr duration weigh_interval = 500ms;
 /// A longer round of our own loop may look like a late instance.
 constexpr duration own_delay_limit = 300ms;
@@ -178,6 +180,8 @@
         loop_.call_later(f.at, [this, f] { play(f); });
     every(look_interval, [this] { look_after(); });
     every(weigh_interval, [this] { weigh(); });
+    copy_store();
+    every(copy_interval, [this] { copy_store(); });
     loop_.call_later(start_time, [this] { add_callers(); });
     const duration length = settings_.plan.length;
     loop_.call_later(length, [this] {
@@ -198,6 +202,12 @@
 void site::publish_config()
 {
     const std::uint64_t version = configs_.newest() + 1;
+    write_config(version);
+    configs_.on_acknowledged(version, now());
+}
+
+void site::write_config(std::uint64_t version)
+{
     std::vector<standins::route_description> routes;
     routes.reserve(usual_routes.size() + 1);
     for (const auto& r : usual_routes)
@@ -205,7 +215,6 @@
                           r.does == work_kind::stream_resumable, r.to_engines});
     routes.push_back({marker_prefix(version), "idempotent", false});
     store_.put_config(standins::config_text(version, routes));
-    configs_.on_acknowledged(version, now());
 }
 
 void site::look_after()
--- a/soak/site.hpp
+++ b/soak/site.hpp
@@ -7,6 +7,7 @@
 #include "soak/instance.hpp"
 #include "soak/soak_target.hpp"
 
+#include <deque>
 #include <fstream>
 #include <map>
 #include <memory>
@@ -51,11 +52,17 @@
     void add_instances();
     void add_callers();
     void publish_config();
+    void write_config(std::uint64_t version);
     void play(const planned_fault& f);
     void harm_target(const planned_fault& f, soak_target& target);
     /// What it was told by targets until now may not have been read.
     void excuse(const instance& i);
     void harm_store(const planned_fault& f);
+    /// Takes a copy of the store; the last few are kept.
+    void copy_store();
+    /// Ends an outage of the store with an old copy of its contents. Then the
+    /// operator and the targets write again what the copy lacks.
+    void restore_store(bool from_oldest_copy);
     void harm_callers(const planned_fault& f, instance& i);
     /// Sets a link and opens it again later.
     void harm_link(tcp_proxy& link, const link_state& state, duration lasts);
@@ -77,6 +84,7 @@
     config_watch configs_;
     standins::platform_store store_;
     tcp_proxy store_link_;
+    std::deque<standins::platform_store::copy> copies_; ///< the oldest first
     std::vector<std::unique_ptr<soak_target>> targets_;
     std::vector<std::unique_ptr<instance>> instances_;
     std::vector<std::unique_ptr<caller>> callers_;
--- a/soak/site_faults.cpp
+++ b/soak/site_faults.cpp
@@ -65,6 +65,7 @@
     case fault::store_silent:
     case fault::store_slow:
     case fault::store_reset:
+    case fault::store_restored:
         harm_store(f);
         break;
     case fault::callers_slow:
@@ -137,11 +138,36 @@
     case fault::store_slow:
         harm_link(store_link_, {true, true, slow_link}, f.lasts);
         break;
+    case fault::store_restored:
+        store_.set_down(true);
+        loop_.call_later(f.lasts,
+                         [this, oldest = f.variant] { restore_store(oldest); });
+        break;
     default:
         store_link_.reset_all();
     }
 }
 
+void site::copy_store()
+{
+    constexpr std::size_t max_copies = 5;
+    copies_.push_back(store_.make_copy());
+    if (copies_.size() > max_copies)
+        copies_.pop_front();
+}
+
+void site::restore_store(bool from_oldest_copy)
+{
+    constexpr duration time_to_write_again = 100ms;
+    store_.restore(from_oldest_copy ? copies_.front() : copies_.back());
+    store_.set_down(false);
+    loop_.call_later(time_to_write_again, [this] {
+        write_config(configs_.newest());
+        for (const auto& t : targets_)
+            t->write_again();
+    });
+}
+
 void site::harm_callers(const planned_fault& f, instance& i)
 {
     if (f.what == fault::callers_reset)
--- a/soak/soak_target.cpp
+++ b/soak/soak_target.cpp
@@ -48,9 +48,14 @@
     start();
 }
 
+std::string soak_target::id_of(int generation) const
+{
+    return name_ + "-" + std::to_string(generation);
+}
+
 std::string soak_target::id() const
 {
-    return name_ + "-" + std::to_string(generation_);
+    return id_of(generation_);
 }
 
 void soak_target::start()
@@ -73,10 +78,19 @@
 
 void soak_target::list(bool as_leaving)
 {
+    listed_as_leaving_ = as_leaving;
     store_.put_target(id(), entry_text(link_.port(), started_,
                                        engine_ ? "e" : "s", as_leaving));
 }
 
+void soak_target::write_again()
+{
+    for (int past = 0; past < generation_; ++past)
+        store_.remove_target(id_of(past));
+    if (server_)
+        list(listed_as_leaving_);
+}
+
 void soak_target::later_in_life(duration delay, std::function<void()> fn)
 {
     loop_.call_later(delay, [this, life = life_, fn = std::move(fn)] {
--- a/soak/soak_target.hpp
+++ b/soak/soak_target.hpp
@@ -42,6 +42,10 @@
     /// @param whole_seconds else that has a fraction
     void turn_away(duration lasts, bool whole_seconds);
 
+    /// Writes its entry again, and removes those of its earlier ids, after the
+    /// store was restored from a copy.
+    void write_again();
+
     [[nodiscard]] const std::string& name() const { return name_; }
 
 private:
@@ -49,6 +53,7 @@
     void begin_life();
     void change_id();
     void list(bool as_leaving);
+    [[nodiscard]] std::string id_of(int generation) const;
     [[nodiscard]] std::string id() const;
     [[nodiscard]] target_life life() const { return {name_, life_}; }
     /// Calls it later unless another life has begun or it has crashed.
@@ -72,6 +77,7 @@
     int life_ = 0;
     std::int64_t started_ = 0; ///< wall clock
     bool leaving_ = false;
+    bool listed_as_leaving_ = false;
     time_point turns_away_until_{};
     time_point no_notice_until_{};
     bool whole_seconds_ = false;
--- a/tests/soak/fault_plan_test.cpp
+++ b/tests/soak/fault_plan_test.cpp
@@ -63,7 +63,7 @@
                 ++overlapping;
         }
     }
-    CHECK(kinds.size() == 21);
+    CHECK(kinds.size() == 22);
     CHECK(overlapping > seeds);
 }
 
