Compare the era of a watch's answer with the position of the watch

While a watch of the earlier era waits, another instance may tell this one of the restored store, which moves the position. The watch's answer then seemed to continue the new state: what lay between was marked complete without having been read, and a key that was unknown before stayed so, since a later list of the store was taken for late as well.

Now the answer is compared with the position that the watch was sent from, and a list of the store brings back unknown keys unless it is older than what peers have told.

Tests, failing before: "a watch from before a restoration doesn't continue the state that another instance sent meanwhile", "a list of the store brings back a key that was missed".

--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -154,8 +154,11 @@
     for (const auto& [key, item] : items_)
         if (!all.contains(key))
             changes.push_back({key, {}, revision, true});
+    // A list may be older than what other instances have told since.
     for (const auto& [key, item] : all)
-        changes.push_back(item);
+        if (revision >= newest_ || items_.contains(key) ||
+            item.revision > newest_)
+            changes.push_back(item);
     for (const auto& item : changes)
         apply_to(news, item);
     loaded_ = true;
@@ -197,8 +200,14 @@
     if (news.in_doubt)
         extend_doubt(settings_.relayed_doubt_period,
                      net::event_loop::now().mono);
-    for (const auto& item : news.items)
-        apply(item, news.in_doubt);
+    for (const auto& item : news.items) {
+        // An unknown key that was changed before the complete state has been
+        // deleted since: the message is late.
+        const bool is_late =
+            item.revision <= newest_ && !items_.contains(item.key);
+        if (!is_late)
+            apply(item, news.in_doubt);
+    }
     if (news.after > newest_)
         return false;
     newest_ = std::max(newest_, news.revision);
@@ -228,9 +237,7 @@
     const auto it = items_.find(item.key);
     if (it != items_.end() && it->second.revision >= item.revision)
         return false;
-    // An unknown key that was changed before the newest complete state has been
-    // deleted since: the message that tells of the change is late.
-    if (it == items_.end() && (item.deleted || item.revision <= newest_))
+    if (it == items_.end() && item.deleted)
         return false;
     if (item.deleted)
         items_.erase(item.key);
@@ -264,6 +271,7 @@
 
 void store_reader::watch()
 {
+    watched_from_ = revision_;
     const duration wait = interrupted_ || contact_uncertain_
                               ? settings_.probe_watch_timeout
                               : settings_.watch_timeout;
@@ -287,7 +295,7 @@
     try {
         const auto reply =
             platform_wire::parse_watch(r.body, checked_era(r.head));
-        if (reply.revision.era > revision_.era) {
+        if (reply.revision.era > watched_from_.era) {
             // The store has the number again, of another change.
             on_answered();
             schedule_next(duration::zero(), true);
--- a/src/lovagegate/gateway/store_reader.hpp
+++ b/src/lovagegate/gateway/store_reader.hpp
@@ -166,7 +166,8 @@
     item_map items_;
     item_map partial_items_;
     store_revision first_page_revision_;
-    store_revision revision_; ///< watches continue from here
+    store_revision revision_;     ///< watches continue from here
+    store_revision watched_from_; ///< position of the current watch
     time_point failing_since_{};
     time_point doubt_until_{};
     time_point started_{};
--- a/tests/gateway/store_reader_test.cpp
+++ b/tests/gateway/store_reader_test.cpp
@@ -301,3 +301,50 @@
     CHECK(r.reader->apply_peer_snapshot(old, {}, {}, 0s));
     CHECK(r.reader->items().size() == 1);
 }
+
+TEST_CASE("a watch from before a restoration doesn't continue the state that "
+          "another instance sent meanwhile",
+          "[gateway]")
+{
+    reading r;
+    const auto copy = r.store.make_copy();
+    for (int i = 0; i < 3; ++i)
+        r.store.put_config("lost " + std::to_string(i));
+    REQUIRE(r.run_until([&] { return r.seen.back() == "lost 2"; }));
+    const store_revision known = r.reader->newest();
+    r.store.restore(copy);
+    r.store.put("op/version/m.a", "written in the new era");
+    for (int i = 0; i < 6; ++i)
+        r.store.put("op/filler", std::to_string(i));
+    const auto calls = [&] { return r.counts.count("store_calls"); };
+    const auto before = calls();
+    REQUIRE(r.run_until([&] { return calls() > before; }));
+    REQUIRE(r.reader->newest() == known);
+    store_reader::batch news; // of an instance that read the copy before these
+    news.after = known;
+    news.revision = {known.number - 3, known.era + 1};
+    news.in_doubt = true;
+    news.items = {{"op/config", "first", news.revision, false}};
+    REQUIRE(r.reader->apply_peer_changes(news));
+    REQUIRE(
+        r.run_until([&] { return r.reader->newest().number > known.number; }));
+    CHECK(r.reader->items().contains("op/version/m.a"));
+}
+
+TEST_CASE("a list of the store brings back a key that was missed", "[gateway]")
+{
+    reading r({}, false);
+    const auto known = r.reader->newest();
+    r.store.put("op/x", "missed");
+    r.store.put("op/y", "known");
+    store_reader::batch news;
+    news.after = known;
+    news.revision = {known.number + 2, known.era};
+    news.items = {{"op/y", "known", news.revision, false}};
+    REQUIRE(r.reader->apply_peer_changes(news));
+    r.store.put("op/z", "next");
+    r.store.compact();
+    r.reader->set_active(true);
+    CHECK(r.run_until([&] { return r.reader->items().contains("op/z"); }));
+    CHECK(r.reader->items().contains("op/x"));
+}
