Take the first changes of an era only on the state that they were made on

An instance that had read more of the earlier era than the sender of the first changes of the next one counted as complete with them, and kept a key of which the sender never knew: an engine that had ended stayed in use. Now it pulls the whole state.

Test, failing before: "changes of a new era don't complete a state that holds more of the era before than their sender's".

--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -208,7 +208,10 @@
         if (!is_late)
             apply(item, news.in_doubt);
     }
-    if (news.after > newest_)
+    // The first changes of an era replace exactly the state before them: of a
+    // key that the sender didn't have, they don't say that it is gone.
+    const bool begins_era = news.revision.era > newest_.era;
+    if (news.after > newest_ || (begins_era && news.after != newest_))
         return false;
     newest_ = std::max(newest_, news.revision);
     revision_ = std::max(revision_, newest_);
--- a/tests/gateway/store_reader_test.cpp
+++ b/tests/gateway/store_reader_test.cpp
@@ -348,3 +348,23 @@
     CHECK(r.run_until([&] { return r.reader->items().contains("op/z"); }));
     CHECK(r.reader->items().contains("op/x"));
 }
+
+TEST_CASE("changes of a new era don't complete a state that holds more of the "
+          "era before than their sender's",
+          "[gateway]")
+{
+    reading r({}, false);
+    const auto known = r.reader->newest();
+    const store_revision last(known.number + 1, known.era);
+    store_reader::batch of_old_era;
+    of_old_era.after = known;
+    of_old_era.revision = last;
+    of_old_era.items = {{"op/x", "lost", last, false}};
+    REQUIRE(r.reader->apply_peer_changes(of_old_era));
+    store_reader::batch of_new_era;
+    of_new_era.after = known; // the sender never had op/x
+    of_new_era.revision = {known.number, known.era + 1};
+    of_new_era.items = {{"op/config", "first", of_new_era.revision, false}};
+    CHECK_FALSE(r.reader->apply_peer_changes(of_new_era));
+    CHECK(r.reader->newest() == last);
+}
