Use a target again that has nothing new to write after a restoration

Found by a review. A target whose entry was gone for some seconds, and which the copy of a restored store lists as it was, was ignored until it wrote a newer entry. Targets write only what has changed, so a sound one could stay out of use for good; after two restorations in a row this could be a whole service.

Now the ignored entry counts if the store still has it after 6 s, when that of an ended target would have expired, and at once if the entry was gone in doubt. A target that has said that it leaves stays out of use.

Test: "a target that lives and has nothing new to write is used after the store was restored".

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -502,8 +502,10 @@
     const std::string id = item.key.substr(store_key::targets.size());
     const target_state* known = state_.targets.find(id);
     if (item.deleted) {
-        if (known == nullptr || !known->listed)
+        if (known == nullptr || !known->listed) {
+            state_.targets.remove(id, in_doubt, now, item.revision.era);
             return;
+        }
         const bool doubt =
             in_doubt || record_removal(known->entry.service, now);
         logging::write(logging::level::info, "target_unlisted",
@@ -520,32 +522,41 @@
         state_.counts.add("entries_unreadable");
         return;
     }
+    list_target(*entry, item.revision);
+}
+
+void gateway_daemon::list_target(const target_entry& entry,
+                                 store_revision revision)
+{
+    const time_point now = net::event_loop::now().mono;
+    const std::string& id = entry.id;
+    const target_state* const known = state_.targets.find(id);
     const std::optional<target_state> before =
         known ? std::optional(*known) : std::nullopt;
-    if (!state_.targets.put(*entry, now, item.revision.era)) {
+    if (!state_.targets.put(entry, now, revision.era)) {
         state_.counts.add("entries_outdated");
         logging::write(logging::level::info, "target_entry_outdated",
                        {{"target", id},
-                        {"sequence", entry->sequence},
+                        {"sequence", entry.sequence},
                         {"known", before->entry.sequence},
-                        {"revision", to_string(item.revision)}});
+                        {"revision", to_string(revision)}});
         return;
     }
-    if (!before || !before->listed || before->entry.leaving != entry->leaving ||
-        before->entry.started_ms != entry->started_ms)
+    if (!before || !before->listed || before->entry.leaving != entry.leaving ||
+        before->entry.started_ms != entry.started_ms)
         logging::write(logging::level::info, "target_listed",
                        {{"target", id},
-                        {"service", entry->service},
-                        {"address", to_string(entry->address)},
-                        {"leaving", entry->leaving ? "yes" : "no"},
-                        {"revision", to_string(item.revision)}});
-    if (before && before->entry.started_ms != entry->started_ms) {
+                        {"service", entry.service},
+                        {"address", to_string(entry.address)},
+                        {"leaving", entry.leaving ? "yes" : "no"},
+                        {"revision", to_string(revision)}});
+    if (before && before->entry.started_ms != entry.started_ms) {
         record_run_end(*before);
         pool_.close_idle_connections(id);
     }
-    const service_spec* service = state_.routes.service(entry->service);
+    const service_spec* service = state_.routes.service(entry.service);
     state_.placements.on_published_entry(
-        *entry, service && service->engine ? service->engine->adapter_slots : 0,
+        entry, service && service->engine ? service->engine->adapter_slots : 0,
         now);
 }
 
@@ -724,6 +735,8 @@
         c->check_limits(now);
     pool_.close_expired(now);
     control_pool_.close_expired(now);
+    for (const auto& entry : state_.targets.take_confirmed_entries(now))
+        list_target(entry, target_reader_.newest());
     state_.targets.expire(now);
     crashes_.expire(now);
 }
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -47,6 +47,8 @@
 
 private:
     void on_operator_item(const platform_wire::store_item& item);
+    /// @param revision of the entry, or a later one of the same era
+    void list_target(const target_entry& entry, store_revision revision);
     void on_target_item(const platform_wire::store_item& item, bool in_doubt);
     /// Counts the broken connections to this run of the target as crashes.
     void record_run_end(const target_state& t);
--- a/src/lovagegate/gateway/target_directory.cpp
+++ b/src/lovagegate/gateway/target_directory.cpp
@@ -14,18 +14,27 @@
 /// Entries that expired while the store was unreachable return within two
 /// seconds.
 constexpr duration lapsed_entry_ttl = 1900ms;
+/// Entries expire after three intervals of their targets' heartbeats, 3.6 s on
+/// the platform; the rest covers the way of the deletion.
+constexpr duration entry_expiry_time = 6s;
 /// Longer than any request to the target can take.
 constexpr duration unlisted_target_ttl = 30s;
 /// What a target said of itself must outlast an outage of the store, after
 /// which its entry may return.
 constexpr duration unlisted_leaving_target_ttl = 10min;
 
-/// @return whether the target wrote the second entry later. What a store tells
-///         after it was restored may be older than what it told before.
-bool is_newer(const target_entry& before, const target_entry& after)
+/// @return whether an entry that a restored store gave may precede what is
+/// known
+///         of its target
+bool is_outdated(const target_state& known, const target_entry& entry)
 {
-    return std::tie(before.started_ms, before.sequence) <
-           std::tie(after.started_ms, after.sequence);
+    const auto before = std::tie(known.entry.started_ms, known.entry.sequence);
+    const auto after = std::tie(entry.started_ms, entry.sequence);
+    // A removal in doubt wasn't the target's own act, so that the same entry
+    // shows that the target lives.
+    const bool may_be_same =
+        !known.listed && known.removed_in_doubt && !known.entry.leaving;
+    return may_be_same ? after < before : after <= before;
 }
 
 /// Carries over what a target told this instance before a new entry of the same
@@ -75,8 +84,10 @@
     const auto it = targets_.find(entry.id);
     if (it != targets_.end() &&
         std::exchange(it->second.store_era, store_era) < store_era &&
-        !is_newer(it->second.entry, entry))
+        is_outdated(it->second, entry)) {
+        it->second.ignored = {std::move(entry), now};
         return false;
+    }
     target_state next;
     next.store_era = store_era;
     if (entry.leaving) {
@@ -98,14 +109,35 @@
     return true;
 }
 
+std::vector<target_entry>
+target_directory::take_confirmed_entries(time_point now)
+{
+    std::vector<target_entry> out;
+    for (auto& [id, t] : targets_) {
+        if (!t.ignored || now - t.ignored->seen < entry_expiry_time)
+            continue;
+        const target_entry entry = std::move(t.ignored->entry);
+        t.ignored.reset();
+        const bool has_left =
+            t.entry.leaving && entry.started_ms == t.entry.started_ms;
+        if (!has_left)
+            out.push_back(entry);
+    }
+    return out;
+}
+
 void target_directory::remove(std::string_view id, bool in_doubt,
                               time_point now, std::uint64_t store_era)
 {
     const auto it = targets_.find(id);
-    if (it == targets_.end() || !it->second.listed)
+    if (it == targets_.end())
         return;
     target_state& t = it->second;
+    t.ignored.reset();
+    if (!t.listed)
+        return;
     t.listed = false;
+    t.removed_in_doubt = in_doubt;
     t.store_era = store_era;
     const duration usable = usable_drain_time();
     const bool lapsed = in_doubt && !t.entry.leaving;
--- a/src/lovagegate/gateway/target_directory.hpp
+++ b/src/lovagegate/gateway/target_directory.hpp
@@ -36,6 +36,16 @@
     std::optional<time_point> paused_until;
     bool listed = true;
     std::uint64_t store_era = 0; ///< in which the store last told of it
+    /// The entry was removed, but may only have expired during an outage.
+    bool removed_in_doubt = false;
+
+    /// An entry of a restored store that isn't newer than what is known.
+    struct old_entry
+    {
+        target_entry entry;
+        time_point seen{};
+    };
+    std::optional<old_entry> ignored;
 
     [[nodiscard]] target_use use(time_point now) const noexcept;
 };
@@ -53,10 +63,16 @@
 
     /// Adds or replaces a published target.
     /// @param store_era in which the store gave the entry
-    /// @return false if the entry is ignored: a restored store gave it, and it
-    ///         is older than what the target said before
+    /// @return false if the entry is ignored for now: a restored store gave it,
+    ///         and it isn't newer than what the target said before
     bool put(target_entry entry, time_point now, std::uint64_t store_era = 0);
 
+    /// Takes the ignored entries that the store still has after the time in
+    /// which entries of ended targets expire. Such a target lives, and has
+    /// nothing new to write.
+    [[nodiscard]] std::vector<target_entry>
+    take_confirmed_entries(time_point now);
+
     /// Called when the entry of a target was removed.
     /// @param in_doubt the entry may have expired while the store was
     ///        unreachable: the target stays fully usable until entries should
--- a/tests/gateway/target_directory_test.cpp
+++ b/tests/gateway/target_directory_test.cpp
@@ -289,3 +289,47 @@
     CHECK(targets.put(entry, now + 1s, 2));
     CHECK(use_of(targets, "t", now + 10s) == target_use::normal);
 }
+
+TEST_CASE("a target that lives and has nothing new to write is used after the "
+          "store was restored",
+          "[gateway]")
+{
+    auto entry = entry_of("t");
+    entry.sequence = 7;
+    target_directory targets(drain_limit);
+    REQUIRE(targets.put(entry, now, 1));
+    SECTION("at once if its entry had expired in an outage")
+    {
+        targets.remove("t", true, now + 1s, 1);
+        CHECK(targets.put(entry, now + 8s, 2));
+        CHECK(use_of(targets, "t", now + 10s) == target_use::normal);
+    }
+    SECTION("once its entry would have expired if it had ended")
+    {
+        targets.remove("t", false, now + 1s, 1);
+        REQUIRE_FALSE(targets.put(entry, now + 8s, 2));
+        CHECK(targets.take_confirmed_entries(now + 12s).empty());
+        CHECK(targets.usable("s", now + 12s).empty());
+        SECTION("and not if it has expired")
+        {
+            targets.remove("t", false, now + 12s, 2);
+            CHECK(targets.take_confirmed_entries(now + 15s).empty());
+        }
+        SECTION("because the store still has it")
+        {
+            const auto confirmed = targets.take_confirmed_entries(now + 15s);
+            REQUIRE(confirmed.size() == 1);
+            CHECK(targets.put(confirmed.front(), now + 15s, 2));
+            CHECK(targets.usable("s", now + 20s).size() == 1);
+        }
+    }
+    SECTION("but not if it has said that it leaves")
+    {
+        auto leaving = entry;
+        leaving.leaving = true;
+        leaving.sequence = 9;
+        REQUIRE(targets.put(leaving, now + 1s, 1));
+        REQUIRE_FALSE(targets.put(entry, now + 8s, 2));
+        CHECK(targets.take_confirmed_entries(now + 30s).empty());
+    }
+}
