Keep the order of news behind parts that wait for the link

Found by a review. Parts of a large change are spread over time, but the small changes that follow were sent at once: they arrived first, looked like news after a gap, and each receiver pulled the state with the large change in it, which is what parts avoid.

Now all news waits while parts do. link_pacer_test covers when the link is reserved.

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -634,7 +634,9 @@
 void gateway_daemon::send_news(const std::string& address,
                                const store_changes& message)
 {
-    if (message.part_count > 1)
+    // Later changes must not overtake parts of earlier ones.
+    if (message.part_count > 1 ||
+        link_pacer_.is_busy(net::event_loop::now().mono))
         send_paced(address, encode(message));
     else
         send_datagram(address, encode(message));
--- a/src/lovagegate/gateway/link_pacer.hpp
+++ b/src/lovagegate/gateway/link_pacer.hpp
@@ -18,6 +18,13 @@
     /// @return the delay after which the datagram may be sent
     duration reserve(std::size_t bytes, time_point now);
 
+    /// @return whether datagrams for which the link is reserved are not sent
+    /// yet
+    [[nodiscard]] bool is_busy(time_point now) const noexcept
+    {
+        return now < free_from_;
+    }
+
 private:
     double bytes_per_s_;
     time_point free_from_{};
--- a/tests/gateway/link_pacer_test.cpp
+++ b/tests/gateway/link_pacer_test.cpp
@@ -21,5 +21,7 @@
     }
     CHECK(last > 1s);
     CHECK(last < 2s);
+    CHECK(pacer.is_busy(now + last));
+    CHECK_FALSE(pacer.is_busy(now + 1min));
     CHECK(pacer.reserve(datagram_bytes, now + 1min) == 0s);
 }
