Follow the news of instances that don't tell eras

Instances of the version before send revisions without an era, which were read as era 0, so that all that they said was old: in a fleet that is being replaced, new instances got no configuration while both readers were old.

Now a revision without an era is taken for one of the era that the receiver knows.

Test: "changes from an instance that doesn't tell eras are of the known era". A mixed fleet was not run.

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -796,11 +796,13 @@
     if (!whole)
         return;
     store_reader& reader = news.of_targets ? target_reader_ : operator_reader_;
-    const auto batch = unpack_changes(*whole, reader.items());
+    const auto batch = unpack_changes(*whole, reader.items(), reader.newest());
     if (!batch)
         state_.counts.add("news_to_be_pulled");
     const bool complete = batch && reader.apply_peer_changes(*batch);
-    if (!complete && news.revision > reader.newest())
+    const bool is_ahead =
+        in_era(news.revision, reader.newest()) > reader.newest();
+    if (!complete && is_ahead)
         pull_from(from.address);
 }
 
@@ -816,13 +818,16 @@
     std::vector<std::string> ahead;
     for (const auto& [address, m] : state_.members.all()) {
         const member_record& r = m.record;
+        const known_revisions theirs{
+            in_era(r.operator_revision, mine.operator_keys),
+            in_era(r.target_revision, mine.targets)};
         if (!state_.members.is_alive(m, now) ||
-            (r.operator_revision <= mine.operator_keys &&
-             r.target_revision <= mine.targets))
+            (theirs.operator_keys <= mine.operator_keys &&
+             theirs.targets <= mine.targets))
             continue;
         ahead.push_back(address);
-        best.operator_keys = std::max(best.operator_keys, r.operator_revision);
-        best.targets = std::max(best.targets, r.target_revision);
+        best.operator_keys = std::max(best.operator_keys, theirs.operator_keys);
+        best.targets = std::max(best.targets, theirs.targets);
     }
     const bool caught_up =
         mine.operator_keys >= missing_revisions_.operator_keys &&
@@ -870,14 +875,17 @@
 
 std::string gateway_daemon::peer_state(std::string_view path) const
 {
-    return pack_state(operator_reader_, target_reader_,
-                      parse_peer_state_path(path), net::event_loop::now().mono);
+    known_revisions known = parse_peer_state_path(path);
+    known.operator_keys = in_era(known.operator_keys, newest().operator_keys);
+    known.targets = in_era(known.targets, newest().targets);
+    return pack_state(operator_reader_, target_reader_, known,
+                      net::event_loop::now().mono);
 }
 
 void gateway_daemon::apply_peer_state(const std::string& body)
 {
     try {
-        const state_snapshot page = unpack_state(body);
+        const state_snapshot page = unpack_state(body, newest());
         const bool whole_keys = operator_reader_.apply_peer_snapshot(
             page.newest.operator_keys, page.keys, page.items, page.doubt_left);
         const bool whole_targets = target_reader_.apply_peer_snapshot(
--- a/src/lovagegate/gateway/news_codec.cpp
+++ b/src/lovagegate/gateway/news_codec.cpp
@@ -37,11 +37,10 @@
         {i.key, i.value, i.revision.number, i.deleted, i.revision.era});
 }
 
-store_item read(const json& j)
+store_item read(const json& j, store_revision known)
 {
-    return {j.at(0).get<std::string>(),
-            j.at(1).get<std::string>(),
-            {j.at(2).get<std::uint64_t>(), era_at(j, 4)},
+    return {j.at(0).get<std::string>(), j.at(1).get<std::string>(),
+            in_era({j.at(2).get<std::uint64_t>(), era_at(j, 4)}, known),
             j.at(3).get<bool>()};
 }
 
@@ -114,26 +113,27 @@
 
 std::optional<store_reader::batch>
 unpack_changes(const store_changes& message,
-               const store_reader::item_map& known)
+               const store_reader::item_map& known, store_revision newest)
 {
     if (message.packed.empty())
         return std::nullopt;
     std::string dictionary;
     for (const auto& base : message.bases) {
         const auto it = known.find(base.key);
-        if (it == known.end() || it->second.revision != base.revision)
+        if (it == known.end() ||
+            it->second.revision != in_era(base.revision, newest))
             return std::nullopt;
         dictionary += it->second.value;
     }
     store_reader::batch out;
-    out.after = message.after;
-    out.revision = message.revision;
+    out.after = in_era(message.after, newest);
+    out.revision = in_era(message.revision, newest);
     out.in_doubt = message.in_doubt;
     try {
         const json content = read_cbor(
             decompress(message.packed, max_content_bytes, dictionary));
         for (const json& item : content)
-            out.items.push_back(read(item));
+            out.items.push_back(read(item, newest));
     } catch (const compression_error&) {
         return std::nullopt; // the caller counts the failure
     } catch (const json::exception&) {
@@ -163,15 +163,17 @@
          operator_keys.newest().era, targets.newest().era})));
 }
 
-state_snapshot unpack_state(std::string_view packed)
+state_snapshot unpack_state(std::string_view packed, known_revisions known)
 {
     const json page = read_cbor(decompress(packed, max_state_bytes));
     state_snapshot out;
-    out.newest = {{page.at(0).get<std::uint64_t>(), era_at(page, 5)},
-                  {page.at(1).get<std::uint64_t>(), era_at(page, 6)}};
+    out.newest = {in_era({page.at(0).get<std::uint64_t>(), era_at(page, 5)},
+                         known.operator_keys),
+                  in_era({page.at(1).get<std::uint64_t>(), era_at(page, 6)},
+                         known.targets)};
     out.keys = page.at(2).get<std::vector<std::string>>();
     for (const json& item : page.at(3))
-        out.items.push_back(read(item));
+        out.items.push_back(read(item, out.newest.targets));
     constexpr std::size_t doubt_position = 4;
     if (page.size() > doubt_position) // absent in states of earlier versions
         out.doubt_left = duration(page.at(doubt_position).get<duration::rep>());
--- a/src/lovagegate/gateway/news_codec.hpp
+++ b/src/lovagegate/gateway/news_codec.hpp
@@ -30,11 +30,12 @@
 
 /// @param message a whole message
 /// @param known values known to this instance
+/// @param newest revision up to which they are complete
 /// @return nothing if the changes were too large to be sent, or are compressed
 ///         with values that this instance doesn't have
 [[nodiscard]] std::optional<store_reader::batch>
 unpack_changes(const store_changes& message,
-               const store_reader::item_map& known);
+               const store_reader::item_map& known, store_revision newest = {});
 
 /// Newest revisions that an instance knows.
 struct known_revisions
@@ -59,9 +60,11 @@
                                      const store_reader& targets,
                                      known_revisions known, time_point now);
 
+/// @param known newest revisions of this instance
 /// @throws compression_error, nlohmann::json::exception if the bytes are
 ///         invalid
-[[nodiscard]] state_snapshot unpack_state(std::string_view packed);
+[[nodiscard]] state_snapshot unpack_state(std::string_view packed,
+                                          known_revisions known = {});
 
 } // namespace lovagegate::gateway
 
--- a/src/lovagegate/gateway/store_revision.hpp
+++ b/src/lovagegate/gateway/store_revision.hpp
@@ -26,6 +26,17 @@
                                       const store_revision&) = default;
 };
 
+/// @param r revision that an instance has sent
+/// @param known revision that this instance knows
+/// @return the revision, in the known era if the sender is of an earlier
+/// version,
+///         which doesn't tell eras
+[[nodiscard]] constexpr store_revision in_era(store_revision r,
+                                              store_revision known) noexcept
+{
+    return r.era == 0 ? store_revision(r.number, known.era) : r;
+}
+
 /// @return ERA.NUMBER, or the number alone if there is no era
 [[nodiscard]] inline std::string to_string(const store_revision& r)
 {
--- a/tests/gateway/news_codec_test.cpp
+++ b/tests/gateway/news_codec_test.cpp
@@ -176,3 +176,20 @@
     const auto packed = compress(std::string(100000, 'x'));
     CHECK_THROWS_AS(decompress(packed, 1000), compression_error);
 }
+
+TEST_CASE(
+    "changes from an instance that doesn't tell eras are of the known era",
+    "[gateway]")
+{
+    const writes w;
+    const store_revision newest(112, 3);
+    auto known = w.known;
+    for (auto& [key, item] : known)
+        item.revision.era = 3;
+    for (const auto& message : pack_changes(true, w.news)) {
+        const auto batch = unpack_changes(message, known, newest);
+        REQUIRE(batch);
+        CHECK(batch->revision.era == 3);
+        CHECK(batch->items.front().revision.era == 3);
+    }
+}
