Don't pull news that the own watch of the store brings

The second reader of the store is often ahead of the news that the first one sends, so that it doesn't have the previous values which the news is compressed with.

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -802,7 +802,9 @@
     const bool complete = batch && reader.apply_peer_changes(*batch);
     const bool is_ahead =
         in_era(news.revision, reader.newest()) > reader.newest();
-    if (!complete && is_ahead)
+    // An instance that reads the store itself gets the changes from there; it
+    // pulls only if they stay missing.
+    if (!complete && is_ahead && !reader.is_reading())
         pull_from(from.address);
 }
 
