Answer requests that are open when a late event loop ends

What callers saw: a request that the instance had read, and its connection closed without an answer (LOST), when the instance stopped while its event loop was late.

Cause: open requests get their final answer by a timer shortly before the grace time ends, and the end of the loop is checked after each turn. A loop that is late beyond both times ends before the timer runs.

Now the open requests are answered once more after the loop.

Test, failing before: "a request that is open when a late event loop ends is answered".

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -294,6 +294,8 @@
     logging::write(logging::level::info, "stopped",
                    {{"instance", state_.boot.instance},
                     {"open", std::uint64_t{requests_.size()}}});
+    // If the loop was late, the time to answer open requests has passed unseen.
+    give_up_requests();
     close_callers();
 }
 
--- a/tests/gateway/site_fixture.hpp
+++ b/tests/gateway/site_fixture.hpp
@@ -135,6 +135,8 @@
     /// Returns a port for the gateway, first callers, readiness, control, peers
     /// and metrics. If one is taken, the gateway is started with other ports.
     std::function<std::uint16_t()> next_port = free_port;
+    /// Called by the gateway's thread when it reads its settings again.
+    std::function<void()> on_reload = [] {};
 };
 
 /// Starts of the gateway until a start on ports that are taken is an error.
@@ -301,7 +303,10 @@
             std::unique_ptr<gateway::gateway_daemon> daemon;
             try {
                 daemon = std::make_unique<gateway::gateway_daemon>(
-                    s, [s] { return s; });
+                    s, [s, on_reload = limits_.on_reload] {
+                        on_reload();
+                        return s;
+                    });
             } catch (...) {
                 made.set_exception(std::current_exception());
                 return;
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -839,6 +839,29 @@
     stopper.join();
 }
 
+TEST_CASE("a request that is open when a late event loop ends is answered",
+          "[gateway]")
+{
+    gateway_limits limits;
+    limits.stop_grace = 2s;
+    limits.on_reload = [] { std::this_thread::sleep_for(1s); };
+    site s({.kind = "idempotent"}, {with_warm_up([](const seen_request&) {
+               return script{{"", 10s, then::close}};
+           })},
+           limits);
+    caller c(s.callers_port());
+    c.send(request_text("id1"));
+    while (s.runs == 0)
+        std::this_thread::sleep_for(5ms);
+    std::thread stopping([&] { s.stop(); });
+    std::this_thread::sleep_for(1500ms);
+    s.reload(); // the loop is late until the process has to end
+    const auto a = c.read();
+    stopping.join();
+    CHECK(a.complete);
+    CHECK(a.head.status == 504);
+}
+
 TEST_CASE("a graceful shutdown ends a request that waits for an adapter "
           "early",
           "[gateway]")
