Don't stop while a request is being received

What callers saw: a request of which the instance had received a part when it stopped, and the connection closed without an answer (LOST).

Cause: a stopping instance ended once no request was open and no answer on its way, without regard to requests that were received in part, or that waited for the end of the answer before them.

Now it ends when all connections are idle, or when the grace time is over, as before.

Test, failing before: "a stopping instance answers a request of which it has received a part".

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -370,8 +370,8 @@
     if (since > grace - std::min(exit_margin, grace / exit_divisor))
         return true;
     return since > rotation_removal_time() && requests_.empty() &&
-           std::ranges::none_of(callers_, [](const auto& entry) {
-               return entry.second->is_delivering();
+           std::ranges::all_of(callers_, [](const auto& entry) {
+               return entry.second->is_idle();
            });
 }
 
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -862,6 +862,28 @@
     CHECK(a.head.status == 504);
 }
 
+TEST_CASE(
+    "a stopping instance answers a request of which it has received a part",
+    "[gateway]")
+{
+    gateway_limits limits;
+    limits.stop_grace = 6s;
+    site s({.kind = "idempotent"},
+           {with_warm_up([](const seen_request& r) { return good(r); })},
+           limits);
+    caller c(s.callers_port());
+    std::thread stopping([&] { s.stop(); });
+    std::this_thread::sleep_for(1s);
+    const std::string text = request_text("id1");
+    c.send(text.substr(0, text.size() / 2));
+    std::this_thread::sleep_for(2s); // past the time in which callers arrive
+    c.send(text.substr(text.size() / 2));
+    const auto a = c.read();
+    stopping.join();
+    CHECK(a.complete);
+    CHECK(a.head.status == 503);
+}
+
 TEST_CASE("a graceful shutdown ends a request that waits for an adapter "
           "early",
           "[gateway]")
