Confirm old entries of a restored store only while the store is in contact

The entry of a target that has ended expires within 3.6 s, which is why one that is still there after 6 s is believed. While the store is away again nothing expires, or nothing tells that it has, so nothing is confirmed either. Found by reading; no test plays a second outage within these seconds.

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -527,6 +527,16 @@
     list_target(*entry, item.revision);
 }
 
+void gateway_daemon::list_confirmed_targets(time_point now)
+{
+    // While the store is away, entries of ended targets don't expire, or
+    // nothing tells that they have.
+    if (target_reader_.doubt_left(now) > duration::zero())
+        return;
+    for (const auto& entry : state_.targets.take_confirmed_entries(now))
+        list_target(entry, target_reader_.newest());
+}
+
 void gateway_daemon::list_target(const target_entry& entry,
                                  store_revision revision)
 {
@@ -739,8 +749,7 @@
         c->check_limits(now);
     pool_.close_expired(now);
     control_pool_.close_expired(now);
-    for (const auto& entry : state_.targets.take_confirmed_entries(now))
-        list_target(entry, target_reader_.newest());
+    list_confirmed_targets(now);
     state_.targets.expire(now);
     crashes_.expire(now);
 }
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -47,6 +47,9 @@
 
 private:
     void on_operator_item(const platform_wire::store_item& item);
+    /// Lists targets whose entries a restored store had from its copy and still
+    /// has.
+    void list_confirmed_targets(time_point now);
     /// @param revision of the entry, or a later one of the same era
     void list_target(const target_entry& entry, store_revision revision);
     void on_target_item(const platform_wire::store_item& item, bool in_doubt);
--- a/src/lovagegate/gateway/target_directory.cpp
+++ b/src/lovagegate/gateway/target_directory.cpp
@@ -23,9 +23,8 @@
 /// which its entry may return.
 constexpr duration unlisted_leaving_target_ttl = 10min;
 
-/// @return whether an entry that a restored store gave may precede what is
-/// known
-///         of its target
+/// @return whether an entry that a restored store gave may be older than what
+///         the target said before
 bool is_outdated(const target_state& known, const target_entry& entry)
 {
     const auto before = std::tie(known.entry.started_ms, known.entry.sequence);
