Read what has arrived before a stopping instance closes a connection

What a caller saw: a request on a kept connection to a stopping instance, and the connection closed 220 ms later without an answer (LOST).

Cause: an instance whose event loop is late finds, in the same turn, that callers have stopped arriving, and closes idle connections or ends. Requests that had arrived meanwhile were not read.

Now a connection with unread input isn't idle.

Test, failing before: "a stopping instance answers a request that has arrived while its event loop was late".

--- a/src/lovagegate/gateway/caller_connection.cpp
+++ b/src/lovagegate/gateway/caller_connection.cpp
@@ -54,7 +54,9 @@
 
 bool caller_connection::is_idle() const noexcept
 {
-    return !busy_ && !is_delivering() && !reader_.started() && unread_.empty();
+    // The event loop may be late, so that a request waits to be read.
+    return !busy_ && !is_delivering() && !reader_.started() &&
+           unread_.empty() && !stream_.has_unread_input();
 }
 
 bool caller_connection::on_data(std::string_view data)
--- a/src/lovagegate/gateway/caller_connection.hpp
+++ b/src/lovagegate/gateway/caller_connection.hpp
@@ -117,7 +117,7 @@
         return stream_.unsent();
     }
     [[nodiscard]] bool is_busy() const noexcept { return busy_; }
-    /// @return whether no part of a request was received and no answer is being
+    /// @return whether no part of a request has arrived and no answer is being
     ///         made or sent
     [[nodiscard]] bool is_idle() const noexcept;
     /// @return whether an answer is complete but the caller may not have
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -849,6 +849,30 @@
     CHECK(a.head.status == 503);
 }
 
+TEST_CASE(
+    "a stopping instance answers a request that has arrived while its event "
+    "loop was late",
+    "[gateway]")
+{
+    gateway_limits limits;
+    limits.stop_grace = 6s;
+    limits.on_reload = [] { std::this_thread::sleep_for(1200ms); };
+    site s({.kind = "idempotent"},
+           {with_warm_up([](const seen_request& r) { return good(r); })},
+           limits);
+    caller c(s.callers_port());
+    c.send(request_text("id1"));
+    REQUIRE(c.read().head.status == 200);
+    std::thread stopping([&] { s.stop(); });
+    std::this_thread::sleep_for(1600ms);
+    s.reload(); // the loop is late until callers have stopped arriving
+    std::this_thread::sleep_for(800ms);
+    c.send(request_text("id2"));
+    const auto a = c.read();
+    stopping.join();
+    CHECK(a.complete);
+}
+
 TEST_CASE("a graceful shutdown ends a request that waits for an adapter "
           "early",
           "[gateway]")
