--- a/src/lovagegate/gateway/news_codec.hpp
+++ b/src/lovagegate/gateway/news_codec.hpp
@@ -16,7 +16,9 @@
 /// the dictionary.
 namespace lovagegate::gateway {
 
-/// Largest number of messages into which changes are divided.
+/// Largest number of messages into which changes are divided: room for a value
+/// of a megabyte that compresses to a third. More would block the link for too
+/// long.
 inline constexpr std::uint32_t max_message_parts = 32;
 
 /// Packs changes into messages of bounded size.
--- a/src/lovagegate/gateway/target_pool.cpp
+++ b/src/lovagegate/gateway/target_pool.cpp
@@ -39,7 +39,7 @@
 constexpr duration keep_alive_margin = 400ms;
 
 /// A connection on which its target has refused this many attempts isn't used
-/// again.
+/// again, which bounds the list of refused attempts.
 constexpr std::size_t max_refused_attempts = 32;
 
 /// @return the value of "timeout=N" in a Keep-Alive header
