Don't take an engine's error answer as proof that a prompt part is harmless

What callers saw: engines that crash again under requests with one part in their prompts (BUDGET). Cause: any answer below 500 cleared the parts of its prompt at all instances, and gave them two minutes in which six crashes were needed. An engine that turns a request down has not begun to write on its prompt. Only a success counts now.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -102,6 +102,11 @@
 /// Lowest urgency that engines accept.
 constexpr std::uint32_t lowest_priority = 9;
 
+bool is_success(int status)
+{
+    return status >= ok_status && status < first_redirect;
+}
+
 } // namespace
 
 forwarding::forwarding(forwarding_context& context, caller_ptr caller,
@@ -628,8 +633,7 @@
         rejected_ = true;
         return;
     }
-    const bool success =
-        head.status >= ok_status && head.status < first_redirect;
+    const bool success = is_success(head.status);
     if (success && (!answer_facts_.signed_by_target || answer_facts_.encoded)) {
         discarding_ = true;
         context_.state.counts.add("answers_bad", "reason", "unsigned");
@@ -791,7 +795,7 @@
         s.placements.on_success(target, net::event_loop::now().mono - sent_at_);
         if (may_have_been_cut())
             report_broken_connection();
-        else
+        else if (is_success(answer_.status))
             context_.crashes.on_answered(traits_, net::event_loop::now().mono);
     }
     if (head_sent_) {
--- a/tests/gateway/crashing_prompt_part_test.cpp
+++ b/tests/gateway/crashing_prompt_part_test.cpp
@@ -30,6 +30,8 @@
                                   {event(2), 10ms, then::close}};
                 if (r.head.has("X-Wait"))
                     return script{{"", 60s, then::close}};
+                if (r.head.has("X-Fail"))
+                    return signed_answer(r, 409, "not now");
                 ++crashes_.at(i);
                 ++total_;
                 return script{{"", {}, then::reset}};
@@ -116,3 +118,26 @@
     CHECK_THAT(a.body, Catch::Matchers::Contains("crashes engines"));
     CHECK(eventually([&] { return s.left > 0; }));
 }
+
+TEST_CASE(
+    "an engine's error answer doesn't show that a prompt part is harmless",
+    "[gateway]")
+{
+    crashing_engines e;
+    site s({.kind = "streaming", .resumable = true, .attempts = 1},
+           e.scripts());
+    constexpr int asks = 10;
+    constexpr int crashes_and_further_requests = 5 + 3;
+    for (int n = 0; n < asks; ++n) {
+        const std::string id = std::to_string(n);
+        ask_with_prompt(s, "crash" + id, {"common", crashing_part, "a" + id});
+        e.restart_crashed(s);
+        std::this_thread::sleep_for(200ms);
+        const std::string failing =
+            "X-Fail: 1\r\n" +
+            prompt_header({"common", crashing_part, "f" + id});
+        s.ask(request_text("fail" + id, no_body + failing, "POST"));
+        ask_with_prompt(s, "sound" + id, {"common", "other", "b" + id});
+    }
+    CHECK(e.total() <= crashes_and_further_requests);
+}
