Keep a prompt part blocked until one request has tried it

Cause: a part that was never answered, with five crashes close together, was blocked for ten seconds; then all requests with it reached engines again, until two further crashes 100 ms apart.

Such a block is in doubt: the engines may have been lost for another reason, and a sound part must come back. One request of one instance tries the part a second later, and again if its end stays unknown. An answer unblocks the part at all instances, a crash makes the block certain. The same holds for parts that were in the same crashes; when all but one of them are answered, the last one is certain. Blocks in doubt are also told to instances that start later.

The test that expected the block to end after ten seconds asked for the fault; it now asks that the part stays blocked, and is tried by one request at a time.

--- a/src/lovagegate/gateway/crash_reports.cpp
+++ b/src/lovagegate/gateway/crash_reports.cpp
@@ -15,6 +15,9 @@
 /// How long a run that was found to have ended is remembered in case reports of
 /// broken connections follow, which take milliseconds.
 constexpr duration refused_run_ttl = 5s;
+/// Time after which the next instance may try a part too: the first one may get
+/// no request with it, or have just ended.
+constexpr duration trial_turn = 1s;
 /// Blocked parts that are repeated in one datagram, those with the latest
 /// crashes.
 constexpr std::size_t max_repeated_parts = 32;
@@ -124,14 +127,16 @@
     std::vector<fingerprint> added;
     for (const auto& entry : blocked.parts) {
         if (entry.since_last_crash < duration::zero() ||
-            entry.since_first_crash < entry.since_last_crash) {
+            entry.since_first_crash < entry.since_last_crash ||
+            entry.since_last_trial < duration::zero()) {
             counts_.add("peer_datagrams_invalid");
             continue;
         }
-        switch (prompt_parts_.on_blocked_by_peer({entry.part,
-                                                  now - entry.since_first_crash,
-                                                  now - entry.since_last_crash},
-                                                 now)) {
+        switch (prompt_parts_.on_blocked_by_peer(
+            {entry.part, now - entry.since_first_crash,
+             now - entry.since_last_crash, entry.in_doubt, entry.trials,
+             now - entry.since_last_trial},
+            now)) {
         case peer_block::added:
             added.push_back(entry.part);
             break;
@@ -152,9 +157,43 @@
 {
     if (requests_.is_blocked(request.request, now))
         return crash_verdict::crashing_request;
-    return prompt_parts_.blocked_among(request.prompt_parts, now)
-               ? crash_verdict::crashing_prompt_part
-               : crash_verdict::harmless;
+    if (!prompt_parts_.blocked_among(request.prompt_parts, now))
+        return crash_verdict::harmless;
+    return part_to_try(request, now) ? crash_verdict::may_try_prompt_part
+                                     : crash_verdict::crashing_prompt_part;
+}
+
+std::optional<fingerprint>
+crash_reports::part_to_try(const crash_traits& request, time_point now) const
+{
+    std::optional<fingerprint> blocked;
+    for (const fingerprint& part : request.prompt_parts) {
+        if (!prompt_parts_.blocked_among(std::span(&part, 1), now))
+            continue;
+        if (blocked && *blocked != part)
+            return std::nullopt; // a crash would not show which one caused it
+        blocked = part;
+    }
+    if (!blocked)
+        return std::nullopt;
+    const auto due = prompt_parts_.trial_due(*blocked, now);
+    if (!due || now < *due ||
+        now < *due + trial_turn * callbacks_.trial_rank(*blocked))
+        return std::nullopt;
+    return blocked;
+}
+
+void crash_reports::begin_trial(const crash_traits& request,
+                                std::string_view attempt, time_point now)
+{
+    const auto part = part_to_try(request, now);
+    if (!part)
+        return;
+    counts_.add("prompt_part_trials");
+    logging::write(logging::level::warning, "prompt_part_trial",
+                   {{"part", *part}, {"request", attempt}});
+    const auto block = prompt_parts_.on_trial(*part, now);
+    callbacks_.send_to_all(make_message(std::span(&block, 1), now));
 }
 
 blocked_prompt_parts crash_reports::make_message(
@@ -164,7 +203,8 @@
     blocked_prompt_parts message;
     for (const auto& b : blocked)
         message.parts.push_back(
-            {b.part, now - b.first_crash, now - b.last_crash});
+            {b.part, now - b.first_crash, now - b.last_crash, b.in_doubt,
+             b.trials, b.trials > 0 ? now - b.last_trial : duration::zero()});
     return message;
 }
 
@@ -201,8 +241,11 @@
         return;
     for (const fingerprint part : parts) {
         counts_.add("prompt_parts_blocked");
-        logging::write(logging::level::warning, "prompt_part_blocked",
-                       {{"part", part}, {"evidence", evidence}});
+        logging::write(
+            logging::level::warning, "prompt_part_blocked",
+            {{"part", part},
+             {"evidence", evidence},
+             {"in_doubt", prompt_parts_.trial_due(part, now) ? "yes" : "no"}});
     }
     // Others may lack a part of the evidence.
     const auto latest = prompt_parts_.blocked(parts.size(), now);
--- a/src/lovagegate/gateway/crash_reports.hpp
+++ b/src/lovagegate/gateway/crash_reports.hpp
@@ -21,7 +21,9 @@
 {
     harmless,
     crashing_request,
-    crashing_prompt_part
+    crashing_prompt_part,
+    /// A part of its prompt is blocked in doubt, and this request may try it.
+    may_try_prompt_part
 };
 
 /// Evidence about requests that crash engines, kept the same on all instances.
@@ -40,6 +42,9 @@
         /// Called when parts were blocked: requests with them may be waiting at
         /// engines.
         std::function<void()> on_blocked;
+        /// @return position of this instance among those that may try the
+        ///         part, the same order at all instances
+        std::function<std::size_t(fingerprint part)> trial_rank;
     };
 
     crash_reports(counters& counts, callbacks c);
@@ -70,10 +75,16 @@
     void on_message(const std::string& from,
                     const blocked_prompt_parts& blocked, time_point now);
 
-    /// @return whether the request must not be sent to an engine
+    /// @return whether the request may be sent to an engine
     [[nodiscard]] crash_verdict verdict(const crash_traits& request,
                                         time_point now) const;
 
+    /// Called when a request that may try a part of its prompt is sent. The
+    /// others are told, so that none of them tries the part meanwhile.
+    /// @param attempt id of the request, for the log
+    void begin_trial(const crash_traits& request, std::string_view attempt,
+                     time_point now);
+
     /// @return the blocked one of these parts, if any
     [[nodiscard]] std::optional<fingerprint>
     blocked_among(std::span<const fingerprint> parts, time_point now) const
@@ -103,6 +114,10 @@
     /// @param evidence the last run that crashed, or the instance that told it
     void announce_blocked(std::span<const fingerprint> parts,
                           std::string_view evidence, time_point now);
+    /// @return the blocked part if there is a single one, which is in doubt,
+    ///         and it is this instance's turn to try it
+    [[nodiscard]] std::optional<fingerprint>
+    part_to_try(const crash_traits& request, time_point now) const;
     [[nodiscard]] blocked_prompt_parts
     make_message(std::span<const crashing_prompt_parts::blocked_part> blocked,
                  time_point now) const;
--- a/src/lovagegate/gateway/crashing_prompt_parts.cpp
+++ b/src/lovagegate/gateway/crashing_prompt_parts.cpp
@@ -21,13 +21,18 @@
 constexpr duration min_crash_distance = 100ms;
 /// Crashes after which a part that no engine has answered lately is blocked
 /// although they are close together, since many requests with it may arrive at
-/// once. The block is short, because these engines may also have been lost for
-/// one other reason.
+/// once. These engines may also have been lost for one other reason.
 constexpr std::size_t burst_crash_limit = 5;
-constexpr duration burst_block_ttl = 10s;
-/// Separate crashes, with those close together as one, that block such a part
-/// for long.
-constexpr std::size_t crash_limit_after_burst = 2;
+/// A part whose block is in doubt is tried this long after it was blocked, when
+/// requests that were at engines then are cancelled.
+constexpr duration first_trial_delay = 1s;
+/// Time in which a request that tries a part is answered or its engine's crash
+/// is known.
+constexpr duration trial_timeout = 15s;
+/// Trials after which the next one is delayed more, since each may cost an
+/// engine.
+constexpr std::uint32_t max_quick_trials = 2;
+constexpr duration late_trial_delay = 60s;
 /// Different requests that must be in the crashes of one part. If all crashes
 /// are of a single request, crash_suspects blocks that request alone.
 constexpr std::size_t min_requests = 2;
@@ -150,6 +155,9 @@
         return;
     if (s.blocked) {
         s.last_crash = std::max(s.last_crash, broken.at);
+        // Only a request that tried the part can have been sent so late.
+        if (broken.at >= s.blocked_at + first_trial_delay)
+            s.doubt = block_doubt::none;
         explain(run);
     } else if (!run.second.explained) {
         // A later break of the same run is no further crash.
@@ -212,11 +220,8 @@
             continue;
         const bool was_answered = answers_.contains(part);
         const crash_summary found = summarize(it->second);
-        const bool was_suspended = it->second.suspended_until != time_point{};
         // With a single request, the request itself may be the cause.
-        if (found.separate <
-                (was_suspended ? crash_limit_after_burst : crash_limit) ||
-            found.requests < min_requests ||
+        if (found.separate < crash_limit || found.requests < min_requests ||
             (was_answered && found.crashes < answered_crash_limit))
             continue;
         auto& causes = was_answered ? answered : never_answered;
@@ -233,23 +238,21 @@
     return answered.size() == 1 ? answered : std::vector<fingerprint>{};
 }
 
-std::vector<fingerprint>
-crashing_prompt_parts::suspend_parts(const engine_run_evidence& run,
-                                     time_point now)
+std::vector<fingerprint> crashing_prompt_parts::parts_of_many_crashes(
+    const engine_run_evidence& run) const
 {
-    std::vector<fingerprint> suspended;
+    std::vector<fingerprint> parts;
     for (const auto& [part, broken] : run.parts) {
         const auto it = suspects_.find(part);
         if (it == suspects_.end() || answers_.contains(part) ||
-            it->second.blocked || now <= it->second.suspended_until)
+            it->second.blocked)
             continue;
         const crash_summary found = summarize(it->second);
-        if (found.crashes < burst_crash_limit || found.requests < min_requests)
-            continue;
-        it->second.suspended_until = now + burst_block_ttl;
-        suspended.push_back(part);
+        if (found.crashes >= burst_crash_limit &&
+            found.requests >= min_requests)
+            parts.push_back(part);
     }
-    return suspended;
+    return parts;
 }
 
 std::vector<fingerprint>
@@ -261,25 +264,51 @@
     // again.
     for (auto causes = likely_causes(run); !causes.empty();
          causes = likely_causes(run)) {
-        for (const fingerprint part : causes)
-            block(suspects_.at(part));
-        for (const fingerprint part : causes)
-            explain_crashes_of(suspects_.at(part));
+        block_all(causes,
+                  causes.size() == 1 ? block_doubt::none
+                                     : block_doubt::several_parts,
+                  now);
         blocked.insert(blocked.end(), causes.begin(), causes.end());
     }
-    const auto suspended = suspend_parts(run, now);
-    blocked.insert(blocked.end(), suspended.begin(), suspended.end());
+    const auto in_many = parts_of_many_crashes(run);
+    block_all(in_many, block_doubt::one_cause, now);
+    blocked.insert(blocked.end(), in_many.begin(), in_many.end());
     return blocked;
 }
 
-void crashing_prompt_parts::block(suspect& s)
+void crashing_prompt_parts::block_all(std::span<const fingerprint> parts,
+                                      block_doubt doubt, time_point now)
 {
-    s.blocked = true;
-    s.first_crash = time_point::max();
-    for (const auto& [run, broken] : s.crashes) {
-        s.first_crash = std::min(s.first_crash, broken.at);
-        s.last_crash = std::max(s.last_crash, broken.at);
+    for (const fingerprint part : parts) {
+        suspect& s = suspects_.at(part);
+        s.blocked = true;
+        s.doubt = doubt;
+        s.blocked_at = now;
+        s.trials = 0;
+        s.first_crash = time_point::max();
+        for (const auto& [run, broken] : s.crashes) {
+            s.first_crash = std::min(s.first_crash, broken.at);
+            s.last_crash = std::max(s.last_crash, broken.at);
+        }
     }
+    // After all are blocked, since this erases crashes of the others.
+    for (const fingerprint part : parts)
+        explain_crashes_of(suspects_.at(part));
+}
+
+void crashing_prompt_parts::resolve_doubt(time_point blocked_at)
+{
+    suspect* last = nullptr;
+    for (auto& [part, s] : suspects_) {
+        if (!s.blocked || s.doubt != block_doubt::several_parts ||
+            s.blocked_at != blocked_at)
+            continue;
+        if (last != nullptr)
+            return;
+        last = &s;
+    }
+    if (last != nullptr)
+        last->doubt = block_doubt::none;
 }
 
 std::vector<fingerprint>
@@ -295,9 +324,10 @@
             if (s.blocked || answer == answers_.end() ||
                 s.last_seen >= answer->second)
                 suspected.push_back(part);
-            s.blocked = false;
-            s.suspended_until = {};
             s.crashes.clear();
+            if (std::exchange(s.blocked, false) &&
+                s.doubt == block_doubt::several_parts)
+                resolve_doubt(s.blocked_at);
         }
         remember_answer(part, now);
     }
@@ -333,9 +363,18 @@
     suspect& s = suspects_[block.part];
     s.last_crash = std::max(s.last_crash, block.last_crash);
     s.last_seen = std::max(s.last_seen, block.last_crash);
-    if (s.blocked)
+    if (s.blocked) {
+        if (!block.in_doubt)
+            s.doubt = block_doubt::none;
+        s.trials = std::max(s.trials, block.trials);
+        s.last_trial = std::max(s.last_trial, block.last_trial);
         return peer_block::known;
+    }
     s.blocked = true;
+    s.doubt = block.in_doubt ? block_doubt::one_cause : block_doubt::none;
+    s.blocked_at = now;
+    s.trials = block.trials;
+    s.last_trial = block.last_trial;
     s.first_crash = block.first_crash;
     explain_crashes_of(s);
     return peer_block::added;
@@ -349,8 +388,7 @@
 
 bool crashing_prompt_parts::is_blocked(const suspect& s, time_point now)
 {
-    return now <= s.suspended_until ||
-           (s.blocked && now - s.last_crash <= block_ttl);
+    return s.blocked && now - s.last_crash <= block_ttl;
 }
 
 std::optional<fingerprint>
@@ -372,14 +410,46 @@
 {
     std::vector<blocked_part> all;
     for (const auto& [part, s] : suspects_)
-        if (s.blocked && is_blocked(s, now))
-            all.push_back({part, s.first_crash, s.last_crash});
+        if (is_blocked(s, now))
+            all.push_back(describe(part, s));
     std::ranges::sort(all, std::ranges::greater{}, &blocked_part::last_crash);
     if (all.size() > count)
         all.resize(count);
     return all;
 }
 
+crashing_prompt_parts::blocked_part
+crashing_prompt_parts::describe(fingerprint part, const suspect& s)
+{
+    return {part,     s.first_crash, s.last_crash, s.doubt != block_doubt::none,
+            s.trials, s.last_trial};
+}
+
+std::optional<time_point> crashing_prompt_parts::trial_due(fingerprint part,
+                                                           time_point now) const
+{
+    const auto it = suspects_.find(part);
+    if (it == suspects_.end() || !is_blocked(it->second, now) ||
+        it->second.doubt == block_doubt::none)
+        return std::nullopt;
+    const suspect& s = it->second;
+    const time_point first = s.blocked_at + first_trial_delay;
+    if (s.trials == 0)
+        return first;
+    return std::max(first, s.last_trial + (s.trials < max_quick_trials
+                                               ? trial_timeout
+                                               : late_trial_delay));
+}
+
+crashing_prompt_parts::blocked_part
+crashing_prompt_parts::on_trial(fingerprint part, time_point now)
+{
+    suspect& s = suspects_[part];
+    ++s.trials;
+    s.last_trial = now;
+    return describe(part, s);
+}
+
 void crashing_prompt_parts::expire(time_point now)
 {
     std::erase_if(suspects_, [&](const auto& item) {
--- a/src/lovagegate/gateway/crashing_prompt_parts.hpp
+++ b/src/lovagegate/gateway/crashing_prompt_parts.hpp
@@ -35,9 +35,13 @@
 /// unless an engine answers a request with it in between. A part that was
 /// answered not long before needs more crashes, and must be the only one in so
 /// many. Crashes at almost the same time count once, since a fault of many
-/// engines also hits popular parts at all of them; many such crashes block a
-/// part that was never answered for a short time only. A crash that a blocked
-/// part explains is held against no other part.
+/// engines also hits popular parts at all of them. A crash that a blocked part
+/// explains is held against no other part.
+///
+/// A block is in doubt if many crashes were close together, so that they may
+/// have one other cause, or if several parts were in the same crashes. Then one
+/// request at a time may try the part: an answer unblocks it, a further crash
+/// makes the block certain.
 class crashing_prompt_parts
 {
 public:
@@ -73,6 +77,9 @@
         fingerprint part = 0;
         time_point first_crash{};
         time_point last_crash{};
+        bool in_doubt = false;
+        std::uint32_t trials = 0; ///< requests that have tried the part
+        time_point last_trial{};
     };
 
     /// Called when another instance has blocked a part.
@@ -90,10 +97,27 @@
     [[nodiscard]] std::vector<blocked_part> blocked(std::size_t count,
                                                     time_point now) const;
 
+    /// @return time from which a request may try the part; nothing if it isn't
+    ///         blocked, or certainly crashes engines
+    [[nodiscard]] std::optional<time_point> trial_due(fingerprint part,
+                                                      time_point now) const;
+
+    /// Called when a request that tries a blocked part is sent.
+    /// @return the block with this trial
+    blocked_part on_trial(fingerprint part, time_point now);
+
     /// Erases expired records.
     void expire(time_point now);
 
 private:
+    /// Why a part may be blocked although it doesn't crash engines.
+    enum class block_doubt : std::uint8_t
+    {
+        none,
+        several_parts, ///< others were in the same crashes
+        one_cause      ///< the crashes were close together
+    };
+
     /// Requests with one part that waited for an answer on one engine.
     struct broken_requests
     {
@@ -119,8 +143,10 @@
         time_point first_crash{}; ///< of those that led to the block
         time_point last_crash{};  ///< latest crash, if blocked
         bool blocked = false;
-        /// Blocked for crashes close together, which may have another cause.
-        time_point suspended_until{};
+        block_doubt doubt = block_doubt::none;
+        time_point blocked_at{};
+        std::uint32_t trials = 0; ///< since it was blocked
+        time_point last_trial{};
     };
 
     /// @return null if there are too many runs
@@ -147,10 +173,16 @@
     /// @return the parts of the run that are to be blocked first
     [[nodiscard]] std::vector<fingerprint>
     likely_causes(const engine_run_evidence& run) const;
-    /// Blocks parts for a short time whose crashes are close together.
-    std::vector<fingerprint> suspend_parts(const engine_run_evidence& run,
-                                           time_point now);
-    void block(suspect& s);
+    /// @return the parts of the run that are in many crashes, even if these are
+    ///         close together
+    [[nodiscard]] std::vector<fingerprint>
+    parts_of_many_crashes(const engine_run_evidence& run) const;
+    void block_all(std::span<const fingerprint> parts, block_doubt doubt,
+                   time_point now);
+    /// Called when a part that was blocked together with others is harmless.
+    void resolve_doubt(time_point blocked_at);
+    [[nodiscard]] static blocked_part describe(fingerprint part,
+                                               const suspect& s);
     void remember_answer(fingerprint part, time_point now);
     [[nodiscard]] static bool is_blocked(const suspect& s, time_point now);
 
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -209,11 +209,14 @@
 {
     if (done_ || !route_ || answer_begun_)
         return;
-    if (context_.crashes.verdict(traits_, net::event_loop::now().mono) ==
-        crash_verdict::harmless)
+    const time_point now = net::event_loop::now().mono;
+    const crash_verdict verdict = context_.crashes.verdict(traits_, now);
+    if (verdict == crash_verdict::harmless ||
+        verdict == crash_verdict::may_try_prompt_part ||
+        (is_trial_ && verdict != crash_verdict::crashing_request))
         return;
     release_target();
-    reject_if_crashing(net::event_loop::now().mono);
+    reject_if_crashing(now);
 }
 
 void forwarding::watch_caller()
@@ -266,7 +269,8 @@
 bool forwarding::reject_if_crashing(time_point now)
 {
     const crash_verdict verdict = context_.crashes.verdict(traits_, now);
-    if (verdict == crash_verdict::harmless)
+    if (verdict == crash_verdict::harmless ||
+        verdict == crash_verdict::may_try_prompt_part)
         return false;
     const bool by_part = verdict == crash_verdict::crashing_prompt_part;
     const std::string_view reason = by_part
@@ -442,6 +446,8 @@
         retry_or_fail(unavailable, "retry budget used up");
         return;
     }
+    is_trial_ = context_.crashes.verdict(traits_, now.mono) ==
+                crash_verdict::may_try_prompt_part;
     target_ = target;
     target_started_ms_ = t->entry.started_ms;
     if (s.targets.take_ended_pause(target, now.mono))
@@ -480,6 +486,8 @@
         try_next_target();
         return;
     }
+    if (is_trial_)
+        context_.crashes.begin_trial(traits_, facts_.attempt_id, now.mono);
     at_target_ = true;
     ++sends_;
     ++runs_;
@@ -522,6 +530,7 @@
     if (!at_target_)
         return;
     at_target_ = false;
+    is_trial_ = false;
     call_.reset();
     probe_.reset();
     discarded_.reset();
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -221,6 +221,7 @@
     std::uint32_t runs_ = 0;  ///< sends not known to be "not run"
     std::uint64_t events_before_send_ = 0;
     bool answer_begun_ = false; ///< the target answers and has not crashed
+    bool is_trial_ = false;     ///< it was sent to try a blocked prompt part
     double target_load_when_chosen_ = 0;
     bool at_target_ = false;    ///< counted as an open request at target_
     bool is_at_engine_ = false; ///< the target serves reports
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -1,5 +1,6 @@
 #include "lovagegate/gateway/gateway_daemon.hpp"
 
+#include "lovagegate/core/hash.hpp"
 #include "lovagegate/gateway/news_codec.hpp"
 #include "lovagegate/gateway/news_relay.hpp"
 #include "lovagegate/gateway/store_reader_election.hpp"
@@ -162,7 +163,8 @@
                     // Deferred, because a request may be the caller.
                     loop_.call_later(duration::zero(),
                                      [this] { reconsider_requests(); });
-                }}),
+                },
+                [this](fingerprint part) { return trial_rank(part); }}),
       forwarding_context_{
           loop_,
           state_,
@@ -619,6 +621,17 @@
         crashes_.repeat_blocked_parts(address, now);
 }
 
+std::size_t gateway_daemon::trial_rank(fingerprint part) const
+{
+    const auto weight = [part](const std::string& address) {
+        return combine_hash(part, stable_hash(address));
+    };
+    const auto own = weight(state_.boot.address);
+    return static_cast<std::size_t>(std::ranges::count_if(
+        state_.members.alive(net::event_loop::now().mono),
+        [&](const std::string& a) { return weight(a) > own; }));
+}
+
 void gateway_daemon::send_to_peer(const std::string& address,
                                   const peer_message& message)
 {
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -88,8 +88,9 @@
 {
     json parts = json::array();
     for (const auto& p : m.parts)
-        parts.push_back(json::array(
-            {p.part, p.since_first_crash.count(), p.since_last_crash.count()}));
+        parts.push_back(json::array({p.part, p.since_first_crash.count(),
+                                     p.since_last_crash.count(), p.in_doubt,
+                                     p.trials, p.since_last_trial.count()}));
     return json::array({tag::blocked_prompt_parts, std::move(parts)});
 }
 
@@ -209,10 +210,19 @@
 blocked_prompt_parts read_blocked_parts(const json& j)
 {
     blocked_prompt_parts m;
-    for (const json& p : j.at(1))
+    for (const json& p : j.at(1)) {
         m.parts.push_back({p.at(0).get<fingerprint>(),
                            duration(p.at(1).get<duration::rep>()),
                            duration(p.at(2).get<duration::rep>())});
+        constexpr std::size_t doubt_position = 3;
+        if (p.size() <= doubt_position)
+            continue; // from an instance of an earlier version
+        auto& entry = m.parts.back();
+        entry.in_doubt = p.at(doubt_position).get<bool>();
+        entry.trials = p.at(doubt_position + 1).get<std::uint32_t>();
+        entry.since_last_trial =
+            duration(p.at(doubt_position + 2).get<duration::rep>());
+    }
     return m;
 }
 
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -138,6 +138,10 @@
         /// message was sent.
         duration since_first_crash{};
         duration since_last_crash{};
+        /// Whether requests may try the part, and how many have.
+        bool in_doubt = false;
+        std::uint32_t trials = 0;
+        duration since_last_trial{}; ///< when the message was sent
     };
     std::vector<entry> parts;
 };
--- a/tests/gateway/crashing_part_fleet_test.cpp
+++ b/tests/gateway/crashing_part_fleet_test.cpp
@@ -36,6 +36,12 @@
     double lost_datagrams = 0.01;
 };
 
+bool is_rejected(crash_verdict v)
+{
+    return v != crash_verdict::harmless &&
+           v != crash_verdict::may_try_prompt_part;
+}
+
 /// Plays instances that send requests to engines, on a virtual clock. Some
 /// requests share a part that crashes each engine which begins to answer it.
 class crashing_part_fleet
@@ -97,6 +103,7 @@
         std::size_t instance = 0;
         std::shared_ptr<request> what;
         bool answer_begun = false;
+        bool is_trial = false;
     };
 
     struct engine
@@ -162,7 +169,8 @@
                     for (int n = 0; n < 4; ++n)
                         post(i, any(reports_.size()), m);
                 },
-                [this, i] { at(now_, [this, i] { cancel(i); }); }});
+                [this, i] { at(now_, [this, i] { cancel(i); }); },
+                [i](fingerprint) { return i; }});
     }
 
     void post(std::size_t from, std::size_t to, const peer_message& m)
@@ -187,9 +195,8 @@
         for (auto& e : engines_)
             std::erase_if(e.requests, [&](const auto& item) {
                 const running& r = item.second;
-                return r.instance == i && !r.answer_begun &&
-                       reports_[i]->verdict(r.what->traits, now_) !=
-                           crash_verdict::harmless;
+                return r.instance == i && !r.answer_begun && !r.is_trial &&
+                       is_rejected(reports_[i]->verdict(r.what->traits, now_));
             });
     }
 
@@ -224,8 +231,7 @@
     {
         if (what->sends >= options_.sends_per_request)
             return;
-        if (reports_[i]->verdict(what->traits, now_) !=
-            crash_verdict::harmless) {
+        if (is_rejected(reports_[i]->verdict(what->traits, now_))) {
             if (!what->crashing)
                 sound_rejected_.push_back(now_);
             return;
@@ -246,7 +252,11 @@
                const std::shared_ptr<request>& what)
     {
         const std::uint64_t number = ++runs_;
-        engines_[e].requests.emplace(number, running{i, what, false});
+        const bool is_trial = reports_[i]->verdict(what->traits, now_) ==
+                              crash_verdict::may_try_prompt_part;
+        if (is_trial)
+            reports_[i]->begin_trial(what->traits, "", now_);
+        engines_[e].requests.emplace(number, running{i, what, false, is_trial});
         if (what->crashing)
             crashing_sends_.push_back(now_);
         const std::uint64_t start = engines_[e].start;
@@ -335,14 +345,14 @@
 
 TEST_CASE("requests with a crashing prompt part stop for good when many crash "
           "engines at once",
-          "[gateway][!mayfail]")
+          "[gateway]")
 {
     check_bound({});
 }
 
 TEST_CASE("a sound prompt part that occurs with a crashing one is served again "
           "while that one stays blocked",
-          "[gateway][!mayfail]")
+          "[gateway]")
 {
     check_bound({.middle_share = 0.4});
 }
--- a/tests/gateway/crashing_prompt_parts_test.cpp
+++ b/tests/gateway/crashing_prompt_parts_test.cpp
@@ -130,27 +130,75 @@
 }
 
 TEST_CASE("many engines that are lost at once block a prompt part that was "
-          "never answered for a short time",
+          "never answered until a request has tried it",
           "[gateway]")
 {
     crash_series s;
     for (int n = 0; n < 20; ++n)
         s.crash({rare}, 5ms);
     CHECK(s.is_blocked(rare));
+    const auto due = s.suspects.trial_due(rare, s.now);
+    REQUIRE(due);
+    CHECK(*due > s.now);
+    CHECK(*due <= s.now + 1s);
     s.now += 11s;
-    CHECK_FALSE(s.is_blocked(rare));
-    SECTION("and longer if its next request crashes an engine")
+    CHECK(s.is_blocked(rare));
+    CHECK(s.suspects.on_trial(rare, s.now).trials == 1);
+    CHECK(s.suspects.trial_due(rare, s.now) > s.now + 10s);
+    SECTION("which crashes a further engine")
     {
         s.crash({rare});
+        CHECK_FALSE(s.suspects.trial_due(rare, s.now));
         s.now += 30min;
         CHECK(s.is_blocked(rare));
     }
-    SECTION("but not if it is answered then")
+    SECTION("which is answered")
     {
         s.answer({rare});
+        CHECK_FALSE(s.is_blocked(rare));
         s.crash({rare});
         CHECK_FALSE(s.is_blocked(rare));
     }
+    SECTION("and another one if it wasn't answered")
+    {
+        s.now += 15s;
+        CHECK(s.suspects.trial_due(rare, s.now) <= s.now);
+        s.suspects.on_trial(rare, s.now);
+        CHECK(s.suspects.trial_due(rare, s.now) > s.now + 50s);
+    }
+}
+
+TEST_CASE("of prompt parts that are blocked together the one that is left is "
+          "certain once the others are answered",
+          "[gateway]")
+{
+    crash_series s;
+    s.crash({bad, rare});
+    s.crash({bad, rare});
+    s.crash({bad, rare});
+    REQUIRE(s.is_blocked(bad));
+    REQUIRE(s.is_blocked(rare));
+    CHECK(s.suspects.trial_due(bad, s.now));
+    CHECK(s.suspects.trial_due(rare, s.now));
+    s.answer({rare});
+    CHECK_FALSE(s.is_blocked(rare));
+    CHECK(s.is_blocked(bad));
+    CHECK_FALSE(s.suspects.trial_due(bad, s.now));
+}
+
+TEST_CASE("what a peer says of a blocked prompt part bounds its trials",
+          "[gateway]")
+{
+    crash_series s;
+    const crashing_prompt_parts::blocked_part block{
+        bad, s.now - 1s, s.now - 1s, true, 1, s.now - 500ms};
+    s.suspects.on_blocked_by_peer(block, s.now);
+    CHECK(s.suspects.trial_due(bad, s.now) > s.now + 10s);
+    auto certain = block;
+    certain.in_doubt = false;
+    s.suspects.on_blocked_by_peer(certain, s.now);
+    CHECK_FALSE(s.suspects.trial_due(bad, s.now));
+    CHECK(s.is_blocked(bad));
 }
 
 TEST_CASE("a prompt part that was answered before needs more crashes",
--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -102,12 +102,29 @@
     REQUIRE(answered);
     CHECK(std::get<answered_prompt_parts>(*answered).parts.size() == 2);
     const auto blocked =
-        decode(encode(blocked_prompt_parts{{{10, 12ms, 11ms}}}));
+        decode(encode(blocked_prompt_parts{{{10, 12ms, 11ms, true, 2, 5ms}}}));
     REQUIRE(blocked);
     const auto& entry = std::get<blocked_prompt_parts>(*blocked).parts.front();
     CHECK(entry.part == 10);
     CHECK(entry.since_first_crash == 12ms);
     CHECK(entry.since_last_crash == 11ms);
+    CHECK(entry.in_doubt);
+    CHECK(entry.trials == 2);
+    CHECK(entry.since_last_trial == 5ms);
+}
+
+TEST_CASE("a blocked prompt part of an earlier version is not in doubt",
+          "[gateway]")
+{
+    std::string datagram;
+    nlohmann::json::to_cbor(
+        nlohmann::json::array({9, {nlohmann::json::array({10, 12, 11})}}),
+        nlohmann::detail::output_adapter<char>(datagram));
+    const auto blocked = decode(datagram);
+    REQUIRE(blocked);
+    const auto& entry = std::get<blocked_prompt_parts>(*blocked).parts.front();
+    CHECK(entry.part == 10);
+    CHECK_FALSE(entry.in_doubt);
 }
 
 TEST_CASE("a crash notice of an earlier version is decoded", "[gateway]")
