Hold crashes under blocked requests against their prompt part too

Cause: a request is blocked at its third crash, and its crashes were then held against no part of its prompt. Where such requests are rare and each is sent to several engines, every one of them crashed three engines under its own name, and the part never had a crash. Five crashes under two or more requests, whether these are blocked themselves or not, now block a part that was never answered, in doubt: one request tries it later. Crashes under a blocked request still don't count towards the limit of three.

--- a/src/lovagegate/gateway/crash_reports.cpp
+++ b/src/lovagegate/gateway/crash_reports.cpp
@@ -69,8 +69,8 @@
 void crash_reports::on_run_ended(std::string_view run, time_point now)
 {
     counts_.add("crashes_counted", requests_.on_run_ended(run, now));
-    for (const auto& explained : requests_.runs_ended_by_blocked(run, now))
-        prompt_parts_.on_run_explained(explained);
+    for (const auto& ended : requests_.runs_ended_by_blocked(run, now))
+        prompt_parts_.on_run_ended_by_blocked_request(ended);
     announce_blocked(prompt_parts_.on_run_ended(run, now), run, now);
 }
 
--- a/src/lovagegate/gateway/crashing_prompt_parts.cpp
+++ b/src/lovagegate/gateway/crashing_prompt_parts.cpp
@@ -21,7 +21,9 @@
 constexpr duration min_crash_distance = 100ms;
 /// Crashes after which a part that no engine has answered lately is blocked
 /// although they are close together, since many requests with it may arrive at
-/// once. These engines may also have been lost for one other reason.
+/// once, or under requests that are blocked themselves, since each of these may
+/// be sent to several engines. These engines may also have been lost for other
+/// reasons.
 constexpr std::size_t burst_crash_limit = 5;
 /// A part whose block is in doubt is tried this long after it was blocked, when
 /// requests that were at engines then are cancelled.
@@ -163,6 +165,7 @@
         // A later break of the same run is no further crash.
         broken_requests& crash =
             s.crashes.try_emplace(run.first, broken).first->second;
+        crash.by_blocked_request = run.second.by_blocked_request;
         for (const fingerprint request : broken.requests)
             add_distinct(crash.requests, request);
     }
@@ -192,7 +195,8 @@
     std::vector<time_point> times;
     std::vector<fingerprint> requests;
     for (const auto& [run, broken] : s.crashes) {
-        times.push_back(broken.at);
+        if (!broken.by_blocked_request)
+            times.push_back(broken.at);
         for (const fingerprint request : broken.requests)
             add_distinct(requests, request);
     }
@@ -204,7 +208,7 @@
             counted = at;
             ++separate;
         }
-    return {times.size(), separate, requests.size()};
+    return {s.crashes.size(), times.size(), separate, requests.size()};
 }
 
 std::vector<fingerprint>
@@ -248,8 +252,7 @@
             it->second.blocked)
             continue;
         const crash_summary found = summarize(it->second);
-        if (found.crashes >= burst_crash_limit &&
-            found.requests >= min_requests)
+        if (found.all >= burst_crash_limit && found.requests >= min_requests)
             parts.push_back(part);
     }
     return parts;
@@ -346,10 +349,18 @@
     answers_.insert_or_assign(part, now);
 }
 
-void crashing_prompt_parts::on_run_explained(std::string_view run)
+void crashing_prompt_parts::on_run_ended_by_blocked_request(
+    std::string_view run)
 {
-    if (const auto it = runs_.find(run); it != runs_.end())
-        explain(*it);
+    const auto it = runs_.find(run);
+    if (it == runs_.end())
+        return;
+    it->second.by_blocked_request = true;
+    for (const auto& [part, broken] : it->second.parts)
+        if (const auto s = suspects_.find(part); s != suspects_.end())
+            if (const auto crash = s->second.crashes.find(run);
+                crash != s->second.crashes.end())
+                crash->second.by_blocked_request = true;
 }
 
 peer_block crashing_prompt_parts::on_blocked_by_peer(const blocked_part& block,
--- a/src/lovagegate/gateway/crashing_prompt_parts.hpp
+++ b/src/lovagegate/gateway/crashing_prompt_parts.hpp
@@ -68,8 +68,10 @@
     std::vector<fingerprint> on_answer(std::span<const fingerprint> parts,
                                        time_point now);
 
-    /// Called when the end of a run has another cause than a part of a prompt.
-    void on_run_explained(std::string_view run);
+    /// Called when a run has ended under a request that is blocked itself. This
+    /// is weaker evidence against the parts of its prompt, since they are the
+    /// cause only if other such requests crash engines too.
+    void on_run_ended_by_blocked_request(std::string_view run);
 
     /// A part and the crashes that are ascribed to it.
     struct blocked_part
@@ -123,6 +125,7 @@
     {
         time_point at{}; ///< when the latest of their connections broke
         std::vector<fingerprint> requests; ///< at most two
+        bool by_blocked_request = false;
     };
 
     struct engine_run_evidence
@@ -130,7 +133,8 @@
         time_point last_break{}; ///< latest broken connection
         std::optional<time_point> ended_at;
         std::map<fingerprint, broken_requests> parts;
-        bool explained = false; ///< the cause of its end is known
+        bool explained = false; ///< a blocked part is the cause of its end
+        bool by_blocked_request = false;
     };
 
     using run_map = std::map<std::string, engine_run_evidence, std::less<>>;
@@ -164,9 +168,10 @@
     /// What the crashes of a part amount to.
     struct crash_summary
     {
+        std::size_t all = 0; ///< with those under requests that are blocked
         std::size_t crashes = 0;
         std::size_t separate = 0; ///< those not close together
-        std::size_t requests = 0; ///< counted up to a limit
+        std::size_t requests = 0; ///< in all crashes, counted up to a limit
     };
 
     [[nodiscard]] static crash_summary summarize(const suspect& s);
--- a/tests/gateway/crashing_part_fleet_test.cpp
+++ b/tests/gateway/crashing_part_fleet_test.cpp
@@ -359,7 +359,7 @@
 
 TEST_CASE("requests with a crashing prompt part stop for good when they are "
           "rare and each is sent again",
-          "[gateway][!mayfail]")
+          "[gateway]")
 {
     check_bound({.requests_per_s = 20,
                  .crashing_share = 0.03,
