Judge prompt parts again when others are answered; try each blocked part once

What callers saw: engines ended again under requests with one part (BUDGET), and sound requests with another part of the same prompts were refused for up to an hour.

Now an answer leads to a new judgement of the crashes that it leaves unexplained, the limit after an answer is five, only its begin counts, and each block is in doubt until one request has tried the part: one more engine is lost for each crashing part, and a sound part is back within seconds instead of an hour.

--- a/src/lovagegate/gateway/crash_reports.cpp
+++ b/src/lovagegate/gateway/crash_reports.cpp
@@ -93,10 +93,15 @@
 
 void crash_reports::on_answered(const crash_traits& request, time_point now)
 {
-    requests_.on_answer(request.request);
+    on_begun_answer_ended(request);
     on_answer_begun(request, now);
 }
 
+void crash_reports::on_begun_answer_ended(const crash_traits& request)
+{
+    requests_.on_answer(request.request);
+}
+
 void crash_reports::on_message(const crash_notice& notice, time_point now)
 {
     for (const auto& request : notice.requests)
@@ -177,8 +182,7 @@
     if (!blocked)
         return std::nullopt;
     const auto due = prompt_parts_.trial_due(*blocked, now);
-    if (!due || now < *due ||
-        now < *due + trial_turn * callbacks_.trial_rank(*blocked))
+    if (!due || now < *due || now < *due + trial_turn * callbacks_.trial_rank())
         return std::nullopt;
     return blocked;
 }
@@ -231,7 +235,9 @@
             logging::write(logging::level::info, "prompt_part_cleared",
                            {{"part", part}});
         }
-    return prompt_parts_.on_answer(parts, now);
+    auto effect = prompt_parts_.on_answer(parts, now);
+    announce_blocked(effect.blocked, "answers to the other parts", now);
+    return std::move(effect.suspected);
 }
 
 void crash_reports::announce_blocked(std::span<const fingerprint> parts,
--- a/src/lovagegate/gateway/crash_reports.hpp
+++ b/src/lovagegate/gateway/crash_reports.hpp
@@ -42,9 +42,9 @@
         /// Called when parts were blocked: requests with them may be waiting at
         /// engines.
         std::function<void()> on_blocked;
-        /// @return position of this instance among those that may try the
-        ///         part, the same order at all instances
-        std::function<std::size_t(fingerprint part)> trial_rank;
+        /// @return position of this instance among those that may try blocked
+        ///         parts, the same order at all instances
+        std::function<std::size_t()> trial_rank;
     };
 
     crash_reports(counters& counts, callbacks c);
@@ -66,9 +66,14 @@
     /// Called when an engine has begun to answer a request and lives on.
     void on_answer_begun(const crash_traits& request, time_point now);
 
-    /// Called when a request was answered.
+    /// Called when a request was answered at once.
     void on_answered(const crash_traits& request, time_point now);
 
+    /// Called at the end of an answer of which on_answer_begun() was told. It
+    /// says nothing new of the prompt: the engine read it before the answer
+    /// began.
+    void on_begun_answer_ended(const crash_traits& request);
+
     void on_message(const crash_notice& notice, time_point now);
     void on_message(const answered_prompt_parts& answered, time_point now);
     /// @param from address of the sender
--- a/src/lovagegate/gateway/crashing_prompt_parts.cpp
+++ b/src/lovagegate/gateway/crashing_prompt_parts.cpp
@@ -3,6 +3,7 @@
 #include "lovagegate/core/hash.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace lovagegate::gateway {
@@ -12,9 +13,11 @@
 /// Crashes after which a part is blocked that no engine has answered lately. A
 /// sound part is rarely waiting for its answer at three crashes in a row.
 constexpr std::size_t crash_limit = 3;
-/// The same for a part that an engine has answered within answer_ttl: while no
-/// engine answers, popular parts wait at every crash.
-constexpr std::size_t answered_crash_limit = 6;
+/// The same for a part that an engine has answered within answer_ttl, and how
+/// many of these crashes must not be close together: while no engine answers,
+/// popular parts wait at every crash.
+constexpr std::size_t answered_crash_limit = 5;
+constexpr std::size_t answered_separate_limit = 2;
 /// Crashes closer together than this count as one: engines that are lost for
 /// one reason, such as a failure domain without power, are lost almost at once,
 /// and popular parts wait at many of them.
@@ -25,12 +28,15 @@
 /// be sent to several engines. These engines may also have been lost for other
 /// reasons.
 constexpr std::size_t burst_crash_limit = 5;
-/// A part whose block is in doubt is tried this long after it was blocked, when
+/// A blocked part is tried this long after it was blocked, when
 /// requests that were at engines then are cancelled.
 constexpr duration first_trial_delay = 1s;
 /// Time in which a request that tries a part is answered or its engine's crash
 /// is known.
 constexpr duration trial_timeout = 15s;
+/// Between the trials of different parts: one may crash the engine that the
+/// next would run on, and that crash would count against both parts.
+constexpr duration trial_gap = 2s;
 /// Trials after which the next one is delayed more, since each may cost an
 /// engine.
 constexpr std::uint32_t max_quick_trials = 2;
@@ -159,7 +165,7 @@
         s.last_crash = std::max(s.last_crash, broken.at);
         // Only a request that tried the part can have been sent so late.
         if (broken.at >= s.blocked_at + first_trial_delay)
-            s.doubt = block_doubt::none;
+            s.in_doubt = false;
         explain(run);
     } else if (!run.second.explained) {
         // A later break of the same run is no further crash.
@@ -212,7 +218,8 @@
 }
 
 std::vector<fingerprint>
-crashing_prompt_parts::likely_causes(const engine_run_evidence& run) const
+crashing_prompt_parts::likely_causes(const engine_run_evidence& run,
+                                     time_point now) const
 {
     std::vector<fingerprint> never_answered;
     std::vector<fingerprint> answered;
@@ -222,33 +229,38 @@
         const auto it = suspects_.find(part);
         if (it == suspects_.end() || it->second.crashes.size() < crash_limit)
             continue;
-        const bool was_answered = answers_.contains(part);
         const crash_summary found = summarize(it->second);
+        const bool before = was_answered(part, now);
         // With a single request, the request itself may be the cause.
-        if (found.separate < crash_limit || found.requests < min_requests ||
-            (was_answered && found.crashes < answered_crash_limit))
+        if (found.requests < min_requests ||
+            found.crashes < (before ? answered_crash_limit : crash_limit) ||
+            found.separate < (before ? answered_separate_limit : crash_limit))
             continue;
-        auto& causes = was_answered ? answered : never_answered;
-        auto& most = was_answered ? most_of_answered : most_of_never_answered;
+        auto& parts = before ? answered : never_answered;
+        auto& most = before ? most_of_answered : most_of_never_answered;
         if (found.crashes > most)
-            causes.clear();
+            parts.clear();
         if (found.crashes >= most)
-            causes.push_back(part);
+            parts.push_back(part);
         most = std::max(most, found.crashes);
     }
     if (!never_answered.empty())
         return never_answered;
-    // Several parts that were answered before can't be told apart yet.
+    if (auto parts = parts_of_many_crashes(run, now); !parts.empty())
+        return parts;
+    // Of several parts that were answered before, the next answer shows which
+    // are harmless.
     return answered.size() == 1 ? answered : std::vector<fingerprint>{};
 }
 
-std::vector<fingerprint> crashing_prompt_parts::parts_of_many_crashes(
-    const engine_run_evidence& run) const
+std::vector<fingerprint>
+crashing_prompt_parts::parts_of_many_crashes(const engine_run_evidence& run,
+                                             time_point now) const
 {
     std::vector<fingerprint> parts;
     for (const auto& [part, broken] : run.parts) {
         const auto it = suspects_.find(part);
-        if (it == suspects_.end() || answers_.contains(part) ||
+        if (it == suspects_.end() || was_answered(part, now) ||
             it->second.blocked)
             continue;
         const crash_summary found = summarize(it->second);
@@ -265,27 +277,21 @@
     std::vector<fingerprint> blocked;
     // A blocked part may explain the crashes of the others, so these are judged
     // again.
-    for (auto causes = likely_causes(run); !causes.empty();
-         causes = likely_causes(run)) {
-        block_all(causes,
-                  causes.size() == 1 ? block_doubt::none
-                                     : block_doubt::several_parts,
-                  now);
+    for (auto causes = likely_causes(run, now); !causes.empty();
+         causes = likely_causes(run, now)) {
+        block_all(causes, now);
         blocked.insert(blocked.end(), causes.begin(), causes.end());
     }
-    const auto in_many = parts_of_many_crashes(run);
-    block_all(in_many, block_doubt::one_cause, now);
-    blocked.insert(blocked.end(), in_many.begin(), in_many.end());
     return blocked;
 }
 
 void crashing_prompt_parts::block_all(std::span<const fingerprint> parts,
-                                      block_doubt doubt, time_point now)
+                                      time_point now)
 {
     for (const fingerprint part : parts) {
         suspect& s = suspects_.at(part);
         s.blocked = true;
-        s.doubt = doubt;
+        s.in_doubt = true;
         s.blocked_at = now;
         s.trials = 0;
         s.first_crash = time_point::max();
@@ -299,26 +305,12 @@
         explain_crashes_of(suspects_.at(part));
 }
 
-void crashing_prompt_parts::resolve_doubt(time_point blocked_at)
-{
-    suspect* last = nullptr;
-    for (auto& [part, s] : suspects_) {
-        if (!s.blocked || s.doubt != block_doubt::several_parts ||
-            s.blocked_at != blocked_at)
-            continue;
-        if (last != nullptr)
-            return;
-        last = &s;
-    }
-    if (last != nullptr)
-        last->doubt = block_doubt::none;
-}
-
-std::vector<fingerprint>
+crashing_prompt_parts::answer_effect
 crashing_prompt_parts::on_answer(std::span<const fingerprint> parts,
                                  time_point now)
 {
-    std::vector<fingerprint> suspected;
+    answer_effect effect;
+    std::set<std::string> unexplained_runs;
     for (const fingerprint part : parts) {
         const auto it = suspects_.find(part);
         if (it != suspects_.end()) {
@@ -326,15 +318,26 @@
             const auto answer = answers_.find(part);
             if (s.blocked || answer == answers_.end() ||
                 s.last_seen >= answer->second)
-                suspected.push_back(part);
-            s.crashes.clear();
-            if (std::exchange(s.blocked, false) &&
-                s.doubt == block_doubt::several_parts)
-                resolve_doubt(s.blocked_at);
+                effect.suspected.push_back(part);
+            for (const auto& [run, broken] : std::exchange(s.crashes, {}))
+                unexplained_runs.insert(run);
+            s.blocked = false;
         }
         remember_answer(part, now);
     }
-    return suspected;
+    for (const auto& run : unexplained_runs)
+        if (const auto it = runs_.find(run); it != runs_.end()) {
+            const auto blocked = block_likely_causes(it->second, now);
+            effect.blocked.insert(effect.blocked.end(), blocked.begin(),
+                                  blocked.end());
+        }
+    return effect;
+}
+
+bool crashing_prompt_parts::was_answered(fingerprint part, time_point now) const
+{
+    const auto it = answers_.find(part);
+    return it != answers_.end() && now - it->second <= answer_ttl;
 }
 
 void crashing_prompt_parts::remember_answer(fingerprint part, time_point now)
@@ -375,14 +378,13 @@
     s.last_crash = std::max(s.last_crash, block.last_crash);
     s.last_seen = std::max(s.last_seen, block.last_crash);
     if (s.blocked) {
-        if (!block.in_doubt)
-            s.doubt = block_doubt::none;
+        s.in_doubt = s.in_doubt && block.in_doubt;
         s.trials = std::max(s.trials, block.trials);
         s.last_trial = std::max(s.last_trial, block.last_trial);
         return peer_block::known;
     }
     s.blocked = true;
-    s.doubt = block.in_doubt ? block_doubt::one_cause : block_doubt::none;
+    s.in_doubt = block.in_doubt;
     s.blocked_at = now;
     s.trials = block.trials;
     s.last_trial = block.last_trial;
@@ -432,8 +434,8 @@
 crashing_prompt_parts::blocked_part
 crashing_prompt_parts::describe(fingerprint part, const suspect& s)
 {
-    return {part,     s.first_crash, s.last_crash, s.doubt != block_doubt::none,
-            s.trials, s.last_trial};
+    return {part,       s.first_crash, s.last_crash,
+            s.in_doubt, s.trials,      s.last_trial};
 }
 
 std::optional<time_point> crashing_prompt_parts::trial_due(fingerprint part,
@@ -441,10 +443,13 @@
 {
     const auto it = suspects_.find(part);
     if (it == suspects_.end() || !is_blocked(it->second, now) ||
-        it->second.doubt == block_doubt::none)
+        !it->second.in_doubt)
         return std::nullopt;
     const suspect& s = it->second;
-    const time_point first = s.blocked_at + first_trial_delay;
+    time_point first = s.blocked_at + first_trial_delay;
+    for (const auto& [other, o] : suspects_)
+        if (other != part && o.blocked && o.trials > 0)
+            first = std::max(first, o.last_trial + trial_gap);
     if (s.trials == 0)
         return first;
     return std::max(first, s.last_trial + (s.trials < max_quick_trials
--- a/src/lovagegate/gateway/crashing_prompt_parts.hpp
+++ b/src/lovagegate/gateway/crashing_prompt_parts.hpp
@@ -38,10 +38,10 @@
 /// engines also hits popular parts at all of them. A crash that a blocked part
 /// explains is held against no other part.
 ///
-/// A block is in doubt if many crashes were close together, so that they may
-/// have one other cause, or if several parts were in the same crashes. Then one
-/// request at a time may try the part: an answer unblocks it, a further crash
-/// makes the block certain.
+/// A block is in doubt at first: the engines may have been lost for another
+/// reason, and instances that know of other crashes may blame other parts. One
+/// request at a time may try the part. An answer unblocks it, a further crash
+/// ends the doubt.
 class crashing_prompt_parts
 {
 public:
@@ -61,12 +61,20 @@
     /// @return parts that are blocked from now on
     std::vector<fingerprint> on_run_ended(std::string_view run, time_point now);
 
+    /// What follows from an answer.
+    struct answer_effect
+    {
+        /// Answered parts that were suspected since their last answer, so that
+        /// other instances may suspect them too.
+        std::vector<fingerprint> suspected;
+        /// Parts that are blocked from now on, since they are the only ones
+        /// left that may have caused crashes.
+        std::vector<fingerprint> blocked;
+    };
+
     /// Called when an engine has answered a request with these parts, so that
     /// they don't crash engines.
-    /// @return those of the parts that were suspected since the last answer, so
-    ///         that other instances may suspect them too
-    std::vector<fingerprint> on_answer(std::span<const fingerprint> parts,
-                                       time_point now);
+    answer_effect on_answer(std::span<const fingerprint> parts, time_point now);
 
     /// Called when a run has ended under a request that is blocked itself. This
     /// is weaker evidence against the parts of its prompt, since they are the
@@ -100,7 +108,7 @@
                                                     time_point now) const;
 
     /// @return time from which a request may try the part; nothing if it isn't
-    ///         blocked, or certainly crashes engines
+    ///         blocked in doubt
     [[nodiscard]] std::optional<time_point> trial_due(fingerprint part,
                                                       time_point now) const;
 
@@ -112,14 +120,6 @@
     void expire(time_point now);
 
 private:
-    /// Why a part may be blocked although it doesn't crash engines.
-    enum class block_doubt : std::uint8_t
-    {
-        none,
-        several_parts, ///< others were in the same crashes
-        one_cause      ///< the crashes were close together
-    };
-
     /// Requests with one part that waited for an answer on one engine.
     struct broken_requests
     {
@@ -147,7 +147,7 @@
         time_point first_crash{}; ///< of those that led to the block
         time_point last_crash{};  ///< latest crash, if blocked
         bool blocked = false;
-        block_doubt doubt = block_doubt::none;
+        bool in_doubt = false; ///< if blocked: requests may try the part
         time_point blocked_at{};
         std::uint32_t trials = 0; ///< since it was blocked
         time_point last_trial{};
@@ -177,18 +177,16 @@
     [[nodiscard]] static crash_summary summarize(const suspect& s);
     /// @return the parts of the run that are to be blocked first
     [[nodiscard]] std::vector<fingerprint>
-    likely_causes(const engine_run_evidence& run) const;
+    likely_causes(const engine_run_evidence& run, time_point now) const;
     /// @return the parts of the run that are in many crashes, even if these are
     ///         close together
     [[nodiscard]] std::vector<fingerprint>
-    parts_of_many_crashes(const engine_run_evidence& run) const;
-    void block_all(std::span<const fingerprint> parts, block_doubt doubt,
-                   time_point now);
-    /// Called when a part that was blocked together with others is harmless.
-    void resolve_doubt(time_point blocked_at);
+    parts_of_many_crashes(const engine_run_evidence& run, time_point now) const;
+    void block_all(std::span<const fingerprint> parts, time_point now);
     [[nodiscard]] static blocked_part describe(fingerprint part,
                                                const suspect& s);
     void remember_answer(fingerprint part, time_point now);
+    [[nodiscard]] bool was_answered(fingerprint part, time_point now) const;
     [[nodiscard]] static bool is_blocked(const suspect& s, time_point now);
 
     run_map runs_;
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -804,6 +804,8 @@
         s.placements.on_success(target, net::event_loop::now().mono - sent_at_);
         if (may_have_been_cut())
             report_broken_connection();
+        else if (answer_begun_)
+            context_.crashes.on_begun_answer_ended(traits_);
         else if (is_success(answer_.status))
             context_.crashes.on_answered(traits_, net::event_loop::now().mono);
     }
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -164,7 +164,7 @@
                     loop_.call_later(duration::zero(),
                                      [this] { reconsider_requests(); });
                 },
-                [this](fingerprint part) { return trial_rank(part); }}),
+                [this] { return trial_rank(); }}),
       forwarding_context_{
           loop_,
           state_,
@@ -621,15 +621,12 @@
         crashes_.repeat_blocked_parts(address, now);
 }
 
-std::size_t gateway_daemon::trial_rank(fingerprint part) const
+std::size_t gateway_daemon::trial_rank() const
 {
-    const auto weight = [part](const std::string& address) {
-        return combine_hash(part, stable_hash(address));
-    };
-    const auto own = weight(state_.boot.address);
+    const auto own = stable_hash(state_.boot.address);
     return static_cast<std::size_t>(std::ranges::count_if(
         state_.members.alive(net::event_loop::now().mono),
-        [&](const std::string& a) { return weight(a) > own; }));
+        [&](const std::string& a) { return stable_hash(a) > own; }));
 }
 
 void gateway_daemon::send_to_peer(const std::string& address,
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -63,9 +63,9 @@
     void send_to_others(const peer_message& message);
     /// Repeats to another instance what it may have missed.
     void repeat_crash_reports();
-    /// @return number of live instances that may try a blocked prompt part
+    /// @return number of live instances that may try blocked prompt parts
     ///         before this one
-    [[nodiscard]] std::size_t trial_rank(fingerprint part) const;
+    [[nodiscard]] std::size_t trial_rank() const;
     /// @return whether so many entries of the service were deleted within a
     ///         short time that they have probably expired
     [[nodiscard]] bool record_removal(const std::string& service,
