--- a/standins/site/dialect.cpp
+++ b/standins/site/dialect.cpp
@@ -255,6 +255,11 @@
     return field(header::target_leaving, "1") + "\r\n";
 }
 
+std::string limit_header(const std::string& per_second)
+{
+    return field(header::target_limit, per_second) + "\r\n";
+}
+
 std::string pause_header(const std::string& seconds)
 {
     return field(header::retry_after, seconds) + "\r\n";
--- a/standins/site/dialect.hpp
+++ b/standins/site/dialect.hpp
@@ -143,6 +143,9 @@
 /// @return a header that says that the target leaves
 [[nodiscard]] std::string leaving_header();
 
+/// @return the header of a target that takes so many requests a second
+[[nodiscard]] std::string limit_header(const std::string& per_second);
+
 /// @return a header that says when the target takes requests again
 /// @param seconds as written, so that it may be malformed
 [[nodiscard]] std::string pause_header(const std::string& seconds);
--- /dev/null
+++ b/tests/gateway/target_limit_test.cpp
@@ -0,0 +1,97 @@
+#include "tests/gateway/site_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <mutex>
+#include <vector>
+
+using namespace lovagegate;
+using namespace lovagegate::gateway_test;
+
+namespace {
+
+const std::string no_body = "Content-Length: 0\r\n";
+/// What the platform's operators set: from this long after the first notice, in
+/// any such span at most one and a half times the limit and five requests more.
+constexpr duration stable_window = 3s;
+constexpr duration judged_span = 4s;
+constexpr double allowed_share = 1.5;
+constexpr double allowed_extra = 5;
+
+/// Times at which requests reached the target.
+class arrivals
+{
+public:
+    void add()
+    {
+        const std::lock_guard lock(mutex_);
+        times_.push_back(net::event_loop::now().mono);
+    }
+
+    [[nodiscard]] std::size_t count() const
+    {
+        const std::lock_guard lock(mutex_);
+        return times_.size();
+    }
+
+    /// @return largest number in the judged span, from the end of the stable
+    ///         window after the first
+    [[nodiscard]] double most_in_span() const
+    {
+        const std::lock_guard lock(mutex_);
+        std::size_t most = 0;
+        for (auto from = times_.begin(); from != times_.end(); ++from) {
+            if (*from < times_.front() + stable_window)
+                continue;
+            const auto to =
+                std::upper_bound(from, times_.end(), *from + judged_span);
+            most = std::max(most, static_cast<std::size_t>(to - from));
+        }
+        return static_cast<double>(most);
+    }
+
+private:
+    mutable std::mutex mutex_;
+    std::vector<time_point> times_;
+};
+
+/// Asks again and again for some time.
+/// @return answers by their status
+std::map<int, int> ask_often(site& s, duration for_time)
+{
+    std::map<int, int> answers;
+    const auto end = std::chrono::steady_clock::now() + for_time;
+    for (int n = 0; std::chrono::steady_clock::now() < end; ++n) {
+        ++answers[s.ask(request_text("id" + std::to_string(n), no_body, "POST"))
+                      .head.status];
+        std::this_thread::sleep_for(30ms);
+    }
+    return answers;
+}
+
+} // namespace
+
+TEST_CASE("a target gets no more requests than the limit that it names",
+          "[gateway][!mayfail]")
+{
+    constexpr double limit = 2;
+    const std::string kind = GENERATE(
+        values<std::string>({"idempotent", "non_idempotent", "streaming"}));
+    CAPTURE(kind);
+    arrivals seen;
+    site s({.kind = kind}, {with_warm_up([&](const seen_request& r) {
+               seen.add();
+               auto answer =
+                   kind == "streaming"
+                       ? script{{stream_head(r) + event(1), {}, then::go_on},
+                                {event(2), 2ms, then::close}}
+                       : signed_answer(r, 200, "fine");
+               return with_header(std::move(answer), limit_header("2.0"));
+           })});
+    const auto answers = ask_often(s, stable_window + judged_span + 1s);
+    CHECK(seen.most_in_span() <=
+          allowed_share * limit * to_seconds(judged_span) + allowed_extra);
+    CHECK(answers.at(200) > 1);
+    CHECK(answers.at(503) > 1);
+}
