Share the requests that a target allows among all instances

Cause: nothing read Server-Limit; and a limit that each instance heeds by itself, with one request at once, is broken by eight of them already (8 + 4 in 4 s for 11).

The limit is decoded with the other notices and kept with the target's start. Wall clock time is cut into slots of 1 s; each instance computes by rendezvous hashing over the live members which requests of a slot are its own, so that no message is needed for a request. Unused ones are lost: 4 s touch five slots, 5 x limit + 1 requests for an allowed 6 x limit + 5, and the rest covers clocks and views that differ. Every send counts: first ones, retries, resumed streams and probes. News of a limit and of its end goes to all instances, and is repeated every 2 s while the target answers. A request that no target has room for is refused at once, with Retry-After from the limits.

--- a/src/lovagegate/core/time.hpp
+++ b/src/lovagegate/core/time.hpp
@@ -51,6 +51,14 @@
     return std::chrono::duration<double>(d).count();
 }
 
+/// @param seconds a number that a duration can hold
+/// @return the duration, rounded towards zero
+[[nodiscard]] constexpr duration from_seconds(double seconds) noexcept
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds));
+}
+
 } // namespace lovagegate
 
 #endif
--- a/src/lovagegate/gateway/caller_request.hpp
+++ b/src/lovagegate/gateway/caller_request.hpp
@@ -42,8 +42,12 @@
     /// The target wants no request before this time has passed; only with a
     /// refusal.
     std::optional<duration> accepts_again_after;
-    /// A value that should state one of the two was malformed and is ignored.
+    /// Requests per second that the target takes from all instances together;
+    /// nothing if it states no limit.
+    std::optional<double> request_limit;
+    /// A value that should state one of these was malformed and is ignored.
     bool has_malformed_notice = false;
+    bool has_malformed_limit = false;
 };
 
 /// Fields that the gateway adds to a request.
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -96,12 +96,27 @@
 constexpr double whole_percent = 100;
 /// Reason for refusing a request that every target told to come later.
 constexpr std::string_view all_targets_pause = "all targets pause";
+/// Reason for refusing a request for which no target's limit has room.
+constexpr std::string_view targets_limit_requests =
+    "the targets limit their requests";
+/// Longest Retry-After because of targets' limits: they may end at any time.
+constexpr duration max_limit_retry_after = 5s;
 /// Events of one send after which the engine is assumed not to crash on the
 /// prompt; an engine that crashes on it may still have sent one.
 constexpr std::uint64_t events_of_live_engine = 2;
 /// Lowest urgency that engines accept.
 constexpr std::uint32_t lowest_priority = 9;
 
+/// @param limit requests per second
+/// @return Retry-After of a request that the limit has no room for
+duration time_between_sends(double limit)
+{
+    const double longest = to_seconds(max_limit_retry_after);
+    if (limit * longest <= 1)
+        return max_limit_retry_after;
+    return std::max(refusal_retry_after, from_seconds(1 / limit));
+}
+
 bool is_success(int status)
 {
     return status >= ok_status && status < first_redirect;
@@ -349,8 +364,7 @@
     const auto choice =
         s.placements.choose(wanted, allowed, s.members.count(now), now);
     if (!choice && allowed.empty()) {
-        refuse(s.targets.next_pause_end(service_, now) ? all_targets_pause
-                                                       : "no target");
+        refuse(no_target_reason(now));
         return;
     }
     if (!choice) {
@@ -428,7 +442,9 @@
     gateway_state& s = context_.state;
     const instant now = net::event_loop::now();
     const target_state* t = s.targets.find(target);
-    if (t == nullptr || t->use(now.mono) == target_use::none) {
+    // Another request may have used up what the target's limit allows.
+    if (t == nullptr || t->use(now.mono) == target_use::none ||
+        !is_allowed(*t)) {
         excluded_.push_back(target);
         try_next_target();
         return;
@@ -486,6 +502,8 @@
         try_next_target();
         return;
     }
+    if (t->limit.per_second)
+        s.allowance.take(target);
     if (is_trial_)
         context_.crashes.begin_trial(traits_, facts_.attempt_id, now.mono);
     at_target_ = true;
@@ -565,9 +583,31 @@
             return std::ranges::find(run_targets_, t->entry.id) ==
                    run_targets_.end();
         });
+    std::erase_if(all,
+                  [this](const target_state* t) { return !is_allowed(*t); });
     return all;
 }
 
+bool forwarding::is_allowed(const target_state& t) const
+{
+    if (!t.limit.per_second)
+        return true;
+    gateway_state& s = context_.state;
+    const instant now = net::event_loop::now();
+    return s.allowance.may_send(
+        t.entry.id, *t.limit.per_second,
+        [&] { return s.members.alive(now.mono); }, now);
+}
+
+std::string_view forwarding::no_target_reason(time_point now) const
+{
+    const target_directory& targets = context_.state.targets;
+    if (targets.next_pause_end(service_, now))
+        return all_targets_pause;
+    return targets.usable(service_, now).empty() ? "no target"
+                                                 : targets_limit_requests;
+}
+
 void forwarding::on_not_run()
 {
     if (runs_ > 0)
@@ -593,6 +633,28 @@
         on_leaving_notice(now);
     if (answer_facts_.accepts_again_after)
         on_pause(*answer_facts_.accepts_again_after, now);
+    if (answer_facts_.has_malformed_limit) {
+        s.counts.add("target_notices", "reason", "malformed");
+        log("target_notice_malformed", "limit ignored");
+    } else {
+        on_limit(answer_facts_.request_limit, now);
+    }
+}
+
+void forwarding::on_limit(std::optional<double> per_second, time_point now)
+{
+    gateway_state& s = context_.state;
+    const bool changed =
+        s.targets.on_limit(target_, target_started_ms_, per_second, now);
+    if (changed) {
+        s.counts.add("target_notices", "reason",
+                     per_second ? "limits" : "limit_ended");
+        log("target_limit", per_second ? std::to_string(*per_second) + "/s"
+                                       : std::string("none"));
+    }
+    if (s.targets.take_limit_news(target_, changed, now))
+        context_.send_limit_notice(
+            {target_, target_started_ms_, per_second, duration::zero()});
 }
 
 void forwarding::on_leaving_notice(time_point now)
@@ -1008,16 +1070,18 @@
     const gateway_state& s = context_.state;
     if (s.routes.version() == 0)
         return startup_retry_after;
-    const auto pause_end = s.targets.next_pause_end(service_, now);
     // The deadline of the route binds one attempt only; the caller may have
     // time for another one.
     const time_point latest =
         facts_.time_left ? message_.arrived + *facts_.time_left : deadline_;
-    if (!pause_end || *pause_end >= latest)
+    auto next_send = s.targets.next_pause_end(service_, now);
+    if (const auto limit = s.targets.total_limit(service_, now))
+        next_send = now + time_between_sends(*limit);
+    if (!next_send || *next_send >= latest)
         return refusal_retry_after;
     const duration spread(std::uniform_int_distribution<duration::rep>(
         0, pause_return_spread.count())(context_.random));
-    return std::min(*pause_end + spread, latest) - now;
+    return std::min(*next_send + spread, latest) - now;
 }
 
 void forwarding::fail(int status, std::string_view reason)
@@ -1142,6 +1206,12 @@
     const target_state* t = context_.state.targets.find(target_);
     if (probe_ || t == nullptr || now < next_probe_)
         return;
+    if (!is_allowed(*t)) {
+        next_probe_ = now + probe_retry_delay;
+        return;
+    }
+    if (t->limit.per_second)
+        context_.state.allowance.take(target_);
     probe_ = std::make_unique<liveness_probe>(
         context_.loop, context_.pool, t->entry, connection_limit(),
         [this, asked = now, alive = alive_](probe_result result) {
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -35,6 +35,8 @@
     /// Called when a target's address refuses the connection (nothing listens
     /// there).
     std::function<void(const std::string& target)> on_connect_refused;
+    /// Tells all other instances of a target's limit.
+    std::function<void(const limit_notice&)> send_limit_notice;
     /// Called when a request has ended; the owner must destroy it later, from
     /// the event loop.
     std::function<void(class forwarding&)> on_done;
@@ -112,6 +114,13 @@
     void apply_notices(const net::message_head& head);
     void on_leaving_notice(time_point now);
     void on_pause(duration pause, time_point now);
+    /// Called with the limit that the target's answer names, if any.
+    void on_limit(std::optional<double> per_second, time_point now);
+    /// @return whether the limit of a target, if any, lets this instance send
+    ///         it a request now
+    [[nodiscard]] bool is_allowed(const target_state& t) const;
+    /// @return why no target may be chosen
+    [[nodiscard]] std::string_view no_target_reason(time_point now) const;
     /// Decides by its head whether an answer is rejected, discarded or
     /// forwarded.
     void classify_answer(const net::message_head& head);
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <ctime>
 #include <utility>
 
@@ -23,6 +24,9 @@
 
 /// Interval for processing adapter requests, report polls and orders.
 constexpr duration tick_interval = 50ms;
+/// Time after the start in which heartbeats have made the other instances
+/// known.
+constexpr duration member_learning_time = 2s;
 /// Interval for checking the time limits of connections.
 constexpr duration connection_check_interval = 250ms;
 /// After a pause of the process of this length, the leases on its engines may
@@ -101,6 +105,7 @@
             retry_budget(boot.retry_ratio, boot.retry_slack, boot.retry_window,
                          boot.first_start ? now : now + boot.retry_window),
             {},
+            send_allowance(boot.address, now + member_learning_time),
             {},
             false};
 }
@@ -179,6 +184,7 @@
                       engine_run(t->entry.id, t->entry.started_ms),
                       net::event_loop::now().mono);
           },
+          [this](const limit_notice& m) { send_to_others(m); },
           [this](forwarding& f) {
               const auto it = requests_.find(&f);
               if (it == requests_.end())
@@ -696,11 +702,33 @@
     } else if (const auto* blocked =
                    std::get_if<blocked_prompt_parts>(&*message)) {
         crashes_.on_message(from.address, *blocked, now);
+    } else if (const auto* limit = std::get_if<limit_notice>(&*message)) {
+        on_limit_notice(*limit, now);
     } else if (const auto* news = std::get_if<store_changes>(&*message)) {
         on_store_changes(from, *news);
     }
 }
 
+void gateway_daemon::on_limit_notice(const limit_notice& notice, time_point now)
+{
+    const bool is_valid =
+        notice.age >= duration::zero() &&
+        (!notice.per_second ||
+         (std::isfinite(*notice.per_second) && *notice.per_second >= 0));
+    if (!is_valid) {
+        state_.counts.add("peer_datagrams_invalid");
+        return;
+    }
+    if (!state_.targets.on_limit(notice.target, notice.started_ms,
+                                 notice.per_second, now - notice.age))
+        return;
+    logging::write(
+        logging::level::info, "target_limit_told",
+        {{"target", notice.target},
+         {"limit", notice.per_second ? std::to_string(*notice.per_second) + "/s"
+                                     : std::string("none")}});
+}
+
 void gateway_daemon::send_heartbeats()
 {
     const instant now = net::event_loop::now();
@@ -762,6 +790,7 @@
     list_confirmed_targets(now);
     state_.targets.expire(now);
     crashes_.expire(now);
+    state_.allowance.expire(net::event_loop::now());
 }
 
 void gateway_daemon::stop_accepting()
@@ -990,6 +1019,8 @@
                                            return t.second.paused_until &&
                                                   now < *t.second.paused_until;
                                        }))},
+        metrics::gauge{"targets_limiting_requests",
+                       static_cast<double>(state_.targets.limited(now))},
         metrics::gauge{"adapter_loads_in_transit",
                        static_cast<double>(adapters_.loads_in_transit())},
         metrics::gauge{"blocked_prompt_parts",
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -62,6 +62,7 @@
     [[nodiscard]] std::vector<std::string> random_others(std::size_t count);
     void send_to_others(const peer_message& message);
     /// Repeats to another instance what it may have missed.
+    void on_limit_notice(const limit_notice& notice, time_point now);
     void repeat_crash_reports();
     /// @return number of live instances that may try blocked prompt parts
     ///         before this one
--- a/src/lovagegate/gateway/gateway_state.hpp
+++ b/src/lovagegate/gateway/gateway_state.hpp
@@ -9,6 +9,7 @@
 #include "lovagegate/gateway/releases.hpp"
 #include "lovagegate/gateway/retry_budget.hpp"
 #include "lovagegate/gateway/route_table.hpp"
+#include "lovagegate/gateway/send_allowance.hpp"
 #include "lovagegate/gateway/target_directory.hpp"
 
 namespace lovagegate::gateway {
@@ -25,6 +26,7 @@
     placement placements;
     retry_budget retries;
     release_table releases;
+    send_allowance allowance;
     counters counts;
     bool stopping = false;
 };
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -20,7 +20,8 @@
     store_changes = 6,
     crash_notice = 7,
     answered_prompt_parts = 8,
-    blocked_prompt_parts = 9
+    blocked_prompt_parts = 9,
+    limit_notice = 10
 };
 
 json write(const engine_claim& c)
@@ -94,6 +95,13 @@
     return json::array({tag::blocked_prompt_parts, std::move(parts)});
 }
 
+json write(const limit_notice& m)
+{
+    return json::array({tag::limit_notice, m.target, m.started_ms,
+                        m.per_second ? json(*m.per_second) : json(),
+                        m.age.count()});
+}
+
 json write(const store_changes& m)
 {
     json bases = json::array();
@@ -226,6 +234,17 @@
     return m;
 }
 
+limit_notice read_limit_notice(const json& j)
+{
+    limit_notice m;
+    m.target = j.at(1).get<std::string>();
+    m.started_ms = j.at(2).get<std::int64_t>();
+    if (!j.at(3).is_null())
+        m.per_second = j.at(3).get<double>();
+    m.age = duration(j.at(4).get<duration::rep>());
+    return m;
+}
+
 std::optional<peer_message> read(const json& j)
 {
     switch (static_cast<tag>(j.at(0).get<unsigned>())) {
@@ -259,6 +278,8 @@
         return answered_prompt_parts{j.at(1).get<std::vector<fingerprint>>()};
     case tag::blocked_prompt_parts:
         return read_blocked_parts(j);
+    case tag::limit_notice:
+        return read_limit_notice(j);
     }
     return std::nullopt;
 }
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -146,6 +146,15 @@
     std::vector<entry> parts;
 };
 
+/// What a target said of the requests that it takes from all instances.
+struct limit_notice
+{
+    std::string target;
+    std::int64_t started_ms = 0;      ///< start of the target that said it
+    std::optional<double> per_second; ///< nothing: any number
+    duration age{}; ///< of the target's answer, when the message was sent
+};
+
 /// Changes in the platform's store, sent by an instance that reads it; see
 /// pack_changes() and unpack_changes().
 struct store_changes
@@ -174,9 +183,10 @@
     fingerprint content = 0; ///< of the joined `packed`, if there are parts
 };
 
-using peer_message = std::variant<heartbeat, adapter_request, adapter_reply,
-                                  adapter_usage, crash_notice, store_changes,
-                                  answered_prompt_parts, blocked_prompt_parts>;
+using peer_message =
+    std::variant<heartbeat, adapter_request, adapter_reply, adapter_usage,
+                 crash_notice, store_changes, answered_prompt_parts,
+                 blocked_prompt_parts, limit_notice>;
 
 /// @return the encoded datagram
 [[nodiscard]] std::string encode(const peer_message& message);
--- a/src/lovagegate/gateway/target_directory.cpp
+++ b/src/lovagegate/gateway/target_directory.cpp
@@ -17,6 +17,9 @@
 /// Entries expire after three intervals of their targets' heartbeats, 3.6 s on
 /// the platform; the rest covers the way of the deletion.
 constexpr duration entry_expiry_time = 6s;
+/// Between two messages that repeat a target's limit to the others, in case a
+/// datagram was lost or an instance has started.
+constexpr duration limit_news_interval = 2s;
 /// Longer than any request to the target can take.
 constexpr duration unlisted_target_ttl = 30s;
 /// What a target said of itself must outlast an outage of the store, after
@@ -41,6 +44,7 @@
 void keep_notices(const target_state& from, target_state& to)
 {
     to.paused_until = from.paused_until;
+    to.limit = from.limit;
     if (!from.leaves_by_notice)
         return;
     to.leaves_by_notice = true;
@@ -184,6 +188,55 @@
     return !paused;
 }
 
+bool target_directory::on_limit(std::string_view id, std::int64_t started_ms,
+                                std::optional<double> per_second,
+                                time_point said_at)
+{
+    target_state* const t = find_start(id, started_ms);
+    if (t == nullptr || said_at < t->limit.said_at)
+        return false;
+    t->limit.said_at = said_at;
+    return std::exchange(t->limit.per_second, per_second) != per_second;
+}
+
+bool target_directory::take_limit_news(std::string_view id, bool changed,
+                                       time_point now)
+{
+    const auto it = targets_.find(id);
+    if (it == targets_.end())
+        return false;
+    target_limit& limit = it->second.limit;
+    if (!changed &&
+        (!limit.per_second || now - limit.told_at < limit_news_interval))
+        return false;
+    limit.told_at = now;
+    return true;
+}
+
+std::optional<double> target_directory::total_limit(std::string_view service,
+                                                    time_point now) const
+{
+    const auto targets = usable(service, now);
+    if (targets.empty())
+        return std::nullopt;
+    double total = 0;
+    for (const target_state* t : targets) {
+        if (!t->limit.per_second)
+            return std::nullopt;
+        total += *t->limit.per_second;
+    }
+    return total;
+}
+
+std::size_t target_directory::limited(time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(targets_, [&](const auto& item) {
+            return item.second.limit.per_second &&
+                   item.second.use(now) != target_use::none;
+        }));
+}
+
 bool target_directory::take_ended_pause(std::string_view id, time_point now)
 {
     const auto it = targets_.find(id);
--- a/src/lovagegate/gateway/target_directory.hpp
+++ b/src/lovagegate/gateway/target_directory.hpp
@@ -21,6 +21,14 @@
     none
 };
 
+/// What a target said of the requests that it takes from all instances.
+struct target_limit
+{
+    std::optional<double> per_second; ///< nothing: any number
+    time_point said_at{};             ///< by the latest answer
+    time_point told_at{};             ///< when the others were last told
+};
+
 /// State of one target, as known to this instance.
 struct target_state
 {
@@ -34,6 +42,7 @@
     bool leaves_by_notice = false;
     /// The target told this instance to send nothing before this time.
     std::optional<time_point> paused_until;
+    target_limit limit;
     bool listed = true;
     std::uint64_t store_era = 0; ///< in which the store last told of it
     /// The entry was removed, but may only have expired during an outage.
@@ -96,6 +105,27 @@
     bool on_pause(std::string_view id, std::int64_t started_ms,
                   time_point until, time_point now);
 
+    /// Called for each answer of a target, with the limit that it names.
+    /// @param started_ms start of the target that answered
+    /// @param per_second limit; nothing if the answer names none
+    /// @param said_at time of the answer; an older one than the known is
+    ///        ignored
+    /// @return whether the limit is another one than before
+    bool on_limit(std::string_view id, std::int64_t started_ms,
+                  std::optional<double> per_second, time_point said_at);
+
+    /// @return whether the others are to be told of a target's limit; true only
+    ///         once for some time
+    bool take_limit_news(std::string_view id, bool changed, time_point now);
+
+    /// @return the requests a second that all targets of a service take
+    ///         together; nothing if none is in use or one names no limit
+    [[nodiscard]] std::optional<double> total_limit(std::string_view service,
+                                                    time_point now) const;
+
+    /// @return number of targets in use that name a limit
+    [[nodiscard]] std::size_t limited(time_point now) const;
+
     /// @return whether a pause of the target has ended since the last call that
     ///         returned true
     bool take_ended_pause(std::string_view id, time_point now);
--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -127,6 +127,19 @@
     CHECK_FALSE(entry.in_doubt);
 }
 
+TEST_CASE("a target's limit, and its end, can be told", "[gateway]")
+{
+    const auto limit =
+        GENERATE(std::optional<double>(1.3), std::optional<double>());
+    const auto told = decode(encode(limit_notice{"t", 7, limit, 3ms}));
+    REQUIRE(told);
+    const auto& n = std::get<limit_notice>(*told);
+    CHECK(n.target == "t");
+    CHECK(n.started_ms == 7);
+    CHECK(n.per_second == limit);
+    CHECK(n.age == 3ms);
+}
+
 TEST_CASE("a crash notice of an earlier version is decoded", "[gateway]")
 {
     std::string datagram;
--- a/tests/gateway/target_directory_test.cpp
+++ b/tests/gateway/target_directory_test.cpp
@@ -333,3 +333,50 @@
         CHECK(targets.take_confirmed_entries(now + 30s).empty());
     }
 }
+
+TEST_CASE("the latest answer of a target tells its limit", "[gateway]")
+{
+    auto targets = directory_of({"t", "u"});
+    CHECK(targets.on_limit("t", 5, 1.3, now + 1s));
+    CHECK_FALSE(targets.on_limit("t", 5, 1.3, now + 2s));
+    CHECK_FALSE(targets.on_limit("t", 5, 9.0, now + 1s));
+    CHECK(targets.find("t")->limit.per_second == 1.3);
+    CHECK(targets.limited(now + 2s) == 1);
+    CHECK_FALSE(targets.total_limit("s", now + 2s));
+    SECTION("until an answer names none")
+    {
+        CHECK(targets.on_limit("t", 5, std::nullopt, now + 3s));
+        CHECK_FALSE(targets.on_limit("t", 5, 1.3, now + 2s));
+        CHECK_FALSE(targets.find("t")->limit.per_second);
+    }
+    SECTION("also after a new entry of the same start")
+    {
+        targets.put(entry_of("t"), now + 3s);
+        CHECK(targets.find("t")->limit.per_second == 1.3);
+    }
+    SECTION("but not for its next start")
+    {
+        targets.put(entry_of("t", 6), now + 3s);
+        CHECK_FALSE(targets.find("t")->limit.per_second);
+        CHECK_FALSE(targets.on_limit("t", 5, 2.0, now + 4s));
+    }
+    SECTION("and the limits of all targets of a service add up")
+    {
+        targets.on_limit("u", 5, 0.2, now + 3s);
+        CHECK(targets.total_limit("s", now + 3s) == Approx(1.5));
+    }
+}
+
+TEST_CASE("a target's limit is told when it changes and now and then after",
+          "[gateway]")
+{
+    auto targets = directory_of({"t"});
+    CHECK_FALSE(targets.take_limit_news("t", false, now));
+    CHECK(
+        targets.take_limit_news("t", targets.on_limit("t", 5, 1.0, now), now));
+    CHECK_FALSE(targets.take_limit_news("t", false, now + 1999ms));
+    CHECK(targets.take_limit_news("t", false, now + 2s));
+    CHECK(targets.take_limit_news(
+        "t", targets.on_limit("t", 5, std::nullopt, now + 2s), now + 2s));
+    CHECK_FALSE(targets.take_limit_news("t", false, now + 9s));
+}
--- a/tests/platform_wire/http_fields_test.cpp
+++ b/tests/platform_wire/http_fields_test.cpp
@@ -210,3 +210,37 @@
     CHECK(read_answer(h).has_malformed_notice);
     CHECK(read_answer(h).target_leaves);
 }
+
+TEST_CASE("read_answer reads the limit that a target names, in any answer",
+          "[platform_wire]")
+{
+    const int status = GENERATE(200, 421, 503);
+    const auto [text, limit] =
+        GENERATE(table<std::string, double>({{"1.3", 1.3},
+                                             {"0", 0},
+                                             {"0.0", 0},
+                                             {"250", 250},
+                                             {"1000000000000", 1e12}}));
+    net::message_head h;
+    h.status = status;
+    h.headers = {{"Server-Limit", text}};
+    CHECK(read_answer(h).request_limit == limit);
+    CHECK_FALSE(read_answer(h).has_malformed_limit);
+    h.headers.clear();
+    CHECK_FALSE(read_answer(h).request_limit);
+}
+
+TEST_CASE("a malformed limit is ignored and noticed", "[platform_wire]")
+{
+    const std::string value = GENERATE(values<std::string>(
+        {"", "-1", "nan", "inf", "few", "1.5x", "1, 2", "1e3", "0x10"}));
+    CAPTURE(value);
+    net::message_head h;
+    h.status = 200;
+    h.headers = {{"Server-Limit", value}};
+    CHECK_FALSE(read_answer(h).request_limit);
+    CHECK(read_answer(h).has_malformed_limit);
+    h.headers = {{"Server-Limit", "1"}, {"server-limit", "2"}};
+    CHECK_FALSE(read_answer(h).request_limit);
+    CHECK(read_answer(h).has_malformed_limit);
+}
