Refuse what a stopping instance can't finish before it is sent

It can happen here: a request that arrived within the first 2.3 s of the stop, or waited, was sent as long as 30 ms were left, and answered 504 when the open requests were given up. Callers can't repeat such a one. The test failed before: 504, and 21 runs instead of 20.

A stopping instance now compares the time until it gives up with one and a half times the average run of the service, and refuses as not run what doesn't fit, before its first send. Two kinds of end remain: a run that takes longer than that is answered 504 or cut; a connection is not closed with nothing, as before (tests of site_test).

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -77,6 +77,9 @@
 /// request that must not fail yet; doubles with each delay of the request.
 constexpr duration target_retry_delay = 120ms;
 constexpr duration max_target_retry_delay = 1s;
+/// Runs of up to this multiple of the average are expected when it is decided
+/// whether a request can still be finished.
+constexpr double long_run_factor = 1.5;
 /// Retry-After for refused callers: by then a slot is likely to be free.
 constexpr duration refusal_retry_after = 700ms;
 constexpr duration startup_retry_after = 300ms;
@@ -453,6 +456,11 @@
         refuse("no time left");
         return;
     }
+    if (runs_ == 0 && is_too_late_to_run(now.mono)) {
+        ending_ = true;
+        refuse("the instance ends");
+        return;
+    }
     // Other requests may have shown it since this one was admitted.
     if (reject_if_crashing(now.mono))
         return;
@@ -527,6 +535,15 @@
     arm_timer();
 }
 
+bool forwarding::is_too_late_to_run(time_point now) const
+{
+    const gateway_state& s = context_.state;
+    const auto usual = s.placements.mean_run_time(service_);
+    return s.stopping && usual &&
+           s.gives_up_at - now <
+               std::chrono::duration_cast<duration>(*usual * long_run_factor);
+}
+
 bool forwarding::consume_retry(time_point now)
 {
     gateway_state& s = context_.state;
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -119,6 +119,8 @@
     /// @return whether the limit of a target, if any, lets this instance send
     ///         it a request now
     [[nodiscard]] bool is_allowed(const target_state& t) const;
+    /// @return whether the instance stops too soon for a run of the request
+    [[nodiscard]] bool is_too_late_to_run(time_point now) const;
     /// @return why no target may be chosen
     [[nodiscard]] std::string_view no_target_reason(time_point now) const;
     /// Decides by its head whether an answer is rejected, discarded or
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -107,7 +107,8 @@
             {},
             send_allowance(boot.address, now + member_learning_time),
             {},
-            false};
+            false,
+            time_point::max()};
 }
 
 /// @return path that requests what is newer than the known revisions:
@@ -340,6 +341,7 @@
                    {{"open", std::uint64_t{requests_.size()}}});
     state_.stopping = true;
     stop_since_ = now.mono;
+    state_.gives_up_at = now.mono + give_up_time();
     state_.members.self().claims = adapters_.claims(now.mono);
     state_.members.self().leaving = true;
     adapters_.stop("stopping", now);
--- a/src/lovagegate/gateway/gateway_state.hpp
+++ b/src/lovagegate/gateway/gateway_state.hpp
@@ -29,6 +29,8 @@
     send_allowance allowance;
     counters counts;
     bool stopping = false;
+    /// While stopping: when requests that are still open are given up.
+    time_point gives_up_at = time_point::max();
 };
 
 } // namespace lovagegate::gateway
--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -127,6 +127,13 @@
                               : it->second.mean_first_event_time();
 }
 
+std::optional<duration>
+placement::mean_run_time(const std::string& service) const
+{
+    const auto it = paces_.find(service);
+    return it == paces_.end() ? std::nullopt : it->second.mean_run_time();
+}
+
 void placement::on_event(const std::string& target, duration gap,
                          time_point now)
 {
--- a/src/lovagegate/gateway/placement.hpp
+++ b/src/lovagegate/gateway/placement.hpp
@@ -139,6 +139,11 @@
     [[nodiscard]] std::optional<duration>
     mean_first_event_time(const std::string& service) const;
 
+    /// @return how long requests to a service run, on average over this
+    ///         instance's requests; nothing before the first answer
+    [[nodiscard]] std::optional<duration>
+    mean_run_time(const std::string& service) const;
+
     /// @return open requests of this instance at the target
     [[nodiscard]] std::uint32_t open(const std::string& target) const;
 
--- a/tests/gateway/site_test.cpp
+++ b/tests/gateway/site_test.cpp
@@ -959,3 +959,35 @@
               .head.status == 404);
     CHECK(s.runs == 0);
 }
+
+TEST_CASE("a stopping instance refuses a request that it could not finish "
+          "before it is sent",
+          "[gateway]")
+{
+    const std::string kind =
+        GENERATE(values<std::string>({"non_idempotent", "idempotent"}));
+    CAPTURE(kind);
+    constexpr duration run_time = 1200ms;
+    constexpr int earlier_requests = 20;
+    site s({.kind = kind}, {with_warm_up([&](const seen_request& r) {
+               auto answer = good(r, "fine");
+               answer.front().delay = run_time;
+               return answer;
+           })});
+    std::vector<std::unique_ptr<caller>> earlier;
+    for (int n = 0; n < earlier_requests; ++n) {
+        earlier.push_back(std::make_unique<caller>(s.callers_port()));
+        earlier.back()->send(
+            request_text("id" + std::to_string(n), no_body, "POST"));
+    }
+    for (auto& c : earlier)
+        CHECK(c->read().head.status == 200);
+    std::thread stopping([&] { s.stop(); });
+    std::this_thread::sleep_for(1s); // of a grace time of 2 s
+    earlier.front()->send(request_text("late", no_body, "POST"));
+    const auto a = earlier.front()->read();
+    stopping.join();
+    CHECK(a.complete);
+    CHECK(a.head.status == 503);
+    CHECK(s.runs == earlier_requests);
+}
