Let an answer clear a prompt part only of the crashes before it

What callers saw: engines ended again and again under a prompt part that engines had answered before it began to crash them (BUDGET). Cause: the news of an answer didn't say its age, and was taken for one of that moment; an instance that got the last answer after the first crash so cleared the block of the others, with the crashes after the answer, again and again. The news bears the age, a blocked part keeps its crashes, and those after the answer are judged again.

--- a/src/lovagegate/gateway/crash_reports.cpp
+++ b/src/lovagegate/gateway/crash_reports.cpp
@@ -86,9 +86,10 @@
 
 void crash_reports::on_answer_begun(const crash_traits& request, time_point now)
 {
-    auto parts = record_answer(request.prompt_parts, now);
+    auto parts = record_answer(request.prompt_parts, now, now);
     if (!parts.empty())
-        callbacks_.send_to_all(answered_prompt_parts{std::move(parts)});
+        callbacks_.send_to_all(
+            answered_prompt_parts{std::move(parts), duration::zero()});
 }
 
 void crash_reports::on_answered(const crash_traits& request, time_point now)
@@ -121,14 +122,17 @@
 void crash_reports::on_message(const answered_prompt_parts& answered,
                                time_point now)
 {
-    record_answer(answered.parts, now);
+    if (answered.age < duration::zero()) {
+        counts_.add("peer_datagrams_invalid");
+        return;
+    }
+    record_answer(answered.parts, now - answered.age, now);
 }
 
 void crash_reports::on_message(const std::string& from,
                                const blocked_prompt_parts& blocked,
                                time_point now)
 {
-    answered_prompt_parts refuted;
     std::vector<fingerprint> added;
     for (const auto& entry : blocked.parts) {
         if (entry.since_last_crash < duration::zero() ||
@@ -146,15 +150,15 @@
             added.push_back(entry.part);
             break;
         case peer_block::refuted:
-            refuted.parts.push_back(entry.part);
+            if (const auto at = prompt_parts_.last_answer(entry.part))
+                callbacks_.send_to(
+                    from, answered_prompt_parts{{entry.part}, now - *at});
             break;
         case peer_block::known:
             break;
         }
     }
     announce_blocked(added, "told by " + from, now);
-    if (!refuted.parts.empty())
-        callbacks_.send_to(from, refuted);
 }
 
 crash_verdict crash_reports::verdict(const crash_traits& request,
@@ -227,15 +231,20 @@
 }
 
 std::vector<fingerprint>
-crash_reports::record_answer(std::span<const fingerprint> parts, time_point now)
+crash_reports::record_answer(std::span<const fingerprint> parts, time_point at,
+                             time_point now)
 {
-    for (const fingerprint part : parts)
-        if (prompt_parts_.blocked_among(std::span(&part, 1), now)) {
+    std::vector<fingerprint> blocked_before;
+    for (const fingerprint& part : parts)
+        if (blocked_among(std::span(&part, 1), now))
+            blocked_before.push_back(part);
+    auto effect = prompt_parts_.on_answer(parts, at, now);
+    for (const fingerprint& part : blocked_before)
+        if (!blocked_among(std::span(&part, 1), now)) {
             counts_.add("prompt_parts_cleared");
             logging::write(logging::level::info, "prompt_part_cleared",
                            {{"part", part}});
         }
-    auto effect = prompt_parts_.on_answer(parts, now);
     announce_blocked(effect.blocked, "answers to the other parts", now);
     return std::move(effect.suspected);
 }
--- a/src/lovagegate/gateway/crash_reports.hpp
+++ b/src/lovagegate/gateway/crash_reports.hpp
@@ -115,7 +115,7 @@
                       time_point now);
     /// @return those of the parts that may be suspected elsewhere
     std::vector<fingerprint> record_answer(std::span<const fingerprint> parts,
-                                           time_point now);
+                                           time_point at, time_point now);
     /// @param evidence the last run that crashed, or the instance that told it
     void announce_blocked(std::span<const fingerprint> parts,
                           std::string_view evidence, time_point now);
--- a/src/lovagegate/gateway/crashing_prompt_parts.cpp
+++ b/src/lovagegate/gateway/crashing_prompt_parts.cpp
@@ -166,7 +166,8 @@
         // Only a request that tried the part can have been sent so late.
         if (broken.at >= s.blocked_at + first_trial_delay)
             s.in_doubt = false;
-        explain(run);
+        s.crashes.try_emplace(run.first, broken);
+        explain(run, part);
     } else if (!run.second.explained) {
         // A later break of the same run is no further crash.
         broken_requests& crash =
@@ -177,22 +178,22 @@
     }
 }
 
-void crashing_prompt_parts::explain(run_map::value_type& run)
+void crashing_prompt_parts::explain(run_map::value_type& run, fingerprint cause)
 {
     if (run.second.explained)
         return;
     run.second.explained = true;
     for (const auto& [part, broken] : run.second.parts)
-        if (const auto it = suspects_.find(part); it != suspects_.end())
+        if (const auto it = suspects_.find(part);
+            part != cause && it != suspects_.end())
             it->second.crashes.erase(run.first);
 }
 
-void crashing_prompt_parts::explain_crashes_of(suspect& s)
+void crashing_prompt_parts::explain_crashes_of(fingerprint part)
 {
-    // explain() erases crashes of the same suspect.
-    for (const auto& [run, broken] : std::exchange(s.crashes, {}))
+    for (const auto& [run, broken] : suspects_.at(part).crashes)
         if (const auto it = runs_.find(run); it != runs_.end())
-            explain(*it);
+            explain(*it, part);
 }
 
 crashing_prompt_parts::crash_summary
@@ -227,7 +228,8 @@
     std::size_t most_of_answered = 0;
     for (const auto& [part, broken] : run.parts) {
         const auto it = suspects_.find(part);
-        if (it == suspects_.end() || it->second.crashes.size() < crash_limit)
+        if (it == suspects_.end() || it->second.blocked ||
+            it->second.crashes.size() < crash_limit)
             continue;
         const crash_summary found = summarize(it->second);
         const bool before = was_answered(part, now);
@@ -302,15 +304,15 @@
     }
     // After all are blocked, since this erases crashes of the others.
     for (const fingerprint part : parts)
-        explain_crashes_of(suspects_.at(part));
+        explain_crashes_of(part);
 }
 
 crashing_prompt_parts::answer_effect
 crashing_prompt_parts::on_answer(std::span<const fingerprint> parts,
-                                 time_point now)
+                                 time_point at, time_point now)
 {
     answer_effect effect;
-    std::set<std::string> unexplained_runs;
+    std::set<std::string> runs_to_judge;
     for (const fingerprint part : parts) {
         const auto it = suspects_.find(part);
         if (it != suspects_.end()) {
@@ -319,13 +321,16 @@
             if (s.blocked || answer == answers_.end() ||
                 s.last_seen >= answer->second)
                 effect.suspected.push_back(part);
-            for (const auto& [run, broken] : std::exchange(s.crashes, {}))
-                unexplained_runs.insert(run);
-            s.blocked = false;
+            for (const auto& [run, broken] : s.crashes)
+                runs_to_judge.insert(run);
+            std::erase_if(s.crashes, [&](const auto& crash) {
+                return crash.second.at <= at;
+            });
+            s.blocked = s.blocked && at <= s.first_crash;
         }
-        remember_answer(part, now);
+        remember_answer(part, at);
     }
-    for (const auto& run : unexplained_runs)
+    for (const auto& run : runs_to_judge)
         if (const auto it = runs_.find(run); it != runs_.end()) {
             const auto blocked = block_likely_causes(it->second, now);
             effect.blocked.insert(effect.blocked.end(), blocked.begin(),
@@ -340,16 +345,17 @@
     return it != answers_.end() && now - it->second <= answer_ttl;
 }
 
-void crashing_prompt_parts::remember_answer(fingerprint part, time_point now)
+void crashing_prompt_parts::remember_answer(fingerprint part, time_point at)
 {
     if (answers_.size() >= max_answers && !answers_.contains(part)) {
         std::erase_if(answers_, [&](const auto& answer) {
-            return now - answer.second > answer_ttl;
+            return at - answer.second > answer_ttl;
         });
         if (answers_.size() >= max_answers)
             answers_.erase(answers_.begin());
     }
-    answers_.insert_or_assign(part, now);
+    time_point& latest = answers_.try_emplace(part, at).first->second;
+    latest = std::max(latest, at);
 }
 
 void crashing_prompt_parts::on_run_ended_by_blocked_request(
@@ -389,10 +395,17 @@
     s.trials = block.trials;
     s.last_trial = block.last_trial;
     s.first_crash = block.first_crash;
-    explain_crashes_of(s);
+    explain_crashes_of(block.part);
     return peer_block::added;
 }
 
+std::optional<time_point>
+crashing_prompt_parts::last_answer(fingerprint part) const
+{
+    const auto it = answers_.find(part);
+    return it == answers_.end() ? std::nullopt : std::optional(it->second);
+}
+
 bool crashing_prompt_parts::is_end_awaited(std::string_view run) const
 {
     const auto it = runs_.find(run);
--- a/src/lovagegate/gateway/crashing_prompt_parts.hpp
+++ b/src/lovagegate/gateway/crashing_prompt_parts.hpp
@@ -73,8 +73,10 @@
     };
 
     /// Called when an engine has answered a request with these parts, so that
-    /// they don't crash engines.
-    answer_effect on_answer(std::span<const fingerprint> parts, time_point now);
+    /// they didn't crash engines until then.
+    /// @param at time of the answer; later crashes still count
+    answer_effect on_answer(std::span<const fingerprint> parts, time_point at,
+                            time_point now);
 
     /// Called when a run has ended under a request that is blocked itself. This
     /// is weaker evidence against the parts of its prompt, since they are the
@@ -95,6 +97,9 @@
     /// Called when another instance has blocked a part.
     peer_block on_blocked_by_peer(const blocked_part& block, time_point now);
 
+    /// @return time of the latest answer to a request with the part, if any
+    [[nodiscard]] std::optional<time_point> last_answer(fingerprint part) const;
+
     /// @return whether broken connections to this run were reported, but not
     ///         yet whether the run has ended
     [[nodiscard]] bool is_end_awaited(std::string_view run) const;
@@ -141,7 +146,7 @@
 
     struct suspect
     {
-        /// Crashes that no blocked part explains, by run.
+        /// Crashes that no other blocked part explains, by run.
         std::map<std::string, broken_requests, std::less<>> crashes;
         time_point last_seen{};   ///< latest broken connection
         time_point first_crash{}; ///< of those that led to the block
@@ -160,8 +165,9 @@
     bool make_room_for(fingerprint part);
     void add_crash(fingerprint part, const broken_requests& broken,
                    run_map::value_type& run);
-    void explain(run_map::value_type& run);
-    void explain_crashes_of(suspect& s);
+    /// Holds a crash against no other part than its cause.
+    void explain(run_map::value_type& run, fingerprint cause);
+    void explain_crashes_of(fingerprint part);
     /// Blocks those parts of the run that are the likely causes of crashes.
     std::vector<fingerprint> block_likely_causes(const engine_run_evidence& run,
                                                  time_point now);
@@ -185,7 +191,7 @@
     void block_all(std::span<const fingerprint> parts, time_point now);
     [[nodiscard]] static blocked_part describe(fingerprint part,
                                                const suspect& s);
-    void remember_answer(fingerprint part, time_point now);
+    void remember_answer(fingerprint part, time_point at);
     [[nodiscard]] bool was_answered(fingerprint part, time_point now) const;
     [[nodiscard]] static bool is_blocked(const suspect& s, time_point now);
 
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -82,7 +82,7 @@
 
 json write(const answered_prompt_parts& m)
 {
-    return json::array({tag::answered_prompt_parts, m.parts});
+    return json::array({tag::answered_prompt_parts, m.parts, m.age.count()});
 }
 
 json write(const blocked_prompt_parts& m)
@@ -215,6 +215,15 @@
     return m;
 }
 
+answered_prompt_parts read_answered_parts(const json& j)
+{
+    constexpr std::size_t age_position = 2;
+    answered_prompt_parts m{j.at(1).get<std::vector<fingerprint>>(), {}};
+    if (j.size() > age_position) // absent in messages of earlier versions
+        m.age = duration(j.at(age_position).get<duration::rep>());
+    return m;
+}
+
 blocked_prompt_parts read_blocked_parts(const json& j)
 {
     blocked_prompt_parts m;
@@ -275,7 +284,7 @@
     case tag::crash_notice:
         return read_crash_notice(j);
     case tag::answered_prompt_parts:
-        return answered_prompt_parts{j.at(1).get<std::vector<fingerprint>>()};
+        return read_answered_parts(j);
     case tag::blocked_prompt_parts:
         return read_blocked_parts(j);
     case tag::limit_notice:
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -126,6 +126,7 @@
 struct answered_prompt_parts
 {
     std::vector<fingerprint> parts;
+    duration age{}; ///< of the answers, when the message was sent
 };
 
 /// Parts of prompts that the sender blocks because they crash engines.
--- a/tests/gateway/crashing_part_fleet_test.cpp
+++ b/tests/gateway/crashing_part_fleet_test.cpp
@@ -391,7 +391,7 @@
 
 TEST_CASE("requests with a prompt part that engines answered before it crashes "
           "them stop for good",
-          "[gateway][!mayfail]")
+          "[gateway]")
 {
     check_bound({.answered_before = true});
 }
--- a/tests/gateway/crashing_prompt_parts_test.cpp
+++ b/tests/gateway/crashing_prompt_parts_test.cpp
@@ -38,7 +38,7 @@
                                              run, now);
     }
 
-    void answer(const parts& of) { suspects.on_answer(of, now); }
+    void answer(const parts& of) { suspects.on_answer(of, now, now); }
 
     [[nodiscard]] bool is_blocked(fingerprint part) const
     {
@@ -79,7 +79,7 @@
     }
     SECTION("or until an engine answers a request with it")
     {
-        CHECK(s.suspects.on_answer(std::array{bad}, s.now).suspected ==
+        CHECK(s.suspects.on_answer(std::array{bad}, s.now, s.now).suspected ==
               parts{bad});
         CHECK_FALSE(s.is_blocked(bad));
     }
@@ -102,9 +102,9 @@
     crash_series s;
     s.break_connection({common}, "x@1");
     s.now += 10ms;
-    CHECK(s.suspects.on_answer(std::array{common}, s.now).suspected ==
+    CHECK(s.suspects.on_answer(std::array{common}, s.now, s.now).suspected ==
           parts{common});
-    CHECK(s.suspects.on_answer(std::array{common}, s.now + 1ms)
+    CHECK(s.suspects.on_answer(std::array{common}, s.now + 1ms, s.now + 1ms)
               .suspected.empty());
 }
 
@@ -114,7 +114,7 @@
     s.crash({rare});
     s.crash({rare});
     s.break_connection({rare}, "x@1");
-    s.suspects.on_answer(std::array{rare}, s.now + 1s);
+    s.suspects.on_answer(std::array{rare}, s.now + 1s, s.now + 1s);
     s.suspects.on_run_ended("x@1", s.now + 2s);
     s.now += 3s;
     CHECK_FALSE(s.is_blocked(rare));
@@ -226,7 +226,7 @@
         s.crash({common, bad}, 50ms);
     CHECK_FALSE(s.is_blocked(bad));
     CHECK_FALSE(s.is_blocked(common));
-    CHECK(s.suspects.on_answer(std::array{common}, s.now).blocked ==
+    CHECK(s.suspects.on_answer(std::array{common}, s.now, s.now).blocked ==
           parts{bad});
     CHECK(s.is_blocked(bad));
     CHECK_FALSE(s.is_blocked(common));
@@ -353,3 +353,25 @@
     s.suspects.on_run_ended("x@1", s.now);
     CHECK_FALSE(s.suspects.is_end_awaited("x@1"));
 }
+
+TEST_CASE("an answer before the crashes of a blocked prompt part doesn't clear "
+          "it",
+          "[gateway]")
+{
+    crash_series s;
+    const time_point before = s.now - 1s;
+    for (int n = 0; n < 5; ++n)
+        s.crash({bad});
+    REQUIRE(s.is_blocked(bad));
+    s.suspects.on_answer(std::array{bad}, before, s.now);
+    CHECK(s.is_blocked(bad));
+    SECTION("and one between them leaves those after it")
+    {
+        s.suspects.on_answer(std::array{bad}, before + 1500ms, s.now);
+        CHECK_FALSE(s.is_blocked(bad)); // four crashes, five are needed
+        s.crash({bad});
+        CHECK(s.is_blocked(bad));
+        const auto block = s.suspects.blocked(1, s.now).at(0);
+        CHECK(block.first_crash > before + 1500ms);
+    }
+}
