Don't take a refusal without a limit for the end of the limit

A target in need that turns requests away may do so before its own queue, without Server-Limit. Each such refusal ended the limit at all instances, until the next answer named it again. An answer that ran without the header still ends the limit.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -653,7 +653,7 @@
     if (answer_facts_.has_malformed_limit) {
         s.counts.add("target_notices", "reason", "malformed");
         log("target_notice_malformed", "limit ignored");
-    } else {
+    } else if (answer_facts_.request_limit || !answer_facts_.not_run) {
         on_limit(answer_facts_.request_limit, now);
     }
 }
--- a/tests/gateway/target_limit_test.cpp
+++ b/tests/gateway/target_limit_test.cpp
@@ -178,3 +178,17 @@
         CHECK(s.ask(request_text("id" + std::to_string(n), no_body, "POST"))
                   .head.status == 200);
 }
+
+TEST_CASE("a refusal that names no limit doesn't end it", "[gateway]")
+{
+    constexpr double limit = 2;
+    std::atomic<int> seen{0};
+    site s({.kind = "non_idempotent"}, {with_warm_up([&](const auto& r) {
+               return seen++ == 0 ? with_header(signed_answer(r, 200, "fine"),
+                                                limit_header("2"))
+                                  : not_run(r, 503);
+           })});
+    ask_often(s, 3s);
+    CHECK(seen <=
+          allowed_share * limit * to_seconds(judged_span) + allowed_extra);
+}
