--- a/src/lovagegate/gateway/crashing_prompt_parts.cpp
+++ b/src/lovagegate/gateway/crashing_prompt_parts.cpp
@@ -28,8 +28,8 @@
 /// be sent to several engines. These engines may also have been lost for other
 /// reasons.
 constexpr std::size_t burst_crash_limit = 5;
-/// A blocked part is tried this long after it was blocked, when
-/// requests that were at engines then are cancelled.
+/// A blocked part is tried this long after it was blocked, when the requests
+/// that were at engines then have been cancelled.
 constexpr duration first_trial_delay = 1s;
 /// Time in which a request that tries a part is answered or its engine's crash
 /// is known.
