Repeat a target's limit once for the fleet, not once for each instance

Each instance that heard an answer with a limit told all others every 2 s. With 380 instances and a limit of 400/s these are 190 messages a second to each node, 11 KB/s for one target (calculated), of the 15 KB/s that control may cost. An instance that was told the same limit now holds its own message back for 2 s.

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -721,8 +721,8 @@
         state_.counts.add("peer_datagrams_invalid");
         return;
     }
-    if (!state_.targets.on_limit(notice.target, notice.started_ms,
-                                 notice.per_second, now - notice.age))
+    if (!state_.targets.on_limit_told(notice.target, notice.started_ms,
+                                      notice.per_second, now - notice.age, now))
         return;
     logging::write(
         logging::level::info, "target_limit_told",
--- a/src/lovagegate/gateway/target_directory.cpp
+++ b/src/lovagegate/gateway/target_directory.cpp
@@ -199,6 +199,18 @@
     return std::exchange(t->limit.per_second, per_second) != per_second;
 }
 
+bool target_directory::on_limit_told(std::string_view id,
+                                     std::int64_t started_ms,
+                                     std::optional<double> per_second,
+                                     time_point said_at, time_point now)
+{
+    const bool changed = on_limit(id, started_ms, per_second, said_at);
+    if (target_state* const t = find_start(id, started_ms);
+        t != nullptr && t->limit.per_second == per_second)
+        t->limit.told_at = now;
+    return changed;
+}
+
 bool target_directory::take_limit_news(std::string_view id, bool changed,
                                        time_point now)
 {
--- a/src/lovagegate/gateway/target_directory.hpp
+++ b/src/lovagegate/gateway/target_directory.hpp
@@ -114,6 +114,12 @@
     bool on_limit(std::string_view id, std::int64_t started_ms,
                   std::optional<double> per_second, time_point said_at);
 
+    /// The same for a limit that another instance has told all others, so that
+    /// this one needn't repeat it for some time.
+    bool on_limit_told(std::string_view id, std::int64_t started_ms,
+                       std::optional<double> per_second, time_point said_at,
+                       time_point now);
+
     /// @return whether the others are to be told of a target's limit; true only
     ///         once for some time
     bool take_limit_news(std::string_view id, bool changed, time_point now);
--- a/tests/gateway/target_directory_test.cpp
+++ b/tests/gateway/target_directory_test.cpp
@@ -380,3 +380,18 @@
         "t", targets.on_limit("t", 5, std::nullopt, now + 2s), now + 2s));
     CHECK_FALSE(targets.take_limit_news("t", false, now + 9s));
 }
+
+TEST_CASE("a limit that another instance has told isn't repeated at once",
+          "[gateway]")
+{
+    auto targets = directory_of({"t"});
+    CHECK(targets.on_limit_told("t", 5, 1.0, now, now));
+    CHECK_FALSE(targets.on_limit("t", 5, 1.0, now + 1s));
+    CHECK_FALSE(targets.take_limit_news("t", false, now + 1s));
+    CHECK(targets.take_limit_news("t", false, now + 2s));
+    SECTION("but after an older one")
+    {
+        CHECK_FALSE(targets.on_limit_told("t", 5, 3.0, now, now + 5s));
+        CHECK(targets.take_limit_news("t", false, now + 5s));
+    }
+}
