--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -77,8 +77,9 @@
 /// request that must not fail yet; doubles with each delay of the request.
 constexpr duration target_retry_delay = 120ms;
 constexpr duration max_target_retry_delay = 1s;
-/// Runs of up to this multiple of the average are expected when it is decided
-/// whether a request can still be finished.
+/// A request is expected to take up to this multiple of the average run, since
+/// many runs are longer than the average; one that ends with the instance can't
+/// be repeated by its caller.
 constexpr double long_run_factor = 1.5;
 /// Retry-After for refused callers: by then a slot is likely to be free.
 constexpr duration refusal_retry_after = 700ms;
