--- a/review/standin/engine.cpp
+++ b/review/standin/engine.cpp
@@ -1,5 +1,6 @@
 #include "engine.hpp"
 
+#include <algorithm>
 #include <thread>
 #include <utility>
 
@@ -203,9 +204,9 @@
 
 int engine::carry_out(const json& body, std::uint64_t token)
 {
-    if (token < highest_token_)
+    if (checks_fences_ && token < highest_token_)
         return stale_fence;
-    highest_token_ = token;
+    highest_token_ = std::max(highest_token_, token);
     if (body.contains("expect") &&
         body["expect"].get<std::uint64_t>() != sequence_)
         return conflict;
--- a/review/standin/engine.hpp
+++ b/review/standin/engine.hpp
@@ -43,6 +43,8 @@
     engine(record& log, store& platform, std::string id, const std::string& ip,
            std::string service);
 
+    /// @param on whether it refuses orders with a token lower than one before
+    void check_fences(bool on) { checks_fences_ = on; }
     /// @param events of each run, one every 20 ms
     void set_events_of_run(int events) { events_of_run_ = events; }
     /// Writes its entry, and then every 1.2 s if something has changed.
@@ -97,6 +99,7 @@
     std::map<std::string, adapter_state> adapters_;
     std::uint64_t sequence_ = 0;
     std::uint64_t highest_token_ = 0;
+    bool checks_fences_ = true;
     int running_ = 0;
     int events_of_run_ = 3;
     nlohmann::json shown_;   ///< the report, some time old
--- a/review/standin/machines.cpp
+++ b/review/standin/machines.cpp
@@ -14,6 +14,7 @@
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
+#include <tuple>
 #include <unistd.h>
 #include <utility>
 
@@ -79,9 +80,12 @@
 machines::machines(record& log, store& platform, std::string network,
                    std::size_t count)
     : log_(log), store_(platform), network_(std::move(network)),
-      callers_(free_port(ip(0))), ready_(free_port(ip(0))),
-      control_(free_port(ip(0))), processes_(count, 0), started_at_(count, 0)
+      processes_(count, 0), started_at_(count, 0)
 {
+    const auto ports = free_ports(ip(0), 3);
+    callers_ = ports.at(0);
+    ready_ = ports.at(1);
+    control_ = ports.at(2);
 }
 
 machines::~machines()
@@ -144,7 +148,8 @@
         << "\nbounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10"
         << "\nbounds.retryBudgetSlack=58\nbounds.recoveryS=12"
         << "\nbounds.passMs=120\nbounds.retryAfterS=0"
-        << "\nbounds.requireFencing=true\nbounds.leaseDurationMs=3000"
+        << "\nbounds.requireFencing=" << (fencing_ ? "true" : "false")
+        << "\nbounds.leaseDurationMs=3000"
         << "\nbounds.thawSlackMs=300\nbounds.ceilingWindowS=5"
         << "\nbounds.ceilingOverage=1.1\nbounds.version_ms=5000"
         << "\nplatform.address=" << at(network_ + ".1", store_.port(machine))
@@ -204,21 +209,30 @@
 bool machines::wait_ready(const std::vector<std::size_t>& list,
                           milliseconds limit) const
 {
-    return wait_until(
-        [&] {
-            for (const auto m : list)
-                if (!is_ready(m))
-                    return false;
-            return true;
-        },
-        limit);
+    for (const auto m : list)
+        if (!wait_until([&] { return is_ready(m); }, limit)) {
+            log_.write(name(m) + " isn't ready");
+            std::ignore = has_one_ended();
+            return false;
+        }
+    return true;
 }
 
 bool machines::has_one_ended() const
 {
-    for (const pid_t pid : processes_)
-        if (pid > 0 && ::waitpid(pid, nullptr, WNOHANG) == pid)
-            return true;
+    for (std::size_t m = 0; m < processes_.size(); ++m) {
+        int status = 0;
+        if (processes_[m] <= 0 ||
+            ::waitpid(processes_[m], &status, WNOHANG) != processes_[m])
+            continue;
+        std::string last;
+        std::ifstream log(folder_.path() + '/' + name(m) + ".log");
+        for (std::string line; std::getline(log, line);)
+            last = line;
+        log_.write(name(m) + " has ended, status " + std::to_string(status) +
+                   ", last line: " + last);
+        return true;
+    }
     return false;
 }
 
--- a/review/standin/machines.hpp
+++ b/review/standin/machines.hpp
@@ -40,6 +40,8 @@
     machines(const machines&) = delete;
     machines& operator=(const machines&) = delete;
 
+    /// @param on whether the settings say that engines check fences
+    void set_fencing(bool on) { fencing_ = on; }
     /// Starts the process of a machine.
     /// @param first_start the whole system starts for the first time
     void start(std::size_t machine, const std::vector<std::size_t>& seeds,
@@ -73,10 +75,11 @@
     record& log_;
     store& store_;
     std::string network_;
+    bool fencing_ = true;
     temporary_folder folder_;
-    std::uint16_t callers_;
-    std::uint16_t ready_;
-    std::uint16_t control_;
+    std::uint16_t callers_ = 0;
+    std::uint16_t ready_ = 0;
+    std::uint16_t control_ = 0;
     std::vector<pid_t> processes_;
     std::vector<std::int64_t> started_at_;
 };
--- a/review/standin/net.cpp
+++ b/review/standin/net.cpp
@@ -225,13 +225,15 @@
     return port_of(fd);
 }
 
-std::uint16_t free_port(const std::string& ip)
+std::vector<std::uint16_t> free_ports(const std::string& ip, int count)
 {
-    const int fd = open_listener(ip, 0);
-    const std::uint16_t port = fd < 0 ? 0 : port_of(fd);
-    if (fd >= 0)
-        ::close(fd);
-    return port;
+    std::vector<channel> held;
+    std::vector<std::uint16_t> ports;
+    for (int i = 0; i < count; ++i) {
+        held.emplace_back(open_listener(ip, 0));
+        ports.push_back(held.back().is_open() ? port_of(held.back().fd()) : 0);
+    }
+    return ports;
 }
 
 std::string answer(int status, const std::string& headers,
--- a/review/standin/net.hpp
+++ b/review/standin/net.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lovagegate::review {
 
@@ -41,6 +42,7 @@
     channel& operator=(channel&&) = delete;
 
     [[nodiscard]] bool is_open() const noexcept { return fd_ >= 0; }
+    [[nodiscard]] int fd() const noexcept { return fd_; }
     bool write(std::string_view data);
     /// Reads one request or answer.
     /// @return nothing if the connection ended or the time is over before the
@@ -68,8 +70,8 @@
 listen_on(const std::string& ip, std::uint16_t port,
           std::function<bool(channel&, const message& request)> serve);
 
-/// @return a port that no program uses on the address
-std::uint16_t free_port(const std::string& ip);
+/// @return different ports that no program uses on the address
+std::vector<std::uint16_t> free_ports(const std::string& ip, int count);
 
 /// @return an answer with a body of known length
 std::string answer(int status, const std::string& headers,
