Review case 5: a configuration is in force late when both readers are cut

The store gives no response to the two machines that read it for all others; a version that adds a route is acknowledged.

--- a/review/5/scenario.cpp
+++ b/review/5/scenario.cpp
@@ -1,8 +1,9 @@
-// A machine is cut off from a caller while the head of the second request on a
-// kept channel is on its way.
+// The store falls silent for the two machines that read it for all others, and
+// the operator changes the configuration.
 #include "engine.hpp"
 #include "machines.hpp"
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <deque>
@@ -12,98 +13,119 @@
 
 using namespace lovagegate::review;
 
-constexpr milliseconds cut_length{4000};
-constexpr milliseconds answer_limit{12000};
-/// What one segment of the caller carries.
-constexpr std::size_t segment_bytes = 1400;
-constexpr int rounds = 3;
+constexpr std::int64_t config_apply_ms = 2000;
+constexpr milliseconds between_changes{500};
+constexpr milliseconds silence{9000};
+constexpr milliseconds rest{4000};
+constexpr milliseconds answer_limit{3000};
+constexpr int rounds = 5;
+const std::vector<std::size_t> all_machines{0, 1, 2, 3, 4, 5};
 
-/// @return a request whose head needs two segments, since its prompt has many
-///         shared parts
-std::string request(const std::string& attempt)
+/// Adds a route to a configuration and counts its version up.
+void add_route(nlohmann::json& config, const std::string& name)
 {
-    std::string parts;
-    constexpr int shared_parts = 150;
-    for (int i = 0; i < shared_parts; ++i) {
-        char part[20];
-        std::snprintf(part, sizeof part, "%08x:10,", 0x5c1e0000U + unsigned(i));
-        parts += part;
-    }
-    const std::string body = "prompt of " + attempt;
-    return "POST /speak/ HTTP/1.1\r\nHost: review.example\r\n"
-           "X-Model-Name: " +
-           std::string(engine::model) +
-           "/a1\r\nX-Token-Counts: 1510,20\r\nX-Request-Deadline: 12000\r\n"
-           "X-Prompt-Prefix: " +
-           parts + "e4402b7d:10\r\nX-Attempt-Id: " + attempt +
-           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-           body;
+    auto route = config["routes"][0];
+    route["name"] = name;
+    route["prefix"] = "/" + name + "/";
+    config["routes"].push_back(route);
+    config["version"] = config["version"].get<std::uint64_t>() + 1;
 }
 
-/// Sends two requests on one channel.
-/// @return 1 if an answer named another request than the one that was waiting,
-///         0 if not, 2 if the first request wasn't served
-int play_round(bool trouble, record& log, const machines& fleet,
-               const std::string& name)
+/// Asks a machine for a route.
+/// @return status of the answer, 0 without one
+int probe(record& log, const machines& fleet, std::size_t machine,
+          const std::string& route, const std::string& attempt)
 {
-    constexpr int ok = 200;
-    const std::string first = name + "-first";
-    const std::string second = name + "-second";
-    channel c(fleet.ip(0), fleet.port());
-    if (!c.is_open() || !c.write(request(first)))
-        return 2;
-    log.write("sent " + first);
-    const auto a = c.read(answer_limit);
-    if (!a || a->status != ok || a->header("x-attempt-id") != first)
-        return 2;
-    log.write(first + " is answered 200");
-    const std::string text = request(second);
-    c.write(text.substr(0, segment_bytes));
-    log.write("sent the first segment of " + second);
-    std::this_thread::sleep_for(trouble ? cut_length : milliseconds(5));
-    c.write(text.substr(segment_bytes));
-    log.write("the rest of " + second + " arrives");
-    const auto b = c.read(answer_limit);
-    if (!b) {
-        log.write("no answer to " + second);
-        return 0;
+    std::string text = "POST /" + route + "/ HTTP/1.1\r\n";
+    text += "Host: review.example\r\nX-Attempt-Id: " + attempt;
+    text += "\r\nX-Model-Name: " + std::string(engine::model);
+    text += "/a1\r\nX-Token-Counts: 30,20\r\n"
+            "X-Prompt-Prefix: 5c1e07a2:20,e4402b7d:10\r\n"
+            "X-Request-Deadline: 3000\r\nContent-Length: 0\r\n\r\n";
+    channel c(fleet.ip(machine), fleet.port());
+    log.write(attempt + " asks " + machines::name(machine) + " for " + route);
+    const auto a =
+        c.is_open() && c.write(text) ? c.read(answer_limit) : std::nullopt;
+    const int status = a ? a->status : 0;
+    log.write(attempt + " gets " + std::to_string(status));
+    return status;
+}
+
+/// @return machines that wait for changes of the configuration
+std::vector<std::size_t> readers(store& platform)
+{
+    std::vector<std::size_t> found;
+    for (const auto m : all_machines)
+        if (platform.is_watching(m, "op/"))
+            found.push_back(m);
+    return found;
+}
+
+/// @return how many requests were handled by an older configuration later than
+///         the bound after its successor was acknowledged
+int play_round(bool trouble, record& log, store& platform,
+               const machines& fleet, nlohmann::json& config, int round)
+{
+    constexpr int not_found = 404;
+    const std::string name = "r" + std::to_string(round);
+    add_route(config, name + "-first");
+    platform.put("op/config", config);
+    std::this_thread::sleep_for(between_changes);
+    const auto silent = readers(platform);
+    if (trouble)
+        for (const auto m : silent)
+            platform.cut(m, true);
+    std::this_thread::sleep_for(milliseconds(100));
+    add_route(config, name + "-second");
+    const std::int64_t acked_at = platform.put("op/config", config);
+    std::this_thread::sleep_for(
+        milliseconds(acked_at + config_apply_ms + 50 - log.now()));
+    int late = 0;
+    for (const auto m : all_machines) {
+        // A machine that is cut off is not in touch.
+        if (std::ranges::find(silent, m) != silent.end())
+            continue;
+        const std::int64_t sent_at = log.now();
+        const std::string attempt = name + "-" + std::to_string(m);
+        if (probe(log, fleet, m, name + "-second", attempt) != not_found)
+            continue;
+        ++late;
+        log.write("BROKEN CONFIG: " + machines::name(m) +
+                  " answered 404 to a request sent " +
+                  std::to_string(sent_at - acked_at) +
+                  " ms after the ack of the version that adds the route");
     }
-    const std::string id = b->header("x-attempt-id");
-    log.write("answer " + std::to_string(b->status) + " with X-Attempt-Id '" +
-              id + "' while " + second + " waits");
-    if (id.empty() || id == second)
-        return 0;
-    log.write("BROKEN MIXED: the answer belongs to " + id +
-              ", which was answered 200 before");
-    return 1;
+    std::this_thread::sleep_for(
+        milliseconds(acked_at + silence.count() - log.now()));
+    if (trouble)
+        for (const auto m : silent)
+            platform.cut(m, false);
+    std::this_thread::sleep_for(rest);
+    return late;
 }
 
 int play(bool trouble, record& log, store& platform,
          std::deque<engine>& engines, machines& fleet)
 {
+    constexpr int held = 0;
+    constexpr int broken = 1;
     constexpr int not_run = 2;
     auto config = model_config(1, "speech");
-    config["routes"][0]["resumable"] = false;
     platform.put("op/config", config);
     for (auto& e : engines)
         e.start_pings();
-    fleet.start(0, {0}, true);
-    if (!fleet.wait_ready({0}, milliseconds(10000)))
+    for (const auto m : all_machines)
+        fleet.start(m, {0, 1, 2}, true);
+    if (!fleet.wait_ready(all_machines, milliseconds(10000)))
         return not_run;
     std::this_thread::sleep_for(milliseconds(5000));
-    int broken = 0;
-    for (int i = 0; i < rounds; ++i) {
-        const int result =
-            play_round(trouble, log, fleet, "round-" + std::to_string(i));
-        if (result == not_run)
-            return not_run;
-        broken += result;
-    }
+    int late = 0;
+    for (int i = 0; i < rounds; ++i)
+        late += play_round(trouble, log, platform, fleet, config, i);
     if (fleet.has_one_ended())
         return not_run;
-    log.write(std::to_string(broken) + " of " + std::to_string(rounds) +
-              " rounds broke the rule");
-    return broken > 0 ? 1 : 0;
+    log.write(std::to_string(late) + " requests met an older configuration");
+    return late > 0 ? broken : held;
 }
 
 } // namespace
@@ -115,10 +137,11 @@
         return not_run;
     record log(argv[2]);
     const std::string network = own_network();
-    store platform(log, network + ".1", 1);
+    store platform(log, network + ".1", all_machines.size());
     std::deque<engine> engines;
-    engines.emplace_back(log, platform, "i-0a", network + ".2", "speech");
-    machines fleet(log, platform, network, 1);
+    for (const char* id : {"i-0a", "i-0b"})
+        engines.emplace_back(log, platform, id, network + ".2", "speech");
+    machines fleet(log, platform, network, all_machines.size());
     const int result =
         play(std::string(argv[1]) != "0", log, platform, engines, fleet);
     fleet.kill_all();
