--- a/review/standin/machines.cpp
+++ b/review/standin/machines.cpp
@@ -88,6 +88,38 @@
     control_ = ports.at(2);
 }
 
+void machines::limit_cpu()
+{
+    for (const pid_t pid : processes_) {
+        if (pid <= 0)
+            continue;
+        std::thread([pid, on = limited_] {
+            constexpr std::uint64_t allowance_ns = 25000000;
+            constexpr milliseconds window{100};
+            constexpr milliseconds check_interval{2};
+            const auto used = [pid] {
+                std::uint64_t ns = 0;
+                std::ifstream("/proc/" + std::to_string(pid) + "/schedstat") >>
+                    ns;
+                return ns;
+            };
+            while (*on) {
+                const auto end = std::chrono::steady_clock::now() + window;
+                const std::uint64_t before = used();
+                while (*on && std::chrono::steady_clock::now() < end) {
+                    if (used() - before >= allowance_ns) {
+                        ::kill(pid, SIGSTOP);
+                        std::this_thread::sleep_until(end);
+                        ::kill(pid, SIGCONT);
+                        break;
+                    }
+                    std::this_thread::sleep_for(check_interval);
+                }
+            }
+        }).detach();
+    }
+}
+
 machines::~machines()
 {
     kill_all();
@@ -95,6 +127,8 @@
 
 void machines::kill_all()
 {
+    *limited_ = false;
+    std::this_thread::sleep_for(milliseconds(200));
     for (std::size_t m = 0; m < processes_.size(); ++m)
         kill(m);
     folder_.remove();
--- a/review/standin/machines.hpp
+++ b/review/standin/machines.hpp
@@ -50,6 +50,9 @@
     void write_settings(std::size_t machine,
                         const std::vector<std::size_t>& seeds,
                         bool first_start);
+    /// Gives each process a quarter of a core from now on: it is stopped for
+    /// the rest of a tenth of a second in which it has used that up.
+    void limit_cpu();
     /// Kills the process of a machine.
     void kill(std::size_t machine);
     /// Kills all processes and deletes their files.
@@ -80,6 +83,8 @@
     std::uint16_t callers_ = 0;
     std::uint16_t ready_ = 0;
     std::uint16_t control_ = 0;
+    std::shared_ptr<std::atomic<bool>> limited_ =
+        std::make_shared<std::atomic<bool>>(true);
     std::vector<pid_t> processes_;
     std::vector<std::int64_t> started_at_;
 };
