--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,7 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/lovagegate ] && [ -x target/review/case-3 ] || exit 2
-target/review/case-3 "${TROUBLE:-1}" review/3/record.txt
+timeout 118 target/review/case-3 "${TROUBLE:-1}" review/3/record.txt
+result=$?
+[ "$result" -le 2 ] || result=2
+exit "$result"
--- a/review/standin/engine.hpp
+++ b/review/standin/engine.hpp
@@ -63,6 +63,9 @@
     [[nodiscard]] const std::string& id() const noexcept { return id_; }
     [[nodiscard]] std::vector<order_seen> orders();
     [[nodiscard]] std::vector<run_seen> runs();
+    /// @return when it was first ordered to hold more than it has room for, at
+    ///         which a real engine crashes; -1 if it wasn't
+    [[nodiscard]] std::int64_t overloaded_at();
     /// @return whether it holds an adapter
     [[nodiscard]] bool holds(const std::string& adapter);
 
@@ -104,6 +107,7 @@
     int events_of_run_ = 3;
     nlohmann::json shown_;   ///< the report, some time old
     nlohmann::json written_; ///< the entry that was written last
+    std::int64_t overloaded_at_ = -1;
     bool leaves_ = false;
     std::atomic<bool> ended_{false};
     std::vector<order_seen> orders_;
