Don't let a late answer of the store bring back a deleted key

Cause: two instances read the store, and each also gets the news of the other. A key that isn't known and whose change lies before the complete state has been deleted since. News of peers and lists were checked for that, answers to watches were not. An answer that waits behind a partition while the news goes round it put the key back, and since the next watch begins after the deletion, for good.

The test "an answer to a watch doesn't bring back an entry that was deleted since" failed before (1 == 0, both in one era and where the removal came with a restored store).

--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -200,14 +200,9 @@
     if (news.in_doubt)
         extend_doubt(settings_.relayed_doubt_period,
                      net::event_loop::now().mono);
-    for (const auto& item : news.items) {
-        // An unknown key that was changed before the complete state has been
-        // deleted since: the message is late.
-        const bool is_late =
-            item.revision <= newest_ && !items_.contains(item.key);
-        if (!is_late)
+    for (const auto& item : news.items)
+        if (!was_deleted_since(item))
             apply(item, news.in_doubt);
-    }
     // The first changes of an era replace exactly the state before them: of a
     // key that the sender didn't have, they don't say that it is gone.
     const bool begins_era = news.revision.era > newest_.era;
@@ -218,6 +213,12 @@
     return true;
 }
 
+bool store_reader::was_deleted_since(
+    const platform_wire::store_item& item) const
+{
+    return item.revision <= newest_ && !items_.contains(item.key);
+}
+
 void store_reader::apply_to(batch& news, const platform_wire::store_item& item)
 {
     const auto known = items_.find(item.key);
@@ -307,8 +308,10 @@
         batch news;
         news.after = newest_;
         news.in_doubt = in_doubt(net::event_loop::now().mono);
+        // News of other instances may have overtaken the answer.
         for (const auto& item : reply.items)
-            apply_to(news, item);
+            if (!was_deleted_since(item))
+                apply_to(news, item);
         revision_ = std::max(revision_, reply.revision);
         publish_changes(std::move(news));
     } catch (const platform_wire::published_error& e) {
--- a/src/lovagegate/gateway/store_reader.hpp
+++ b/src/lovagegate/gateway/store_reader.hpp
@@ -146,6 +146,10 @@
     /// @return whether the call was interrupted and the one before it was not
     bool is_first_interruption(const short_call::result& r);
     void schedule_next(duration after, bool from_start);
+    /// @return whether the item, as received, lies before the complete state,
+    ///         which no longer has its key
+    [[nodiscard]] bool
+    was_deleted_since(const platform_wire::store_item& item) const;
     bool apply(const platform_wire::store_item& item, bool in_doubt);
     void apply_to(batch& news, const platform_wire::store_item& item);
     void publish_changes(batch news);
--- a/standins/site/platform_store.cpp
+++ b/standins/site/platform_store.cpp
@@ -154,7 +154,10 @@
     std::from_chars(text.data(), text.data() + text.size(), after);
     if (after < compacted_ || after > revision_)
         return {{with_era(410, ""), {}, then::go_on}};
-    return {{with_era(200, changes(prefix, after)), watch_time, then::go_on}};
+    const std::string events = with_era(200, changes(prefix, after));
+    if (on_watch_)
+        on_watch_();
+    return {{events, watch_time, then::go_on}};
 }
 
 } // namespace lovagegate::standins
--- a/standins/site/platform_store.hpp
+++ b/standins/site/platform_store.hpp
@@ -57,6 +57,13 @@
         on_page_ = std::move(on_page);
     }
 
+    /// @param on_watch called when the answer to a watch has been made and not
+    ///        sent yet; may change the store
+    void set_on_watch(std::function<void()> on_watch)
+    {
+        on_watch_ = std::move(on_watch);
+    }
+
     /// Breaks the connection of the next calls instead of answering them.
     void cut_next(int calls) { to_cut_ = calls; }
 
@@ -89,6 +96,7 @@
     int to_cut_ = 0;
     std::size_t items_per_page_ = 500;
     std::function<void()> on_page_;
+    std::function<void()> on_watch_;
     scripted_server server_;
 };
 
--- a/tests/gateway/store_reader_test.cpp
+++ b/tests/gateway/store_reader_test.cpp
@@ -2,6 +2,7 @@
 
 #include "standins/site/platform_store.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <utility>
 
@@ -24,6 +25,7 @@
     std::vector<std::string> seen; ///< in the order in which they arrived
     bool in_doubt = false;         ///< whether the last one was
     bool failed = false;           ///< the reader lost contact at some time
+    std::vector<store_reader::batch> told; ///< changes read from the store
     std::unique_ptr<store_reader> reader;
 
     /// @param active whether the reader goes on reading after the first page
@@ -37,7 +39,8 @@
                 seen.push_back(item.value);
                 in_doubt = doubt;
             },
-            [](const store_reader::batch&) {}, settings);
+            [this](const store_reader::batch& b) { told.push_back(b); },
+            settings);
         reader->set_active(active);
         reader->start();
         REQUIRE(run_until([&] { return seen.size() == 1; }));
@@ -368,3 +371,33 @@
     CHECK_FALSE(r.reader->apply_peer_changes(of_new_era));
     CHECK(r.reader->newest() == last);
 }
+
+TEST_CASE("an answer to a watch doesn't bring back an entry that was deleted "
+          "since, as another instance has told",
+          "[gateway]")
+{
+    // The answer may wait behind a partition that the news of others doesn't
+    // cross. The next watch begins after the deletion, so that the entry would
+    // stay for good.
+    reading r;
+    const auto known = r.reader->newest();
+    const bool restored = GENERATE(false, true);
+    bool told = false;
+    r.store.put("op/x", "deleted since");
+    r.store.set_on_watch([&] {
+        if (std::exchange(told, true))
+            return;
+        store_reader::batch news;
+        news.after = known;
+        news.revision = restored ? store_revision(1, known.era + 1)
+                                 : store_revision(known.number + 2, known.era);
+        news.items = {{"op/x", {}, news.revision, true}};
+        CHECK(r.reader->apply_peer_changes(news));
+        r.store.remove("op/x");
+        r.store.put("op/y", "next");
+        if (restored)
+            r.store.restore(r.store.make_copy());
+    });
+    REQUIRE(r.run_until([&] { return r.reader->items().contains("op/y"); }));
+    CHECK(std::ranges::count(r.seen, "deleted since") == 0);
+}
