Tell others what a reader of the store first knew by news after a gap

An instance could keep a removed engine or an old entry for good.

Cause: a reader of the store puts into its news what changed its own state. What it had already applied from a peer's news after a gap changes nothing, so it was left out, while the news claimed to be complete up to its revision. Instances that had missed the peer's news took it for complete and never pulled. It takes a lost datagram at the reader that is about to become the sender.

Change: news holds each item that is newer than the state that it continues.

The test "a reader of the store tells others what it first knew by news after a gap" failed before for answers to watches and for lists (0 == 1), and passes now.

--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -225,12 +225,14 @@
     std::optional<platform_wire::store_item> before;
     if (known != items_.end())
         before = known->second;
-    if (!apply(item, news.in_doubt))
+    const bool changed = apply(item, news.in_doubt);
+    // What this instance already has by news after a gap, receivers may lack.
+    if (!changed && item.revision <= news.after)
         return;
     news.items.push_back(item);
     // If a key changes several times in a batch, its value before the first
     // change is the one that receivers know.
-    if (before)
+    if (changed && before)
         news.previous_values.emplace(item.key, std::move(*before));
 }
 
--- a/src/lovagegate/gateway/store_reader.hpp
+++ b/src/lovagegate/gateway/store_reader.hpp
@@ -151,6 +151,8 @@
     [[nodiscard]] bool
     was_deleted_since(const platform_wire::store_item& item) const;
     bool apply(const platform_wire::store_item& item, bool in_doubt);
+    /// Applies an item that was read from the store, and adds it to the news
+    /// unless receivers of that news must have it.
     void apply_to(batch& news, const platform_wire::store_item& item);
     void publish_changes(batch news);
     /// @param all complete state as of the revision; single items may be newer
--- a/tests/gateway/store_reader_test.cpp
+++ b/tests/gateway/store_reader_test.cpp
@@ -401,3 +401,33 @@
     REQUIRE(r.run_until([&] { return r.reader->items().contains("op/y"); }));
     CHECK(std::ranges::count(r.seen, "deleted since") == 0);
 }
+
+TEST_CASE("a reader of the store tells others what it first knew by news after "
+          "a gap",
+          "[gateway]")
+{
+    // Those who missed that news take the reader's for complete, and would
+    // never learn of the change.
+    reading r;
+    const auto known = r.reader->newest();
+    const store_revision last(known.number + 2, known.era);
+    r.store.put("op/x", "missed by the reader");
+    r.store.put("op/y", "known to the reader");
+    const bool listed = GENERATE(false, true);
+    if (listed)
+        r.store.compact();
+    store_reader::batch news;
+    news.after = {known.number + 1, known.era};
+    news.revision = last;
+    news.items = {{"op/y", "known to the reader", last, false}};
+    CHECK_FALSE(r.reader->apply_peer_changes(news));
+    r.told.clear();
+    REQUIRE(r.run_until([&] { return r.reader->items().contains("op/x"); }));
+    CHECK(r.reader->newest() == last);
+    std::vector<std::string> keys;
+    for (const auto& b : r.told)
+        for (const auto& item : b.items)
+            keys.push_back(item.key);
+    CHECK(std::ranges::count(keys, "op/x") == 1);
+    CHECK(std::ranges::count(keys, "op/y") == 1);
+}
