Remember deletions that news after a gap has brought

A removed engine was taken into use again until the next news or pull, up to a second later.

Cause: news after a gap is applied at once, deletions too, though the state is only complete up to the gap. A deletion left no trace, so that what filled the gap later (news, a peer's whole state, a list) put the key back. A peer's state that still named the key, without its value, counted as incomplete and was pulled anew as a whole; and a reader of the store left the deletion out of its own news.

Change: deletions beyond the complete state are remembered until the state has passed them, 4,096 at most. News after a gap with more is not applied at all and pulled instead, which is always safe. In steady state nothing is remembered.

Three of the new tests failed before: "news that fills a gap doesn't bring back ...", "the state of another instance is complete without ...", "a reader of the store tells others of a deletion ...". The one of a restored store passed before and holds.

--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -154,6 +154,9 @@
     for (const auto& [key, item] : items_)
         if (!all.contains(key))
             changes.push_back({key, {}, revision, true});
+    for (const auto& [key, deleted] : deletions_ahead_)
+        if (!all.contains(key) && deleted <= revision)
+            changes.push_back({key, {}, deleted, true});
     // A list may be older than what other instances have told since.
     for (const auto& [key, item] : all)
         if (revision >= newest_ || items_.contains(key) ||
@@ -162,7 +165,7 @@
     for (const auto& item : changes)
         apply_to(news, item);
     loaded_ = true;
-    newest_ = std::max(newest_, revision);
+    advance_to(revision);
     news.revision = newest_;
     return news;
 }
@@ -183,12 +186,12 @@
         if (!key.starts_with(prefix_) || all.contains(key))
             continue;
         const auto known = items_.find(key);
-        if (known == items_.end())
+        if (known != items_.end())
+            all.emplace(*known);
+        else if (!deletion_ahead(key))
             return false;
-        all.emplace(*known);
     }
     apply_all(all, newest, in_doubt(now));
-    newest_ = std::max(newest_, newest);
     revision_ = std::max(revision_, newest);
     return true;
 }
@@ -197,22 +200,44 @@
 {
     if (!loaded_)
         return false;
+    // The first changes of an era replace exactly the state before them: of a
+    // key that the sender didn't have, they don't say that it is gone.
+    const bool begins_era = news.revision.era > newest_.era;
+    const bool follows =
+        begins_era ? news.after == newest_ : news.after <= newest_;
+    if (!follows && deletions_ahead_.size() + news.items.size() >
+                        settings_.max_deletions_ahead)
+        return false;
     if (news.in_doubt)
         extend_doubt(settings_.relayed_doubt_period,
                      net::event_loop::now().mono);
     for (const auto& item : news.items)
         if (!was_deleted_since(item))
             apply(item, news.in_doubt);
-    // The first changes of an era replace exactly the state before them: of a
-    // key that the sender didn't have, they don't say that it is gone.
-    const bool begins_era = news.revision.era > newest_.era;
-    if (news.after > newest_ || (begins_era && news.after != newest_))
+    if (!follows)
         return false;
-    newest_ = std::max(newest_, news.revision);
+    advance_to(news.revision);
     revision_ = std::max(revision_, newest_);
     return true;
 }
 
+std::optional<store_revision>
+store_reader::deletion_ahead(const std::string& key) const
+{
+    const auto it = deletions_ahead_.find(key);
+    return it == deletions_ahead_.end() ? std::nullopt
+                                        : std::optional(it->second);
+}
+
+void store_reader::advance_to(store_revision revision)
+{
+    newest_ = std::max(newest_, revision);
+    // From here on, the complete state lacks the key.
+    std::erase_if(deletions_ahead_, [this](const auto& deletion) {
+        return deletion.second <= newest_;
+    });
+}
+
 bool store_reader::was_deleted_since(
     const platform_wire::store_item& item) const
 {
@@ -243,6 +268,13 @@
     const auto it = items_.find(item.key);
     if (it != items_.end() && it->second.revision >= item.revision)
         return false;
+    const auto deletion = deletion_ahead(item.key);
+    if (deletion && *deletion >= item.revision)
+        return false;
+    if (item.deleted && item.revision > newest_)
+        deletions_ahead_.insert_or_assign(item.key, item.revision);
+    else
+        deletions_ahead_.erase(item.key);
     if (it == items_.end() && item.deleted)
         return false;
     if (item.deleted)
@@ -255,8 +287,10 @@
 
 void store_reader::publish_changes(batch news)
 {
+    store_revision last = newest_;
     for (const auto& item : news.items)
-        newest_ = std::max(newest_, item.revision);
+        last = std::max(last, item.revision);
+    advance_to(last);
     news.revision = newest_;
     if (!news.items.empty())
         on_batch_(news);
--- a/src/lovagegate/gateway/store_reader.hpp
+++ b/src/lovagegate/gateway/store_reader.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -39,6 +40,8 @@
     duration in_doubt_period = 4s;
     /// The same for an instance that has received such a deletion from another.
     duration relayed_doubt_period = 1s;
+    /// Deletions that are remembered while changes before them are missing.
+    std::size_t max_deletions_ahead = 4096;
 };
 
 /// Mirrors all keys with one prefix from the platform's store.
@@ -150,6 +153,11 @@
     ///         which no longer has its key
     [[nodiscard]] bool
     was_deleted_since(const platform_wire::store_item& item) const;
+    /// @return the revision of a deletion that lies beyond the complete state
+    [[nodiscard]] std::optional<store_revision>
+    deletion_ahead(const std::string& key) const;
+    /// Called when the state has become complete up to a revision.
+    void advance_to(store_revision revision);
     bool apply(const platform_wire::store_item& item, bool in_doubt);
     /// Applies an item that was read from the store, and adds it to the news
     /// unless receivers of that news must have it.
@@ -171,6 +179,9 @@
     store_reader_settings settings_;
     item_map items_;
     item_map partial_items_;
+    /// Deleted keys, by changes after a gap. A change that fills the gap later
+    /// must not bring such a key back.
+    std::map<std::string, store_revision> deletions_ahead_;
     store_revision first_page_revision_;
     store_revision revision_;     ///< watches continue from here
     store_revision watched_from_; ///< position of the current watch
--- a/tests/gateway/store_reader_test.cpp
+++ b/tests/gateway/store_reader_test.cpp
@@ -431,3 +431,114 @@
     CHECK(std::ranges::count(keys, "op/x") == 1);
     CHECK(std::ranges::count(keys, "op/y") == 1);
 }
+
+namespace {
+
+/// @return changes of one key, as another instance tells them
+store_reader::batch news_of(const std::string& key, store_revision after,
+                            std::uint64_t steps, bool deleted)
+{
+    store_reader::batch news;
+    news.after = after;
+    news.revision = {after.number + steps, after.era};
+    news.items = {{key, deleted ? "" : "put", news.revision, deleted}};
+    return news;
+}
+
+} // namespace
+
+TEST_CASE("news that fills a gap doesn't bring back an entry whose deletion "
+          "came before it",
+          "[gateway]")
+{
+    reading r({}, false);
+    const store_revision start = r.reader->newest();
+    const store_revision missed(start.number + 1, start.era);
+    const store_revision deleted(start.number + 2, start.era);
+    const bool was_known = GENERATE(false, true);
+    const bool pulled = GENERATE(false, true);
+    const std::string key = was_known ? "op/config" : "op/x";
+    CHECK_FALSE(r.reader->apply_peer_changes(news_of(key, missed, 1, true)));
+    CHECK_FALSE(r.reader->items().contains(key));
+    const auto late = news_of(key, start, 1, false);
+    const std::vector<std::string> keys{key};
+    CHECK((pulled ? r.reader->apply_peer_snapshot(missed, keys, late.items, 0s)
+                  : r.reader->apply_peer_changes(late)));
+    CHECK(r.reader->newest() == missed);
+    CHECK_FALSE(r.reader->items().contains(key));
+    CHECK(r.reader->apply_peer_changes(news_of(key, missed, 1, true)));
+    CHECK(r.reader->apply_peer_changes(news_of(key, deleted, 1, false)));
+    CHECK(r.reader->items().contains(key));
+}
+
+TEST_CASE("the state of another instance is complete without an entry whose "
+          "deletion it lacks",
+          "[gateway]")
+{
+    reading r({}, false);
+    const store_revision start = r.reader->newest();
+    const store_revision missed(start.number + 1, start.era);
+    CHECK_FALSE(
+        r.reader->apply_peer_changes(news_of("op/config", missed, 1, true)));
+    const std::vector<std::string> keys{"op/config"};
+    CHECK(r.reader->apply_peer_snapshot(missed, keys, {}, 0s));
+    CHECK(r.reader->items().empty());
+}
+
+TEST_CASE("a reader of the store tells others of a deletion that it first knew "
+          "by news after a gap",
+          "[gateway]")
+{
+    reading r;
+    const store_revision start = r.reader->newest();
+    r.store.put("op/x", "missed");
+    r.store.remove("op/config");
+    if (GENERATE(false, true))
+        r.store.compact();
+    CHECK_FALSE(r.reader->apply_peer_changes(
+        news_of("op/config", {start.number + 1, start.era}, 1, true)));
+    r.told.clear();
+    REQUIRE(r.run_until([&] { return r.reader->items().contains("op/x"); }));
+    CHECK_FALSE(r.reader->items().contains("op/config"));
+    std::size_t deletions = 0;
+    for (const auto& b : r.told)
+        for (const auto& item : b.items)
+            deletions += item.key == "op/config" && item.deleted ? 1U : 0U;
+    CHECK(deletions == 1);
+}
+
+TEST_CASE("an entry of an earlier era doesn't hide one that a restored store "
+          "has",
+          "[gateway]")
+{
+    reading r({}, false);
+    const store_revision start = r.reader->newest();
+    const store_revision missed(start.number + 1, start.era);
+    CHECK_FALSE(
+        r.reader->apply_peer_changes(news_of("op/config", missed, 1, true)));
+    const store_revision restored(1, start.era + 1);
+    const auto copied = news_of("op/config", {0, start.era + 1}, 1, false);
+    const std::vector<std::string> keys{"op/config"};
+    CHECK(r.reader->apply_peer_snapshot(restored, keys, copied.items, 0s));
+    CHECK(r.reader->items().contains("op/config"));
+}
+
+TEST_CASE("news after a gap with more deletions than are remembered isn't "
+          "applied",
+          "[gateway]")
+{
+    store_reader_settings settings;
+    settings.max_deletions_ahead = 3;
+    reading r(settings, false);
+    const store_revision start = r.reader->newest();
+    const store_revision missed(start.number + 1, start.era);
+    auto news = news_of("op/config", missed, 1, true);
+    for (std::size_t i = 0; i < settings.max_deletions_ahead; ++i)
+        news.items.push_back(
+            {"op/" + std::to_string(i), "", news.revision, true});
+    CHECK_FALSE(r.reader->apply_peer_changes(news));
+    CHECK(r.reader->items().contains("op/config"));
+    news.items.resize(settings.max_deletions_ahead);
+    CHECK_FALSE(r.reader->apply_peer_changes(news));
+    CHECK_FALSE(r.reader->items().contains("op/config"));
+}
