Move the copy of the store out of the daemon into store_mirror

No behaviour changes. Reading the store, telling the other instances and pulling from them is one job, and was spread over the daemon, which was over 1,000 lines long. It can be tested without the daemon's sockets now.

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -1,9 +1,6 @@
 #include "lovagegate/gateway/gateway_daemon.hpp"
 
 #include "lovagegate/core/hash.hpp"
-#include "lovagegate/gateway/news_codec.hpp"
-#include "lovagegate/gateway/news_relay.hpp"
-#include "lovagegate/gateway/store_reader_election.hpp"
 #include "lovagegate/logging/log.hpp"
 #include "platform/http_fields.hpp"
 #include "platform/published.hpp"
@@ -13,7 +10,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cmath>
 #include <ctime>
 #include <utility>
@@ -43,22 +39,11 @@
 /// this fraction of it if that is shorter.
 constexpr duration exit_margin = 400ms;
 constexpr int exit_divisor = 16;
-/// The full state is requested from another instance if that instance has had
-/// newer revisions for this long.
-constexpr duration pull_delay = 300ms;
-/// An instance that reads the store itself receives changes with the next
-/// answer to its watch, so it waits longer.
-constexpr duration reader_pull_delay = 1s;
-constexpr duration pull_interval = 150ms;
 /// If this share of a service's entries is deleted within the window, the
 /// entries have expired rather than been removed.
 constexpr duration mass_removal_window = 1s;
 constexpr double mass_removal_share = 0.25;
 constexpr std::size_t min_mass_removals = 2;
-constexpr duration pull_timeout = 900ms;
-constexpr std::size_t max_peer_state_bytes = std::size_t{8} * 1024 * 1024;
-constexpr const char* peer_state_path = "/peer/state/";
-
 /// Returns a monotonic time that includes the time while the machine is
 /// suspended.
 time_point boottime_now()
@@ -111,34 +96,6 @@
             time_point::max()};
 }
 
-/// @return path that requests what is newer than the known revisions:
-///         /peer/state/OPERATOR_NUMBER/TARGET_NUMBER/OPERATOR_ERA/TARGET_ERA
-std::string write_peer_state_path(const known_revisions& known)
-{
-    std::string path = peer_state_path;
-    for (const auto n : {known.operator_keys.number, known.targets.number,
-                         known.operator_keys.era})
-        path += std::to_string(n) + '/';
-    return path + std::to_string(known.targets.era);
-}
-
-/// @return the known revisions; what the path lacks is 0
-known_revisions parse_peer_state_path(std::string_view path)
-{
-    path.remove_prefix(std::string_view(peer_state_path).size());
-    known_revisions known;
-    const char* at = path.data();
-    const char* const end = at + path.size();
-    for (auto* const n : {&known.operator_keys.number, &known.targets.number,
-                          &known.operator_keys.era, &known.targets.era}) {
-        const auto read = std::from_chars(at, end, *n);
-        if (read.ec != std::errc() || read.ptr == end)
-            break;
-        at = read.ptr + 1;
-    }
-    return known;
-}
-
 void respond(net::exchange& exchange, int status, const char* type,
              const std::string& body)
 {
@@ -224,25 +181,17 @@
           [this](std::string_view reason) {
               state_.counts.add("bad_requests", "reason", reason);
           }},
-      operator_reader_(
-          loop_, control_pool_, state_.boot.store,
-          std::string(platform_wire::store_key::operator_prefix), state_.counts,
+      store_(
+          loop_, control_pool_, state_, random_,
+          [this](const std::string& to, std::string_view datagram) {
+              send_datagram(to, datagram);
+          },
           [this](const platform_wire::store_item& item, bool) {
               on_operator_item(item);
           },
-          [this](const store_reader::batch& b) {
-              send_store_changes(false, b);
-          }),
-      target_reader_(
-          loop_, control_pool_, state_.boot.store,
-          std::string(platform_wire::store_key::targets), state_.counts,
           [this](const platform_wire::store_item& item, bool in_doubt) {
               on_target_item(item, in_doubt);
-          },
-          [this](const store_reader::batch& b) {
-              send_store_changes(true, b);
-          }),
-      link_pacer_(state_.boot.link_bytes_per_s)
+          })
 {
     ready_server_ = make_page_server(state_.boot.readiness.address,
                                      state_.boot.readiness.port);
@@ -290,8 +239,7 @@
                     {"callers", to_string(state_.boot.callers)},
                     {"store", to_string(state_.boot.store)},
                     {"start", state_.members.self().start}});
-    operator_reader_.start();
-    target_reader_.start();
+    store_.start();
     send_heartbeats();
     while (!may_end()) {
         loop_.run_once();
@@ -541,10 +489,10 @@
 {
     // While the store is away, entries of ended targets don't expire, or
     // nothing tells that they have.
-    if (target_reader_.doubt_left(now) > duration::zero())
+    if (store_.targets().doubt_left(now) > duration::zero())
         return;
     for (const auto& entry : state_.targets.take_confirmed_entries(now))
-        list_target(entry, target_reader_.newest());
+        list_target(entry, store_.targets().newest());
 }
 
 void gateway_daemon::list_target(const target_entry& entry,
@@ -651,27 +599,6 @@
     peers_.send({address, state_.boot.peer_port}, datagram);
 }
 
-void gateway_daemon::send_paced(const std::string& address,
-                                std::string datagram)
-{
-    const duration delay =
-        link_pacer_.reserve(datagram.size(), net::event_loop::now().mono);
-    loop_.call_later(delay, [this, address, datagram = std::move(datagram)] {
-        send_datagram(address, datagram);
-    });
-}
-
-void gateway_daemon::send_news(const std::string& address,
-                               const store_changes& message)
-{
-    // Later changes must not overtake parts of earlier ones.
-    if (message.part_count > 1 ||
-        link_pacer_.is_busy(net::event_loop::now().mono))
-        send_paced(address, encode(message));
-    else
-        send_datagram(address, encode(message));
-}
-
 void gateway_daemon::on_datagram(const settings::endpoint& from,
                                  std::string_view data)
 {
@@ -707,7 +634,7 @@
     } else if (const auto* limit = std::get_if<limit_notice>(&*message)) {
         on_limit_notice(*limit, now);
     } else if (const auto* news = std::get_if<store_changes>(&*message)) {
-        on_store_changes(from, *news);
+        store_.on_changes(from, *news);
     }
 }
 
@@ -746,17 +673,14 @@
             c.since_last_order += member_settings{}.interval;
     }
     self.config_version = state_.routes.version();
-    self.operator_revision = operator_reader_.newest();
-    self.target_revision = target_reader_.newest();
-    self.store_silent =
-        operator_reader_.is_failing() || target_reader_.is_failing();
-    update_store_duty(now.mono);
+    store_.describe(self);
+    store_.update_duty(now.mono);
     for (const auto& out : state_.members.next(now.mono)) {
         const std::string datagram = encode(out.message);
         for (const auto& address : out.to)
             send_datagram(address, datagram);
     }
-    pull_from_peer(now.mono);
+    store_.pull_missing(now.mono);
     repeat_crash_reports();
 }
 
@@ -806,167 +730,10 @@
         c->close(close_reason::stopping);
 }
 
-void gateway_daemon::update_store_duty(time_point now)
-{
-    const bool reads = is_store_reader(state_.members, now);
-    operator_reader_.set_active(reads);
-    target_reader_.set_active(reads);
-}
-
-void gateway_daemon::send_store_changes(bool of_targets,
-                                        const store_reader::batch& news)
-{
-    const time_point now = net::event_loop::now().mono;
-    if (!is_news_sender(state_.members, now))
-        return;
-    // All messages take the same ways, so that they arrive in order.
-    const auto groups = make_relay_groups(state_.members, now, random_);
-    for (auto& message : pack_changes(of_targets, news))
-        for (const auto& group : groups) {
-            message.relay_to = group.others;
-            send_news(group.relay, message);
-        }
-}
-
-void gateway_daemon::relay_store_changes(store_changes news)
-{
-    const auto receivers = std::exchange(news.relay_to, {});
-    if (receivers.empty())
-        return;
-    for (const auto& address : receivers)
-        if (address != state_.boot.address)
-            send_news(address, news);
-}
-
-void gateway_daemon::on_store_changes(const settings::endpoint& from,
-                                      const store_changes& news)
-{
-    relay_store_changes(news);
-    const auto whole = assembler_.add(news, net::event_loop::now().mono);
-    // If a part is lost, the changes are pulled once a heartbeat shows that
-    // they are missing.
-    if (!whole)
-        return;
-    store_reader& reader = news.of_targets ? target_reader_ : operator_reader_;
-    const auto batch = unpack_changes(*whole, reader.items(), reader.newest());
-    if (!batch)
-        state_.counts.add("news_to_be_pulled");
-    const bool complete = batch && reader.apply_peer_changes(*batch);
-    const bool is_ahead =
-        in_era(news.revision, reader.newest()) > reader.newest();
-    // An instance that reads the store itself gets the changes from there; it
-    // pulls only if they stay missing.
-    if (!complete && is_ahead && !reader.is_reading())
-        pull_from(from.address);
-}
-
-known_revisions gateway_daemon::newest() const
-{
-    return {operator_reader_.newest(), target_reader_.newest()};
-}
-
-void gateway_daemon::pull_from_peer(time_point now)
-{
-    const known_revisions mine = newest();
-    known_revisions best = mine;
-    std::vector<std::string> ahead;
-    for (const auto& [address, m] : state_.members.all()) {
-        const member_record& r = m.record;
-        const known_revisions theirs{
-            in_era(r.operator_revision, mine.operator_keys),
-            in_era(r.target_revision, mine.targets)};
-        if (!state_.members.is_alive(m, now) ||
-            (theirs.operator_keys <= mine.operator_keys &&
-             theirs.targets <= mine.targets))
-            continue;
-        ahead.push_back(address);
-        best.operator_keys = std::max(best.operator_keys, theirs.operator_keys);
-        best.targets = std::max(best.targets, theirs.targets);
-    }
-    const bool caught_up =
-        mine.operator_keys >= missing_revisions_.operator_keys &&
-        mine.targets >= missing_revisions_.targets;
-    if (caught_up) {
-        missing_revisions_ = best;
-        missing_since_ = now;
-    }
-    // Changes may still be in transit, so only those that stay missing are
-    // requested.
-    const bool reads =
-        operator_reader_.is_reading() && target_reader_.is_reading();
-    if (ahead.empty() ||
-        now - missing_since_ < (reads ? reader_pull_delay : pull_delay))
-        return;
-    pull_from(ahead[random_() % ahead.size()]);
-}
-
-void gateway_daemon::pull_from(const std::string& address)
-{
-    const time_point now = net::event_loop::now().mono;
-    if (pull_ || now - last_pull_ < pull_interval)
-        return;
-    last_pull_ = now;
-    const settings::endpoint peer{address, state_.boot.control.port};
-    const known_revisions known =
-        pull_everything_ ? known_revisions{} : newest();
-    target_request request;
-    request.target = "peer " + peer.address;
-    request.address = peer;
-    request.head = platform_wire::write_get_head(to_string(peer),
-                                                 write_peer_state_path(known));
-    state_.counts.add("peer_state_pulls");
-    pull_ = std::make_unique<short_call>(
-        loop_, control_pool_, request, 2, pull_timeout, max_peer_state_bytes,
-        [this](const short_call::result& r) {
-            loop_.call_later(duration::zero(), [this] { pull_.reset(); });
-            constexpr int ok = 200;
-            if (r.status == ok)
-                apply_peer_state(r.body);
-            else
-                state_.counts.add("peer_state_pulls_failed");
-        });
-}
-
-std::string gateway_daemon::peer_state(std::string_view path) const
-{
-    known_revisions known = parse_peer_state_path(path);
-    known.operator_keys = in_era(known.operator_keys, newest().operator_keys);
-    known.targets = in_era(known.targets, newest().targets);
-    return pack_state(operator_reader_, target_reader_, known,
-                      net::event_loop::now().mono);
-}
-
-void gateway_daemon::apply_peer_state(const std::string& body)
-{
-    try {
-        const state_snapshot page = unpack_state(body, newest());
-        const bool whole_keys = operator_reader_.apply_peer_snapshot(
-            page.newest.operator_keys, page.keys, page.items, page.doubt_left);
-        const bool whole_targets = target_reader_.apply_peer_snapshot(
-            page.newest.targets, page.keys, page.items, page.doubt_left);
-        pull_everything_ = !whole_keys || !whole_targets;
-        logging::write(logging::level::info, "state_from_peer",
-                       {{"items", std::uint64_t{page.items.size()}},
-                        {"keys", std::uint64_t{page.keys.size()}},
-                        {"complete", pull_everything_ ? "no" : "yes"}});
-    } catch (const std::runtime_error& e) {
-        report_unreadable_state(e.what());
-    } catch (const nlohmann::json::exception& e) {
-        report_unreadable_state(e.what());
-    }
-}
-
-void gateway_daemon::report_unreadable_state(const char* reason)
-{
-    state_.counts.add("peer_state_unreadable");
-    logging::write(logging::level::warning, "peer_state_unreadable",
-                   {{"reason", reason}});
-}
-
 bool gateway_daemon::is_ready() const
 {
     return !state_.stopping && state_.routes.version() != 0 &&
-           target_reader_.is_loaded();
+           store_.targets().is_loaded();
 }
 
 void gateway_daemon::serve_page(const net::exchange_ptr& exchange)
@@ -979,9 +746,9 @@
         const bool ready = is_ready();
         respond(*exchange, ready ? ok : unavailable, "text/plain",
                 ready ? "ready\n" : "not ready\n");
-    } else if (request.path.starts_with(peer_state_path)) {
+    } else if (store_mirror::is_state_path(request.path)) {
         respond(*exchange, ok, "application/octet-stream",
-                peer_state(request.path));
+                store_.state_for(request.path));
     } else if (request.path == "/metrics") {
         respond(*exchange, ok, "text/plain; version=0.0.4", metrics_page());
     } else {
@@ -1030,7 +797,7 @@
         metrics::gauge{"config_version",
                        static_cast<double>(state_.routes.version())},
         metrics::gauge{"store_out_of_contact_seconds",
-                       to_seconds(target_reader_.time_without_contact(now))},
+                       to_seconds(store_.targets().time_without_contact(now))},
         metrics::gauge{"ready", is_ready() ? 1.0 : 0.0}};
     return metrics_.page(all, gauges);
 }
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -5,10 +5,7 @@
 #include "lovagegate/gateway/caller_connection.hpp"
 #include "lovagegate/gateway/forwarding.hpp"
 #include "lovagegate/gateway/gateway_state.hpp"
-#include "lovagegate/gateway/link_pacer.hpp"
-#include "lovagegate/gateway/news_assembler.hpp"
-#include "lovagegate/gateway/news_codec.hpp"
-#include "lovagegate/gateway/store_reader.hpp"
+#include "lovagegate/gateway/store_mirror.hpp"
 #include "lovagegate/metrics/registry.hpp"
 #include "lovagegate/net/http_server.hpp"
 #include "lovagegate/net/tcp_stream.hpp"
@@ -78,27 +75,12 @@
     void on_datagram(const settings::endpoint& from, std::string_view data);
     void send_to_peer(const std::string& address, const peer_message& message);
     void send_datagram(const std::string& address, std::string_view datagram);
-    /// Sends a part of large changes when the link has room for it.
-    void send_paced(const std::string& address, std::string datagram);
-    void send_news(const std::string& address, const store_changes& message);
     void send_heartbeats();
     void tick();
     void check_connections();
     /// Stops listening and closes idle connections; the platform routes callers
     /// to other instances by then.
     void stop_accepting();
-    void update_store_duty(time_point now);
-    void send_store_changes(bool of_targets, const store_reader::batch& news);
-    /// Passes a message on to the receivers that it names.
-    void relay_store_changes(store_changes news);
-    void on_store_changes(const settings::endpoint& from,
-                          const store_changes& news);
-    void pull_from_peer(time_point now);
-    void pull_from(const std::string& address);
-    void apply_peer_state(const std::string& body);
-    void report_unreadable_state(const char* reason);
-    [[nodiscard]] known_revisions newest() const;
-    [[nodiscard]] std::string peer_state(std::string_view path) const;
     void serve_page(const net::exchange_ptr& exchange);
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] std::string metrics_page() const;
@@ -144,15 +126,7 @@
     std::unique_ptr<net::http_server> ready_server_;
     std::unique_ptr<net::http_server> control_server_;
     std::unique_ptr<net::http_server> metrics_server_;
-    store_reader operator_reader_;
-    store_reader target_reader_;
-    news_assembler assembler_;
-    link_pacer link_pacer_;
-    std::unique_ptr<short_call> pull_;
-    time_point last_pull_{};
-    known_revisions missing_revisions_; ///< newest that peers had then
-    time_point missing_since_{};        ///< when this instance last caught up
-    bool pull_everything_ = false;
+    store_mirror store_;
     time_point last_tick_{};
     time_point stop_since_{};
     std::map<std::string, std::vector<time_point>> removal_times_;
