Notice within a second that the store no longer answers a reader

Cause: a reader noticed silence when a watch of 2.5 s and a margin of 0.8 s had passed, more than the 2 s in which a configuration must be in force. The loss was then told with the next heartbeat, a new reader waited 1 s before it gave up in turn, and only the first reader sent news.

Change: a watch lasts 0.5 s, and contact counts as lost 0.4 s after its end, while the call goes on. The reader says so at once to the four instances that are next, and these take over on that message. A new reader's first call waits for nothing. A reader that isn't the sender sends what the sender hasn't after 0.3 s. From silence to the next readers that is 1.1 s at most, instead of 3.9 s, by the settings.

Cost: a quiet configuration takes 1.4 calls a second of each reader instead of 0.4.

"a watch that is overdue counts as a loss of contact ..." fails without the detection.

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -610,6 +610,8 @@
     const time_point now = net::event_loop::now().mono;
     if (const auto* h = std::get_if<heartbeat>(&*message)) {
         const auto heard = state_.members.on_heartbeat(*h, from.address, now);
+        if (heard.store_contact_changed)
+            store_.update_duty(now);
         if (heard.joined)
             logging::write(
                 logging::level::info, "members",
--- a/src/lovagegate/gateway/member_table.cpp
+++ b/src/lovagegate/gateway/member_table.cpp
@@ -53,6 +53,8 @@
     if (!restarted && !newer)
         return;
     out.claims.insert(out.claims.end(), r.claims.begin(), r.claims.end());
+    out.store_contact_changed = out.store_contact_changed ||
+                                known.record.store_silent != r.store_silent;
     auto claims = std::move(known.record.claims);
     known.record = r;
     if (r.claims_omitted && !restarted)
--- a/src/lovagegate/gateway/member_table.hpp
+++ b/src/lovagegate/gateway/member_table.hpp
@@ -82,6 +82,8 @@
     struct heartbeat_result
     {
         bool joined = false; ///< a member is new or has returned
+        /// A member has lost contact with the store or has it again.
+        bool store_contact_changed = false;
         /// Claims of the records that were new. Relayed records may arrive
         /// after newer ones that took another path.
         std::vector<engine_claim> claims;
--- a/src/lovagegate/gateway/store_mirror.cpp
+++ b/src/lovagegate/gateway/store_mirror.cpp
@@ -16,6 +16,10 @@
 
 namespace {
 
+/// A reader of the store that isn't the sender of news sends what it has read
+/// after this time, unless the sender has: that one may have lost the store or
+/// have ended. Longer than the pause between two watches of the sender.
+constexpr duration backup_send_delay = 300ms;
 /// The full state is requested from another instance if that instance has had
 /// newer revisions for this long.
 constexpr duration pull_delay = 300ms;
@@ -61,19 +65,22 @@
                            gateway_state& state, std::mt19937_64& random,
                            datagram_sender send,
                            store_reader::item_handler on_operator_item,
-                           store_reader::item_handler on_target_item)
+                           store_reader::item_handler on_target_item,
+                           store_reader_settings settings)
     : loop_(loop), pool_(pool), state_(state), random_(random),
       send_(std::move(send)),
       operator_reader_(
           loop, pool, state.boot.store,
           std::string(platform_wire::store_key::operator_prefix), state.counts,
           std::move(on_operator_item),
-          [this](const store_reader::batch& b) { send_changes(false, b); }),
+          [this](const store_reader::batch& b) { tell(false, b); },
+          [this] { on_contact_lost(); }, settings),
       target_reader_(
           loop, pool, state.boot.store,
           std::string(platform_wire::store_key::targets), state.counts,
           std::move(on_target_item),
-          [this](const store_reader::batch& b) { send_changes(true, b); }),
+          [this](const store_reader::batch& b) { tell(true, b); },
+          [this] { on_contact_lost(); }, settings),
       link_pacer_(state.boot.link_bytes_per_s)
 {
 }
@@ -104,12 +111,47 @@
     target_reader_.set_active(reads);
 }
 
+void store_mirror::on_contact_lost()
+{
+    const time_point now = net::event_loop::now().mono;
+    member_record& self = state_.members.self();
+    const bool had_duty = is_store_reader(state_.members, now);
+    describe(self);
+    if (!had_duty || self.leaving)
+        return;
+    update_duty(now);
+    ++self.beat;
+    heartbeat notice{self, {}};
+    notice.self.claims_omitted = true;
+    notice.self.claims.clear();
+    const std::string datagram = encode(notice);
+    for (const auto& address : next_store_readers(state_.members, now))
+        send_(address, datagram);
+}
+
+void store_mirror::tell(bool of_targets, const store_reader::batch& news)
+{
+    const time_point now = net::event_loop::now().mono;
+    if (is_news_sender(state_.members, now)) {
+        send_changes(of_targets, news);
+        return;
+    }
+    if (!is_store_reader(state_.members, now))
+        return;
+    loop_.call_later(backup_send_delay, [this, of_targets, news] {
+        const store_revision& told =
+            of_targets ? told_.targets : told_.operator_keys;
+        if (told >= news.revision)
+            return;
+        state_.counts.add("news_sent_for_another");
+        send_changes(of_targets, news);
+    });
+}
+
 void store_mirror::send_changes(bool of_targets,
                                 const store_reader::batch& news)
 {
     const time_point now = net::event_loop::now().mono;
-    if (!is_news_sender(state_.members, now))
-        return;
     // All messages take the same ways, so that they arrive in order.
     const auto groups = make_relay_groups(state_.members, now, random_);
     for (auto& message : pack_changes(of_targets, news))
@@ -133,12 +175,15 @@
                               const store_changes& news)
 {
     relay(news);
+    store_reader& reader = news.of_targets ? target_reader_ : operator_reader_;
+    store_revision& told =
+        news.of_targets ? told_.targets : told_.operator_keys;
+    told = std::max(told, in_era(news.revision, reader.newest()));
     const auto whole = assembler_.add(news, net::event_loop::now().mono);
     // If a part is lost, the changes are pulled once a heartbeat shows that
     // they are missing.
     if (!whole)
         return;
-    store_reader& reader = news.of_targets ? target_reader_ : operator_reader_;
     const auto batch = unpack_changes(*whole, reader.items(), reader.newest());
     if (!batch)
         state_.counts.add("news_to_be_pulled");
--- a/src/lovagegate/gateway/store_mirror.hpp
+++ b/src/lovagegate/gateway/store_mirror.hpp
@@ -28,10 +28,12 @@
     /// @param pool for calls to the store and to other instances
     /// @param on_operator_item called with each change of an operator's key
     /// @param on_target_item called with each change of a target's entry
+    /// @param settings of the calls to the store
     store_mirror(net::event_loop& loop, target_pool& pool, gateway_state& state,
                  std::mt19937_64& random, datagram_sender send,
                  store_reader::item_handler on_operator_item,
-                 store_reader::item_handler on_target_item);
+                 store_reader::item_handler on_target_item,
+                 store_reader_settings settings = {});
     store_mirror(const store_mirror&) = delete;
     store_mirror& operator=(const store_mirror&) = delete;
 
@@ -69,6 +71,11 @@
     }
 
 private:
+    /// Hands the duty to read the store over to other instances.
+    void on_contact_lost();
+    /// Sends changes to the other instances, at once or if the reader whose
+    /// duty that is doesn't.
+    void tell(bool of_targets, const store_reader::batch& news);
     void send_changes(bool of_targets, const store_reader::batch& news);
     /// Passes a message on to the receivers that it names.
     void relay(store_changes news);
@@ -91,6 +98,7 @@
     link_pacer link_pacer_;
     std::unique_ptr<short_call> pull_;
     time_point last_pull_{};
+    known_revisions told_; ///< newest that other instances have sent
     known_revisions missing_revisions_; ///< newest that peers had then
     time_point missing_since_{};        ///< when this instance last caught up
     bool pull_everything_ = false;
--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -27,10 +27,12 @@
                            settings::endpoint store, std::string prefix,
                            counters& counts, item_handler on_item,
                            batch_handler on_batch,
+                           contact_handler on_contact_lost,
                            store_reader_settings settings)
     : loop_(loop), pool_(pool), store_(std::move(store)),
       prefix_(std::move(prefix)), counts_(counts), on_item_(std::move(on_item)),
-      on_batch_(std::move(on_batch)), settings_(settings)
+      on_batch_(std::move(on_batch)),
+      on_contact_lost_(std::move(on_contact_lost)), settings_(settings)
 {
 }
 
@@ -38,6 +40,8 @@
 {
     if (timer_ != 0)
         loop_.cancel(timer_);
+    if (silence_timer_ != 0)
+        loop_.cancel(silence_timer_);
 }
 
 void store_reader::start()
@@ -69,7 +73,8 @@
     doubt_until_ = std::max(doubt_until_, now + from_now);
 }
 
-void store_reader::call(const std::string& path, duration limit,
+void store_reader::call(const std::string& path, duration answer_due,
+                        duration limit,
                         void (store_reader::*done)(const short_call::result&))
 {
     target_request request;
@@ -77,7 +82,9 @@
     request.address = store_;
     request.head = platform_wire::write_get_head(to_string(store_), path);
     counts_.add("store_calls");
+    expect_answer(answer_due);
     auto finished = [this, done](const short_call::result& r) {
+        loop_.cancel(silence_timer_);
         // This call is destroyed when the next one starts.
         (this->*done)(r);
     };
@@ -86,12 +93,25 @@
                                          std::move(finished));
 }
 
+void store_reader::expect_answer(duration due)
+{
+    loop_.cancel(silence_timer_);
+    silence_timer_ = loop_.call_later(due, [this] {
+        // If the event loop is late, the answer may lie unread. It is read
+        // before the next timer.
+        silence_timer_ = loop_.call_later(duration::zero(), [this] {
+            counts_.add("store_silences");
+            lose_contact(0);
+        });
+    });
+}
+
 void store_reader::read_page()
 {
     const std::string after =
         partial_items_.empty() ? "" : partial_items_.rbegin()->first;
-    call(platform_wire::range_path(prefix_, after), read_timeout,
-         &store_reader::on_page);
+    call(platform_wire::range_path(prefix_, after),
+         settings_.page_silence_margin, read_timeout, &store_reader::on_page);
 }
 
 void store_reader::on_page(const short_call::result& r)
@@ -316,7 +336,8 @@
                               ? settings_.probe_watch_timeout
                               : settings_.watch_timeout;
     call(platform_wire::watch_path(prefix_, revision_.number, wait),
-         wait + settings_.response_margin, &store_reader::on_watch);
+         wait + settings_.silence_margin, wait + settings_.response_margin,
+         &store_reader::on_watch);
 }
 
 void store_reader::on_watch(const short_call::result& r)
@@ -423,14 +444,20 @@
         pool_.close_idle_connections(store_target);
         return;
     }
+    lose_contact(r.status);
+}
+
+void store_reader::lose_contact(int status)
+{
     if (failing_)
         return;
     failing_ = true;
-    failing_since_ = now;
+    failing_since_ = net::event_loop::now().mono;
     logging::write(logging::level::warning, "store_contact_lost",
                    {{"prefix", prefix_},
-                    {"status", static_cast<std::uint64_t>(r.status)},
+                    {"status", static_cast<std::uint64_t>(status)},
                     {"revision", to_string(revision_)}});
+    on_contact_lost_();
 }
 
 void store_reader::schedule_next(duration after, bool from_start)
--- a/src/lovagegate/gateway/store_reader.hpp
+++ b/src/lovagegate/gateway/store_reader.hpp
@@ -22,13 +22,19 @@
 /// call.
 struct store_reader_settings
 {
-    /// How long the store may hold a watch open. A connection that has gone
-    /// silent is detected after this time.
-    duration watch_timeout = 2500ms;
+    /// How long the store may hold a watch open. Nothing shows before its end
+    /// that the store no longer answers, and a configuration may wait for the
+    /// store as long.
+    duration watch_timeout = 500ms;
     /// The same time for the call after an interrupted one and for the first of
     /// an instance that begins to read: they only check whether the store
     /// answers.
-    duration probe_watch_timeout = 200ms;
+    duration probe_watch_timeout = 1ms;
+    /// Contact with the store counts as lost this long after a watch should
+    /// have ended. The call goes on, since a slow store may still answer.
+    duration silence_margin = 400ms;
+    /// The same for pages of a list, which may be a megabyte long.
+    duration page_silence_margin = 1s;
     /// Added to the watch time before a call counts as failed.
     duration response_margin = 800ms;
     /// Between the end of one watch and the start of the next.
@@ -68,10 +74,13 @@
     };
     /// Called with changes that this instance has read from the store itself.
     using batch_handler = std::function<void(const batch&)>;
+    /// Called when contact with the store is lost.
+    using contact_handler = std::function<void()>;
 
     store_reader(net::event_loop& loop, target_pool& pool,
                  settings::endpoint store, std::string prefix, counters& counts,
                  item_handler on_item, batch_handler on_batch,
+                 contact_handler on_contact_lost,
                  store_reader_settings settings = {});
     ~store_reader();
     store_reader(const store_reader&) = delete;
@@ -105,8 +114,9 @@
     /// @return whether all keys were read once, by this or another instance
     [[nodiscard]] bool is_loaded() const noexcept { return loaded_; }
 
-    /// @return whether the store doesn't answer: a call timed out or could not
-    ///         connect, or the call after an interrupted one failed as well
+    /// @return whether the store doesn't answer: a call is overdue, timed out
+    ///         or could not connect, or the call after an interrupted one
+    ///         failed as well
     [[nodiscard]] bool is_failing() const noexcept { return failing_; }
 
     /// @return how long calls have been failing, zero if the last one succeeded
@@ -126,8 +136,13 @@
     }
 
 private:
-    void call(const std::string& path, duration limit,
+    /// @param answer_due time in which the store usually answers
+    /// @param limit time after which the call has failed
+    void call(const std::string& path, duration answer_due, duration limit,
               void (store_reader::*done)(const short_call::result&));
+    /// Loses contact with the store unless the call ends in time.
+    void expect_answer(duration due);
+    void lose_contact(int status);
     void read_page();
     void on_page(const short_call::result& r);
     void watch();
@@ -176,6 +191,7 @@
     counters& counts_;
     item_handler on_item_;
     batch_handler on_batch_;
+    contact_handler on_contact_lost_;
     store_reader_settings settings_;
     item_map items_;
     item_map partial_items_;
@@ -190,6 +206,7 @@
     time_point started_{};
     duration backoff_{};
     net::timer_id timer_ = 0;
+    net::timer_id silence_timer_ = 0;
     std::unique_ptr<short_call> call_;
     store_revision newest_;
     bool failing_ = false;
--- a/src/lovagegate/gateway/store_reader_election.hpp
+++ b/src/lovagegate/gateway/store_reader_election.hpp
@@ -3,6 +3,9 @@
 
 #include "lovagegate/gateway/member_table.hpp"
 
+#include <string>
+#include <vector>
+
 namespace lovagegate::gateway {
 
 /// Decides whether this instance reads the platform's store. Two instances read
@@ -12,6 +15,11 @@
 /// @return whether this instance is one of the readers
 [[nodiscard]] bool is_store_reader(const member_table& members, time_point now);
 
+/// @return addresses of the other instances that are the next to read the store
+///         if this one doesn't, best first
+[[nodiscard]] std::vector<std::string>
+next_store_readers(const member_table& members, time_point now);
+
 /// @return whether this instance is the reader that sends changes to the
 ///         others; they request missed changes from the second reader
 [[nodiscard]] bool is_news_sender(const member_table& members, time_point now);
--- a/standins/site/platform_store.cpp
+++ b/standins/site/platform_store.cpp
@@ -38,9 +38,14 @@
 
 } // namespace
 
-platform_store::platform_store(net::event_loop& loop)
-    : server_(loop, [this](const seen_request& r) { return answer(r); })
+platform_store::platform_store(net::event_loop& loop, std::size_t entrances)
 {
+    for (std::size_t i = 0; i < entrances; ++i)
+        entrances_.push_back(
+            {std::make_unique<scripted_server>(
+                 loop,
+                 [this, i](const seen_request& r) { return answer(i, r); }),
+             false});
 }
 
 void platform_store::put(const std::string& key, const std::string& value)
@@ -131,7 +136,7 @@
     return whole_answer(status, headers, body);
 }
 
-script platform_store::answer(const seen_request& request)
+script platform_store::answer(std::size_t entrance, const seen_request& request)
 {
     const std::string& target = request.head.target;
     const std::string prefix = argument(target, "prefix");
@@ -139,7 +144,7 @@
         --to_cut_;
         return {{{}, {}, then::reset}};
     }
-    if (silent_)
+    if (entrances_.at(entrance).silent)
         return {{"", 60s, then::close}};
     if (down_)
         return {{with_era(503, ""), {}, then::go_on}};
--- a/standins/site/platform_store.hpp
+++ b/standins/site/platform_store.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -18,9 +19,13 @@
 class platform_store
 {
 public:
-    explicit platform_store(net::event_loop& loop);
+    /// @param entrances number of ports at which the store can be reached
+    explicit platform_store(net::event_loop& loop, std::size_t entrances = 1);
 
-    [[nodiscard]] std::uint16_t port() const { return server_.port(); }
+    [[nodiscard]] std::uint16_t port(std::size_t entrance = 0) const
+    {
+        return entrances_.at(entrance).server->port();
+    }
 
     void put(const std::string& key, const std::string& value);
     void put_config(const std::string& value);
@@ -31,8 +36,11 @@
     /// Calls get 503 while the store is down.
     void set_down(bool down) { down_ = down; }
 
-    /// Leaves calls without an answer.
-    void set_silent(bool silent) { silent_ = silent; }
+    /// Leaves calls at one entrance without an answer.
+    void set_silent(bool silent, std::size_t entrance = 0)
+    {
+        entrances_.at(entrance).silent = silent;
+    }
 
     /// Forgets the history: watches from before get 410.
     void compact() { compacted_ = revision_; }
@@ -76,7 +84,13 @@
         bool deleted = false;
     };
 
-    script answer(const seen_request& request);
+    struct access_point
+    {
+        std::unique_ptr<scripted_server> server;
+        bool silent = false;
+    };
+
+    script answer(std::size_t entrance, const seen_request& request);
     /// @return an answer with the header that names the era
     [[nodiscard]] std::string with_era(int status,
                                        const std::string& body) const;
@@ -92,12 +106,11 @@
     std::uint64_t era_ = 1;
     std::optional<std::string> era_text_; ///< instead of the era
     bool down_ = false;
-    bool silent_ = false;
     int to_cut_ = 0;
     std::size_t items_per_page_ = 500;
     std::function<void()> on_page_;
     std::function<void()> on_watch_;
-    scripted_server server_;
+    std::vector<access_point> entrances_;
 };
 
 struct platform_store::copy
--- a/tests/gateway/store_reader_test.cpp
+++ b/tests/gateway/store_reader_test.cpp
@@ -26,6 +26,7 @@
     bool in_doubt = false;         ///< whether the last one was
     bool failed = false;           ///< the reader lost contact at some time
     std::vector<store_reader::batch> told; ///< changes read from the store
+    int losses = 0; ///< how often the reader has reported a loss of contact
     std::unique_ptr<store_reader> reader;
 
     /// @param active whether the reader goes on reading after the first page
@@ -40,7 +41,7 @@
                 in_doubt = doubt;
             },
             [this](const store_reader::batch& b) { told.push_back(b); },
-            settings);
+            [this] { ++losses; }, settings);
         reader->set_active(active);
         reader->start();
         REQUIRE(run_until([&] { return seen.size() == 1; }));
@@ -120,6 +121,37 @@
     CHECK(r.run_until([&] { return r.failed; }));
 }
 
+TEST_CASE("a watch that is overdue counts as a loss of contact while the store "
+          "may still answer it",
+          "[gateway]")
+{
+    // Until another instance takes over, none learns of changes.
+    store_reader_settings settings;
+    settings.watch_timeout = 20ms;
+    settings.silence_margin = 100ms;
+    settings.response_margin = 2 * max_wait;
+    reading r(settings);
+    r.store.set_silent(true);
+    CHECK(r.run_until([&] { return r.failed; }));
+    CHECK(r.losses == 1);
+    CHECK(r.counts.count("store_silences") >= 1);
+    CHECK(r.counts.count("store_failures") == 0);
+}
+
+TEST_CASE("a store that answers late is in contact again with its answer",
+          "[gateway]")
+{
+    store_reader_settings settings;
+    settings.watch_timeout = 1ms;
+    settings.silence_margin = 1ms; // less than the stand-in takes
+    reading r(settings);
+    CHECK(r.run_until([&] { return r.failed; }));
+    CHECK(r.run_until([&] { return !r.reader->is_failing(); }));
+    r.store.put_config("second");
+    CHECK(r.run_until([&] { return r.seen.back() == "second"; }));
+    CHECK(r.counts.count("store_failures") == 0);
+}
+
 TEST_CASE("a deletion in the state of another instance is in doubt only if it "
           "is for that instance",
           "[gateway]")
@@ -166,7 +198,8 @@
                 if (item.value == "old")
                     CHECK(complete <= store_revision(item.revision.number + 1,
                                                      item.revision.era));
-        });
+        },
+        [] {});
     reader.start();
     const time_point until = net::event_loop::now().mono + max_wait;
     while (told.size() < 2 && net::event_loop::now().mono < until) {
@@ -241,7 +274,7 @@
     store_reader reader(
         loop, pool, settings::endpoint{"127.0.0.1", store.port()}, "servers/",
         counts, [](const platform_wire::store_item&, bool) {},
-        [](const store_reader::batch&) {});
+        [](const store_reader::batch&) {}, [] {});
     reader.start();
     const time_point until = net::event_loop::now().mono + max_wait;
     while (!reader.is_loaded() && net::event_loop::now().mono < until) {
