Let an instance that the store has turned away notice that it answers again

Cause: an instance that has lost contact hands the reading over and calls the store no more. It went on telling that the store doesn't answer it, for good.

Change: such an instance makes a short call every 3 s until it is answered. The cost is one call in 3 s for each kind of key, only at instances that have lost contact.

Tests that failed without the calls: "an instance that has given up reading a silent store notices that the store answers again", "a configuration comes into force after the store has turned each instance away once".

--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -49,7 +49,6 @@
     started_ = net::event_loop::now().mono;
     failing_since_ = started_;
     failing_ = true;
-    polling_ = true;
     read_page();
 }
 
@@ -83,7 +82,9 @@
     request.head = platform_wire::write_get_head(to_string(store_), path);
     counts_.add("store_calls");
     expect_answer(answer_due);
+    calling_ = true;
     auto finished = [this, done](const short_call::result& r) {
+        calling_ = false;
         loop_.cancel(silence_timer_);
         // This call is destroyed when the next one starts.
         (this->*done)(r);
@@ -325,14 +326,14 @@
     logging::write(logging::level::info,
                    active ? "store_reading_begun" : "store_reading_ended",
                    {{"prefix", prefix_}, {"revision", to_string(revision_)}});
-    if (active && !polling_)
+    if (active && !calling_)
         schedule_next(duration::zero(), !loaded_);
 }
 
 void store_reader::watch()
 {
     watched_from_ = revision_;
-    const duration wait = interrupted_ || contact_uncertain_
+    const duration wait = interrupted_ || contact_uncertain_ || !active_
                               ? settings_.probe_watch_timeout
                               : settings_.watch_timeout;
     call(platform_wire::watch_path(prefix_, revision_.number, wait),
@@ -462,11 +463,14 @@
 
 void store_reader::schedule_next(duration after, bool from_start)
 {
-    polling_ = active_ || !loaded_;
-    if (!polling_)
-        return;
     if (timer_ != 0)
         loop_.cancel(timer_);
+    timer_ = 0;
+    const bool gave_up = !active_ && loaded_;
+    if (gave_up && !failing_)
+        return;
+    if (gave_up)
+        after = settings_.recheck_interval;
     timer_ = loop_.call_later(after, [this, from_start] {
         timer_ = 0;
         if (from_start)
--- a/src/lovagegate/gateway/store_reader.hpp
+++ b/src/lovagegate/gateway/store_reader.hpp
@@ -39,6 +39,10 @@
     duration response_margin = 800ms;
     /// Between the end of one watch and the start of the next.
     duration watch_interval = 200ms;
+    /// Between two calls of an instance that has lost contact and given up the
+    /// duty to read. Without them it would pass for cut off for good, and count
+    /// as a reader only when no other is left.
+    duration recheck_interval = 3s;
     duration initial_backoff = 150ms;
     duration max_backoff = 600ms;
     /// An entry that is deleted within this time after a failed call may merely
@@ -215,7 +219,7 @@
     bool contact_uncertain_ = false;
     bool loaded_ = false;
     bool active_ = true;
-    bool polling_ = false; ///< a call is pending or scheduled
+    bool calling_ = false; ///< a call is in progress
 };
 
 } // namespace lovagegate::gateway
--- a/tests/gateway/store_mirror_test.cpp
+++ b/tests/gateway/store_mirror_test.cpp
@@ -29,12 +29,7 @@
         for (std::size_t i = 0; i < instance_count; ++i)
             instances_.push_back(
                 std::make_unique<instance>(*this, i, settings));
-        for (auto& to : instances_)
-            for (auto& from : instances_) {
-                auto& self = from->state.members.self();
-                self.beat = 1;
-                to->state.members.on_heartbeat({self, {}}, self.address, now());
-            }
+        exchange_heartbeats();
         for (auto& i : instances_)
             i->mirror.start();
         REQUIRE(f.run_until([&] {
@@ -44,8 +39,7 @@
                        !i->mirror.targets().is_failing();
             });
         }));
-        for (auto& i : instances_)
-            i->mirror.update_duty(now());
+        exchange_heartbeats();
         // A watch that has begun or is scheduled brings what follows, also to
         // instances that have given up the duty.
         bool watches_ended = false;
@@ -53,6 +47,19 @@
         REQUIRE(f.run_until([&] { return watches_ended; }));
     }
 
+    void exchange_heartbeats()
+    {
+        for (auto& from : instances_) {
+            auto& self = from->state.members.self();
+            from->mirror.describe(self);
+            ++self.beat;
+            for (auto& to : instances_)
+                to->state.members.on_heartbeat({self, {}}, self.address, now());
+        }
+        for (auto& i : instances_)
+            i->mirror.update_duty(now());
+    }
+
     static time_point now() { return net::event_loop::now().mono; }
 
     /// @return the instances that read the store, the sender of news first
@@ -85,6 +92,22 @@
 
     void turn_away(std::size_t index) { store.set_silent(true, index); }
 
+    /// Lets the store answer all instances again.
+    /// @return whether all have noticed
+    bool heal()
+    {
+        for (std::size_t i = 0; i < instance_count; ++i)
+            store.set_silent(false, i);
+        const bool all = f.run_until([&] {
+            return std::ranges::none_of(instances_, [](const auto& i) {
+                return i->mirror.operator_keys().is_failing() ||
+                       i->mirror.targets().is_failing();
+            });
+        });
+        exchange_heartbeats();
+        return all;
+    }
+
     /// @return whether all instances but the given ones have the configuration
     ///         before long
     bool all_get(const std::string& config,
@@ -225,6 +248,26 @@
     CHECK(all.all_get("second", silent));
 }
 
+TEST_CASE("a configuration comes into force after the store has turned each "
+          "instance away once",
+          "[gateway]")
+{
+    auto settings = short_watches();
+    settings.response_margin = 400ms;
+    settings.recheck_interval = 100ms;
+    fleet all(settings);
+    for (int round = 0; round < 4; ++round) {
+        const auto readers = all.readers();
+        REQUIRE(readers.size() == 2);
+        for (const auto i : readers)
+            all.turn_away(i);
+        const std::string config = "round " + std::to_string(round);
+        all.store.put_config(config);
+        CHECK(all.all_get(config, readers));
+        REQUIRE(all.heal());
+    }
+}
+
 TEST_CASE("the second reader of the store sends changes if the first one ends",
           "[gateway]")
 {
--- a/tests/gateway/store_reader_test.cpp
+++ b/tests/gateway/store_reader_test.cpp
@@ -152,6 +152,28 @@
     CHECK(r.counts.count("store_failures") == 0);
 }
 
+TEST_CASE("an instance that has given up reading a silent store notices that "
+          "the store answers again",
+          "[gateway]")
+{
+    // Otherwise it passes for cut off for good, and once all have been cut off
+    // no instance takes over from another.
+    store_reader_settings settings;
+    settings.watch_timeout = 20ms;
+    settings.silence_margin = 50ms;
+    settings.recheck_interval = 50ms;
+    reading r(settings);
+    r.store.set_silent(true);
+    REQUIRE(r.run_until([&] { return r.failed; }));
+    r.reader->set_active(false);
+    r.store.set_silent(false);
+    CHECK(r.run_until([&] { return !r.reader->is_failing(); }));
+    CHECK_FALSE(r.reader->is_reading());
+    r.store.put_config("second");
+    r.reader->set_active(true);
+    CHECK(r.run_until([&] { return r.seen.back() == "second"; }));
+}
+
 TEST_CASE("a deletion in the state of another instance is in doubt only if it "
           "is for that instance",
           "[gateway]")
