Bound what an instance holds of all answers together

Other operators reported a faulty engine that sent bytes without end, so that the instance which had called it ran out of memory and ended.

Cause: an event is held until it is whole, up to 1 MB; a body up to 256 KB, so that a retry can replace it; what a caller hasn't read up to 1 MB. All of that for each open request.

Change: answer_memory counts what answers hold beyond 4 KB each. All together may hold 1/32 of the process's memory, those of one target a quarter of that. Beyond it an answer isn't ended: reading pauses, so that its target waits, until there is room or the answer has one of a few turns, in which it may grow to its own limit. So a long sound event is completed beside faulty ones. A body is passed on at once instead of being held for a retry. A read takes 8 KB instead of 64 KB, since that much arrives before anything can be decided; heads of answers may have 16 KB instead of 32 KB, reports that only show that an engine lives 16 KB instead of 256 KB. Strings that held a long event are shrunk.

--- a/src/lovagegate/gateway/event_splitter.cpp
+++ b/src/lovagegate/gateway/event_splitter.cpp
@@ -7,6 +7,17 @@
 /// A faulty engine may write an error answer into the stream that it has begun.
 constexpr std::string_view http_answer_start = "HTTP/1.";
 
+/// Long events are rare, and streams are many and last long.
+constexpr std::size_t max_kept_capacity = std::size_t{16} * 1024;
+
+/// Frees the memory of a string that was long and is short.
+void trim(std::string& text)
+{
+    if (text.capacity() > max_kept_capacity &&
+        text.size() < text.capacity() / 4)
+        text.shrink_to_fit();
+}
+
 /// @return end of the first event, npos if it is incomplete
 std::size_t end_of_event(std::string_view text, std::size_t from)
 {
@@ -62,7 +73,9 @@
         from = end;
     }
     whole_.assign(pending_, 0, done);
+    trim(whole_);
     pending_.erase(0, done);
+    trim(pending_);
     return whole_;
 }
 
--- a/src/lovagegate/gateway/event_splitter.hpp
+++ b/src/lovagegate/gateway/event_splitter.hpp
@@ -43,7 +43,7 @@
     /// Drops the incomplete event, because another source continues the stream.
     void discard_partial_event()
     {
-        pending_.clear();
+        std::string().swap(pending_);
         malformed_ = false;
     }
 
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -25,8 +25,6 @@
 /// Answers up to this size are buffered until they are complete, so that an
 /// interrupted one can be replaced by the answer of a retry.
 constexpr std::size_t max_buffered_answer_bytes = std::size_t{256} * 1024;
-/// A stream is treated as malformed if an event exceeds this size.
-constexpr std::size_t max_event_bytes = std::size_t{1024} * 1024;
 /// Reading from the target of a stream stops when this many bytes wait for a
 /// slow caller.
 constexpr std::size_t max_unsent_stream_bytes = std::size_t{256} * 1024;
@@ -133,7 +131,9 @@
     : context_(context), caller_(std::move(caller)),
       message_(std::move(message)),
       facts_(platform_wire::read_request(message_.head)),
-      retry_delay_(target_retry_delay)
+      retry_delay_(target_retry_delay),
+      backpressure_(context.memory, *caller_,
+                    [this] { silent_since_ = net::event_loop::now().mono; })
 {
 }
 
@@ -515,6 +515,7 @@
         s.allowance.take(target);
     if (is_trial_)
         context_.crashes.begin_trial(traits_, facts_.attempt_id, now.mono);
+    backpressure_.begin(target, *call_);
     at_target_ = true;
     ++sends_;
     ++runs_;
@@ -567,6 +568,7 @@
         return;
     at_target_ = false;
     is_trial_ = false;
+    backpressure_.end();
     call_.reset();
     probe_.reset();
     discarded_.reset();
@@ -762,19 +764,25 @@
     }
     if (head_sent_) {
         caller_->send_body(part);
-        pause_target(max_unsent_answer_bytes);
+        backpressure_.update(0, max_unsent_answer_bytes);
         return true;
     }
     buffer_.append(part);
-    if (buffer_.size() > max_buffered_answer_bytes) {
-        if (answer_.status >= first_server_error) {
-            release_target();
-            fail(bad_gateway, "failure too long");
-            return false;
-        }
+    const bool has_memory =
+        backpressure_.update(buffer_.size(), max_unsent_answer_bytes);
+    const bool is_failure = answer_.status >= first_server_error;
+    const bool is_too_long = buffer_.size() > max_buffered_answer_bytes;
+    if (is_failure && is_too_long) {
+        release_target();
+        fail(bad_gateway, "failure too long");
+        return false;
+    }
+    // What the caller reads needs no memory here, but then no other target can
+    // replace the answer.
+    if (is_too_long || (!has_memory && !is_failure)) {
         deliver_head(answer_, false);
-        caller_->send_body(buffer_);
-        buffer_.clear();
+        caller_->send_body(std::exchange(buffer_, {}));
+        backpressure_.update(0, max_unsent_answer_bytes);
     }
     return true;
 }
@@ -801,8 +809,11 @@
     else
         deliver_comments(whole);
     if (!splitter_.is_malformed() &&
-        splitter_.partial_event().size() + buffer_.size() <= max_event_bytes)
+        splitter_.partial_event().size() + buffer_.size() <= max_event_bytes) {
+        backpressure_.update(splitter_.partial_event().size() + buffer_.size(),
+                             max_unsent_stream_bytes);
         return true;
+    }
     on_call_failed(call_failure::not_an_answer);
     return false;
 }
@@ -820,10 +831,8 @@
     silent_since_ = now;
     if (splitter_.event_count() - events_before_send_ >= events_of_live_engine)
         on_answer_begun();
-    caller_->send_body(buffer_);
-    buffer_.clear();
+    caller_->send_body(std::exchange(buffer_, {}));
     caller_->send_body(whole);
-    pause_target(max_unsent_stream_bytes);
 }
 
 void forwarding::deliver_comments(std::string_view whole)
@@ -835,7 +844,6 @@
         return;
     }
     caller_->send_body(whole);
-    pause_target(max_unsent_stream_bytes);
 }
 
 void forwarding::on_answer_begun()
@@ -845,25 +853,11 @@
     context_.crashes.on_answer_begun(traits_, net::event_loop::now().mono);
 }
 
-void forwarding::pause_target(std::size_t unsent_limit)
-{
-    if (caller_->unsent() < unsent_limit || target_paused_ || !call_)
-        return;
-    target_paused_ = true;
-    call_->set_reading(false);
-    caller_->set_drained_handler([this] {
-        target_paused_ = false;
-        silent_since_ = net::event_loop::now().mono;
-        if (call_)
-            call_->set_reading(true);
-    });
-}
-
 void forwarding::record_event_gap(time_point now)
 {
     const duration gap = now - last_event_;
     longest_event_gap_ = std::max(longest_event_gap_, gap);
-    if (!target_paused_)
+    if (!backpressure_.is_paused())
         context_.state.placements.on_event(target_, gap, now);
 }
 
@@ -1143,7 +1137,7 @@
 {
     const time_point now = net::event_loop::now().mono;
     time_point at = deadline_;
-    if (call_ && !target_paused_) {
+    if (call_ && !backpressure_.is_paused()) {
         // Silence is checked at this interval instead of resetting a timer at
         // each byte.
         constexpr duration silence_check_interval = 150ms;
@@ -1166,7 +1160,7 @@
         refuse("no time left");
         return;
     }
-    if (call_ && !target_paused_)
+    if (call_ && !backpressure_.is_paused())
         check_silence(now);
     if (!done_ && timer_ == 0)
         arm_timer();
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -2,6 +2,7 @@
 #define LOVAGEGATE_GATEWAY_FORWARDING_HPP
 
 #include "lovagegate/gateway/adapter_coordinator.hpp"
+#include "lovagegate/gateway/answer_backpressure.hpp"
 #include "lovagegate/gateway/caller_connection.hpp"
 #include "lovagegate/gateway/caller_request.hpp"
 #include "lovagegate/gateway/crash_reports.hpp"
@@ -21,6 +22,10 @@
 
 namespace lovagegate::gateway {
 
+/// Largest event of a stream, which is held until it is complete. A stream with
+/// a larger one is malformed.
+inline constexpr std::size_t max_event_bytes = std::size_t{1024} * 1024;
+
 /// Dependencies and callbacks shared by all requests of one instance.
 struct forwarding_context
 {
@@ -30,6 +35,7 @@
     adapter_coordinator& adapters;
     std::mt19937_64& random;
     crash_reports& crashes;
+    answer_memory& memory;
     /// Called when `crashes` has notices to send.
     std::function<void()> on_crash_notice;
     /// Called when a target's address refuses the connection (nothing listens
@@ -136,11 +142,6 @@
     /// Forwards comments and empty lines, those before the first event with
     /// that event, since until then another target may answer instead.
     void deliver_comments(std::string_view whole);
-    /// Stops reading from the target until the caller has read what is buffered
-    /// for it.
-    /// @param unsent_limit number of bytes buffered for the caller at which
-    ///         reading stops
-    void pause_target(std::size_t unsent_limit);
     void deliver_buffered_answer();
     [[nodiscard]] bool is_discarded() const noexcept
     {
@@ -226,6 +227,7 @@
     net::message_head answer_;
     answer_facts answer_facts_;
     std::string buffer_; ///< answer that can still be replaced by a retry
+    answer_backpressure backpressure_;
     std::uint32_t early_sends_ =
         0;                    ///< rejected sends before the adapter was loaded
     std::uint32_t sends_ = 0; ///< requests that may have reached a target
@@ -251,7 +253,6 @@
     } begun_answer_;
     bool resuming_ = false; ///< the answer continues an earlier one
     bool forwarding_events_ = false;
-    bool target_paused_ = false;
     bool abandoned_silent_target_ =
         false; ///< a target was left because it was silent
     bool retry_reserved_ =
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -18,6 +18,7 @@
 
 namespace {
 
+constexpr std::size_t bytes_per_megabyte = std::size_t{1024} * 1024;
 /// Interval for processing adapter requests, report polls and orders.
 constexpr duration tick_interval = 50ms;
 /// Time after the start in which heartbeats have made the other instances
@@ -128,6 +129,8 @@
                                      [this] { reconsider_requests(); });
                 },
                 [this] { return trial_rank(); }}),
+      answer_memory_(limits_for_process(
+          state_.boot.memory_mb * bytes_per_megabyte, max_event_bytes)),
       forwarding_context_{
           loop_,
           state_,
@@ -135,6 +138,7 @@
           adapters_,
           random_,
           crashes_,
+          answer_memory_,
           [this] { schedule_crash_notices(); },
           [this](const std::string& target) {
               if (const auto* t = state_.targets.find(target))
@@ -769,6 +773,10 @@
     all.add("answers_of_other_requests", pool_.counts().unexpected_answers);
     const std::array gauges{
         metrics::gauge{"open_requests", static_cast<double>(requests_.size())},
+        metrics::gauge{"answer_bytes_held",
+                       static_cast<double>(answer_memory_.shared_bytes())},
+        metrics::gauge{"answers_waiting_for_memory",
+                       static_cast<double>(answer_memory_.waiting())},
         metrics::gauge{"open_connections",
                        static_cast<double>(callers_.size())},
         metrics::gauge{"connections_to_targets",
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -116,6 +116,7 @@
     adapter_coordinator adapters_;
     crash_reports crashes_;
     metrics::registry metrics_;
+    answer_memory answer_memory_;
     forwarding_context forwarding_context_;
     caller_context caller_context_;
     std::map<caller_connection*, caller_ptr> callers_;
--- a/src/lovagegate/gateway/liveness_probe.cpp
+++ b/src/lovagegate/gateway/liveness_probe.cpp
@@ -8,7 +8,9 @@
 
 /// Reports need no slot, so a live engine answers within milliseconds.
 constexpr duration answer_timeout = 300ms;
-constexpr std::size_t max_report_bytes = std::size_t{256} * 1024;
+/// The head of a report shows that the engine lives. Each silent request has a
+/// probe of its own, so that their reports must be short.
+constexpr std::size_t max_report_bytes = std::size_t{16} * 1024;
 
 target_request report_request(const target_entry& target)
 {
--- a/src/lovagegate/gateway/target_pool.hpp
+++ b/src/lovagegate/gateway/target_pool.hpp
@@ -102,7 +102,8 @@
     /// Maximum idle time of a connection that is reused for a request that must
     /// not run twice: targets close idle connections after one second or more.
     duration fresh_connection_max_idle = 600ms;
-    std::size_t max_head_bytes = std::size_t{32} * 1024;
+    /// Heads are held until they are complete, one for each open call.
+    std::size_t max_head_bytes = std::size_t{16} * 1024;
     /// Limit for the bytes of interim answers and of answers to other requests
     /// that are skipped before the answer. A late answer to an earlier request
     /// fits.
--- a/src/lovagegate/net/tcp_stream.cpp
+++ b/src/lovagegate/net/tcp_stream.cpp
@@ -16,7 +16,8 @@
 
 namespace {
 
-constexpr std::size_t receive_buffer_bytes = std::size_t{64} * 1024;
+/// Read at once; handlers that hold what they get can't refuse it any more.
+constexpr std::size_t receive_buffer_bytes = std::size_t{8} * 1024;
 /// Exceeds the largest UDP payload, so that no datagram is truncated.
 constexpr std::size_t max_datagram_bytes = std::size_t{64} * 1024;
 /// Sent bytes are erased from the front of a write buffer once they exceed
--- a/tests/gateway/endless_answer_test.cpp
+++ b/tests/gateway/endless_answer_test.cpp
@@ -369,3 +369,72 @@
     CHECK((a.body == begun + "end")); // too long to be printed
     CHECK(s.runs == 1);
 }
+
+TEST_CASE("many long events that don't end wait for memory, and another target "
+          "serves meanwhile",
+          "[gateway]")
+{
+    // Each is shorter than the limit for one event, which alone bounds nothing.
+    const std::string part(std::size_t{500} * 1024, 'x');
+    constexpr std::size_t streams = 40;
+    constexpr double most_held = 8e6;
+    const auto faulty = with_warm_up([&](const seen_request& r) -> script {
+        if (!attempt_id(r).starts_with("faulty"))
+            return {{stream_head(r) + event(1), {}, then::close}};
+        return {{stream_head(r) + "data: " + part, {}, then::go_on},
+                {"", 60s, then::close}};
+    });
+    site s({.kind = "streaming", .latency_objective_ms = never_silent_ms},
+           {faulty});
+    std::vector<std::unique_ptr<caller>> callers;
+    for (std::size_t i = 0; i < streams; ++i) {
+        callers.push_back(std::make_unique<caller>(s.callers_port()));
+        callers.back()->send(request_text("faulty" + std::to_string(i)));
+    }
+    const auto until = std::chrono::steady_clock::now() + max_wait;
+    double waiting = 0;
+    while (waiting < streams / 2.0 && std::chrono::steady_clock::now() < until)
+        waiting = s.metric("answers_waiting_for_memory");
+    CHECK(waiting >= streams / 2.0);
+    CHECK(s.metric("answer_bytes_held") < most_held);
+    CHECK(s.ask(request_text("sound")).body == event(1));
+    for (auto& c : callers)
+        c->leave();
+    while (s.metric("answer_bytes_held") > 0 &&
+           std::chrono::steady_clock::now() < until) {
+    }
+    CHECK(s.metric("answer_bytes_held") == 0);
+}
+
+TEST_CASE("a long body is complete although long events have taken all memory",
+          "[gateway]")
+{
+    const std::string part(std::size_t{500} * 1024, 'x');
+    constexpr std::size_t streams = 40;
+    const auto target = with_warm_up([&](const seen_request& r) -> script {
+        if (!attempt_id(r).starts_with("faulty"))
+            return {
+                {stream_head(r) + "data: " + part + "\n\n", {}, then::close}};
+        return {{stream_head(r) + "data: " + part, {}, then::go_on},
+                {"", 60s, then::close}};
+    });
+    site s({.kind = "streaming", .latency_objective_ms = never_silent_ms},
+           {target});
+    std::vector<std::unique_ptr<caller>> callers;
+    for (std::size_t i = 0; i < streams; ++i) {
+        callers.push_back(std::make_unique<caller>(s.callers_port()));
+        callers.back()->send(request_text("faulty" + std::to_string(i)));
+    }
+    const auto until = std::chrono::steady_clock::now() + max_wait;
+    while (s.metric("answers_waiting_for_memory") < streams / 2.0 &&
+           std::chrono::steady_clock::now() < until) {
+    }
+    caller sound(s.callers_port());
+    sound.send(request_text("sound"));
+    // The others end, so that the answers that wait get their turn.
+    for (auto& c : callers)
+        c->leave();
+    const auto a = sound.read();
+    CHECK(a.complete);
+    CHECK(a.body.size() == part.size() + 8);
+}
--- a/tests/gateway/site_fixture.hpp
+++ b/tests/gateway/site_fixture.hpp
@@ -249,6 +249,19 @@
 
     [[nodiscard]] std::uint16_t callers_port() const { return callers_port_; }
 
+    /// @param name of a gauge or counter without labels
+    /// @return its value on the gateway's metrics page
+    [[nodiscard]] double metric(const std::string& name) const
+    {
+        caller c(metrics_port_);
+        c.send("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+        const std::string page = "\n" + c.read().body;
+        const auto at = page.find("\nlovagegate_" + name + ' ');
+        return at == std::string::npos
+                   ? 0
+                   : std::stod(page.substr(page.find(' ', at)));
+    }
+
     std::atomic<int> runs{0};
     std::atomic<int> left{0};
     std::atomic<std::size_t> written{0}; ///< bytes written by the targets
@@ -297,7 +310,7 @@
         s.readiness = {"127.0.0.1", limits_.next_port()};
         s.control = {"127.0.0.1", limits_.next_port()};
         s.peer_port = limits_.next_port();
-        s.metrics_port = limits_.next_port();
+        s.metrics_port = metrics_port_ = limits_.next_port();
         std::promise<void> made;
         gateway_thread_ = std::thread([this, s, &made] {
             std::unique_ptr<gateway::gateway_daemon> daemon;
@@ -346,6 +359,7 @@
     std::vector<std::uint16_t> target_ports_;
     std::uint16_t store_port_ = 0;
     std::uint16_t callers_port_ = 0;
+    std::uint16_t metrics_port_ = 0;
 };
 
 /// Answers the fixture's own requests with success and all others by the given
