--- a/src/lovagegate/gateway/store_reader_election.cpp
+++ b/src/lovagegate/gateway/store_reader_election.cpp
@@ -63,6 +63,7 @@
                       });
     others.resize(std::min(others.size(), next_reader_count));
     std::vector<std::string> out;
+    out.reserve(others.size());
     for (const auto& r : others)
         out.push_back(r.address);
     return out;
