Check a target's silence again after reading was paused

A stream whose caller had read nothing for a while, and whose engine then fell silent, was cut at its deadline, though another engine could have continued it.

Cause: the timer that checks for silence is set for the deadline while reading is paused, and nothing set it anew when reading went on.

Change: the timer is set again when reading goes on. The test "a stream goes on elsewhere if its engine falls silent after its caller has read nothing for a while" failed before (not complete, not resumed) and passes.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -132,8 +132,11 @@
       message_(std::move(message)),
       facts_(platform_wire::read_request(message_.head)),
       retry_delay_(target_retry_delay),
-      backpressure_(context.memory, *caller_,
-                    [this] { silent_since_ = net::event_loop::now().mono; })
+      backpressure_(context.memory, *caller_, [this] {
+          silent_since_ = net::event_loop::now().mono;
+          // Silence is not checked while reading is paused.
+          arm_timer();
+      })
 {
 }
 
--- a/tests/gateway/trickling_stream_test.cpp
+++ b/tests/gateway/trickling_stream_test.cpp
@@ -320,3 +320,36 @@
     CHECK(a.head.status == 504);
     CHECK(s.runs == 1);
 }
+
+TEST_CASE("a stream goes on elsewhere if its engine falls silent after its "
+          "caller has read nothing for a while",
+          "[gateway]")
+{
+    // While the caller doesn't read, neither does the gateway, and the engine's
+    // silence means nothing.
+    constexpr int last = 200;
+    std::string events;
+    for (int id = 1; id <= last; ++id)
+        events += "id: " + std::to_string(id) +
+                  "\ndata: " + std::string(std::size_t{64} * 1024, 'x') +
+                  "\n\n";
+    std::atomic<int> resumed{0};
+    const auto engine = with_warm_up([&](const seen_request& r) -> script {
+        if (is_report(r))
+            return no_report();
+        if (resume_after(r).empty())
+            return {{stream_head(r) + events, {}, then::go_on},
+                    {"", 60s, then::close}};
+        ++resumed;
+        return {{stream_head(r) + event(last + 1), {}, then::close}};
+    });
+    site s({.kind = "streaming", .resumable = true, .engines = true},
+           {engine, engine});
+    caller c(s.callers_port());
+    c.send(request());
+    std::this_thread::sleep_for(700ms);
+    const auto a = c.read();
+    CHECK(a.complete);
+    CHECK((a.body == events + event(last + 1))); // too long to be printed
+    CHECK(resumed == 1);
+}
