Give a request its workspace, rank and token cost

Cause: authentication, quota and queueing need the same facts about the caller of a request, and are built side by side. Change: access::caller_identity names the workspace, the tokens that the request counts as and its rank; forwarding holds it, and X-Request-Priority is written from its rank. site_config has workspaces and anonymous routes, request_facts the key, target_fields the workspace's name. Nothing fills them yet, so that nothing changes. Result: the sources including the changed headers were checked for syntax only; not run.

--- a/src/lovagegate/gateway/caller_request.hpp
+++ b/src/lovagegate/gateway/caller_request.hpp
@@ -22,6 +22,10 @@
     std::uint64_t version = 0;         ///< requested version; 0: the newest
     std::uint32_t prompt_tokens = 0;
     std::uint32_t output_tokens = 0; ///< upper bound
+    /// Both together, bounded; nothing if they are missing or malformed.
+    std::optional<std::uint32_t> token_count;
+    std::string key;           ///< secret: never logged or sent on
+    bool key_repeated = false; ///< the key was given more than once
     std::string
         prompt_prefix; ///< identifies the first shared part of the prompt
     /// Ids of the prompt's parts that other requests may share, in order.
@@ -57,6 +61,10 @@
     duration time_left{};
     std::optional<std::uint32_t> priority; ///< 0 is the most urgent
     std::uint64_t required_version = 0;    ///< 0: any
+    /// Name of the request's workspace, empty for a request without one.
+    /// Nothing if the configuration has no workspaces; only then are the
+    /// caller's own copy and its key sent on.
+    std::optional<std::string> workspace;
     std::optional<std::string>
         resume_after; ///< replaces the value that the caller sent
 };
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -262,6 +262,7 @@
         fail(not_found, "no route");
         return false;
     }
+    identity_.rank = route_->rank;
     if (facts_.attempt_id.empty()) {
         fail(bad_request, "no attempt id");
         return false;
@@ -484,7 +485,7 @@
     fields.target = target;
     fields.time_left = deadline_ - now.mono;
     if (!facts_.model.empty())
-        fields.priority = std::min(route_->rank, lowest_priority);
+        fields.priority = std::min(identity_.rank, lowest_priority);
     if (facts_.version == 0 && !adapter_.empty())
         fields.required_version = s.releases.newest(adapter_, true, now.mono);
     if (head_sent_ || !splitter_.last_id().empty())
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -1,6 +1,7 @@
 #ifndef LOVAGEGATE_GATEWAY_FORWARDING_HPP
 #define LOVAGEGATE_GATEWAY_FORWARDING_HPP
 
+#include "lovagegate/access/caller_identity.hpp"
 #include "lovagegate/gateway/adapter_coordinator.hpp"
 #include "lovagegate/gateway/answer_backpressure.hpp"
 #include "lovagegate/gateway/caller_connection.hpp"
@@ -201,6 +202,7 @@
     caller_message message_;
     request_facts facts_;
     std::shared_ptr<const route> route_;
+    access::caller_identity identity_; ///< set when the request is admitted
     std::string service_;
     crash_traits traits_;
     time_point deadline_{}; ///< earlier of route timeout and caller's deadline
--- a/src/lovagegate/gateway/site_config.hpp
+++ b/src/lovagegate/gateway/site_config.hpp
@@ -72,9 +72,29 @@
     std::uint32_t rank = 0;   ///< 0 is the most urgent
     std::uint32_t max_attempts = 1;
     bool resumable = false;
+    bool anonymous = false; ///< served without a key
     std::vector<weighted_service> services;
 };
 
+/// What the rate limit of a workspace counts.
+enum class quota_unit : std::uint8_t
+{
+    requests,
+    tokens ///< of prompts and answers
+};
+
+/// A group of callers that share keys, a priority and a rate limit.
+struct workspace_spec
+{
+    std::string name;
+    std::vector<std::string> keys;     ///< secrets: never logged or sent on
+    std::optional<std::uint32_t> rank; ///< replaces the rank of routes
+    quota_unit unit = quota_unit::requests;
+    double plain_tokens = 1; ///< of a request without usable token counts
+    double rate_per_s = 0;   ///< in the unit; 0: no limit
+    double burst = 0;        ///< in the unit
+};
+
 /// Limits for what callers send.
 struct caller_limits
 {
@@ -90,6 +110,8 @@
     std::uint64_t version = 0; ///< a higher version replaces a lower one
     std::vector<route> routes;
     std::vector<service_spec> services;
+    /// Without a value, callers need no key.
+    std::optional<std::vector<workspace_spec>> workspaces;
     caller_limits limits;
 };
 
