Authenticate callers by the keys of their workspaces

Cause: a configuration may list workspaces with keys; each request on a route that isn't anonymous then needs the key of one. The table is taken when the head is complete. Targets get the workspace's name and never the key. Keys are replaced by digests as soon as the store's answer is read, since configurations are relayed between instances. Heartbeats tell how long ago the store answered the sender or one that it has heard from; after 3 s without, an unknown key gets 503 instead of 401, as it may be new. Without workspaces nothing changes. Load and large fleets not measured.

--- a/src/lovagegate/gateway/caller_connection.cpp
+++ b/src/lovagegate/gateway/caller_connection.cpp
@@ -109,6 +109,7 @@
     const caller_limits limits = context_.limits();
     body_limit_ = limits.body_bytes;
     attempt_id_ = platform_wire::answer_attempt_id(head);
+    workspaces_ = context_.workspaces();
     const auto expect = head.header("Expect");
     if (net::same_name(expect, "100-continue"))
         stream_.write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -127,7 +128,7 @@
     busy_ = true;
     close_after_ = !reader_.head().keep_alive;
     caller_message message{std::move(reader_.head()), std::move(body_),
-                           net::event_loop::now().mono};
+                           net::event_loop::now().mono, std::move(workspaces_)};
     body_.clear();
     reader_.start();
     context_.on_request(shared_from_this(), std::move(message));
--- a/src/lovagegate/gateway/caller_connection.hpp
+++ b/src/lovagegate/gateway/caller_connection.hpp
@@ -1,6 +1,7 @@
 #ifndef LOVAGEGATE_GATEWAY_CALLER_CONNECTION_HPP
 #define LOVAGEGATE_GATEWAY_CALLER_CONNECTION_HPP
 
+#include "lovagegate/access/workspace_table.hpp"
 #include "lovagegate/core/time.hpp"
 #include "lovagegate/gateway/site_config.hpp"
 #include "lovagegate/net/event_loop.hpp"
@@ -23,6 +24,9 @@
     net::message_head head;
     std::string body;
     time_point arrived{}; ///< when its last byte was received
+    /// Of the configuration in force when the head was complete; null if there
+    /// was none.
+    std::shared_ptr<const access::workspace_table> workspaces;
 };
 
 /// Reason for which a caller's connection was closed.
@@ -61,6 +65,8 @@
     std::function<void(const caller_ptr&, caller_message)> on_request;
     /// Returns the limits of the configuration in force.
     std::function<caller_limits()> limits;
+    /// Returns the workspaces of that configuration.
+    std::function<std::shared_ptr<const access::workspace_table>()> workspaces;
     /// @return whether connections must be closed after their answer
     std::function<bool()> is_stopping;
     /// Called when a connection has ended; the owner must destroy it later,
@@ -160,6 +166,7 @@
         unread_; ///< received bytes that wait until the current answer ends
     std::string body_;
     std::string attempt_id_;
+    std::shared_ptr<const access::workspace_table> workspaces_;
     std::function<void()> disconnect_handler_;
     std::function<void()> drained_handler_;
     time_point state_since_{}; ///< start of the current state, or last progress
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -262,7 +262,8 @@
         fail(not_found, "no route");
         return false;
     }
-    identity_.rank = route_->rank;
+    if (!authenticate())
+        return false;
     if (facts_.attempt_id.empty()) {
         fail(bad_request, "no attempt id");
         return false;
@@ -289,6 +290,30 @@
     return true;
 }
 
+bool forwarding::authenticate()
+{
+    gateway_state& s = context_.state;
+    if (!message_.workspaces)
+        message_.workspaces = s.routes.workspaces();
+    auto found =
+        access::authenticate(*message_.workspaces, facts_, *route_,
+                             s.contact.is_current(net::event_loop::now().mono));
+    identity_ = std::move(found.identity);
+    if (!found.failure)
+        return true;
+    s.counts.add("key_refusals", "reason", to_string(*found.failure));
+    const std::string_view reason = explanation(*found.failure);
+    const int status = answer_status(*found.failure);
+    if (status == unavailable) {
+        refuse(reason);
+        return false;
+    }
+    log("refused", reason);
+    caller_->answer(status, reason);
+    finish("refused");
+    return false;
+}
+
 bool forwarding::reject_if_crashing(time_point now)
 {
     const crash_verdict verdict = context_.crashes.verdict(traits_, now);
@@ -484,6 +509,8 @@
     target_fields fields;
     fields.target = target;
     fields.time_left = deadline_ - now.mono;
+    if (message_.workspaces->needs_keys())
+        fields.workspace = identity_.name();
     if (!facts_.model.empty())
         fields.priority = std::min(identity_.rank, lowest_priority);
     if (facts_.version == 0 && !adapter_.empty())
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -1,7 +1,7 @@
 #ifndef LOVAGEGATE_GATEWAY_FORWARDING_HPP
 #define LOVAGEGATE_GATEWAY_FORWARDING_HPP
 
-#include "lovagegate/access/caller_identity.hpp"
+#include "lovagegate/access/authentication.hpp"
 #include "lovagegate/gateway/adapter_coordinator.hpp"
 #include "lovagegate/gateway/answer_backpressure.hpp"
 #include "lovagegate/gateway/caller_connection.hpp"
@@ -88,6 +88,9 @@
     /// Waits for the first configuration, then sends to the first target.
     void wait_for_configuration();
     bool admit();
+    /// Finds the request's workspace by its key.
+    /// @return whether the request may be served
+    bool authenticate();
     /// Answers a request that crashes engines.
     /// @return whether the request has ended
     bool reject_if_crashing(time_point now);
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -170,6 +170,7 @@
               start_request(c, std::move(m));
           },
           [this] { return state_.routes.limits(); },
+          [this] { return state_.routes.workspaces(); },
           [this] { return state_.stopping; },
           [this](caller_connection& c) {
               const auto it = callers_.find(&c);
@@ -614,6 +615,7 @@
     const time_point now = net::event_loop::now().mono;
     if (const auto* h = std::get_if<heartbeat>(&*message)) {
         const auto heard = state_.members.on_heartbeat(*h, from.address, now);
+        store_.on_contact_told(*h, now);
         if (heard.store_contact_changed)
             store_.update_duty(now);
         if (heard.joined)
@@ -681,7 +683,8 @@
     self.config_version = state_.routes.version();
     store_.describe(self);
     store_.update_duty(now.mono);
-    for (const auto& out : state_.members.next(now.mono)) {
+    for (auto& out : state_.members.next(now.mono)) {
+        store_.describe(out.message, now.mono);
         const std::string datagram = encode(out.message);
         for (const auto& address : out.to)
             send_datagram(address, datagram);
--- a/src/lovagegate/gateway/gateway_state.hpp
+++ b/src/lovagegate/gateway/gateway_state.hpp
@@ -1,6 +1,7 @@
 #ifndef LOVAGEGATE_GATEWAY_GATEWAY_STATE_HPP
 #define LOVAGEGATE_GATEWAY_GATEWAY_STATE_HPP
 
+#include "lovagegate/access/store_contact.hpp"
 #include "lovagegate/core/counters.hpp"
 #include "lovagegate/gateway/boot_settings.hpp"
 #include "lovagegate/gateway/engine_ownership.hpp"
@@ -31,6 +32,7 @@
     bool stopping = false;
     /// While stopping: when requests that are still open are given up.
     time_point gives_up_at = time_point::max();
+    access::store_contact contact{};
 };
 
 } // namespace lovagegate::gateway
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -48,7 +48,12 @@
     json others = json::array();
     for (const auto& o : m.others)
         others.push_back(write(o));
-    return json::array({tag::heartbeat, write(m.self), std::move(others)});
+    json out = json::array({tag::heartbeat, write(m.self), std::move(others)});
+    if (m.contact) {
+        out.push_back(m.contact->age.count());
+        out.push_back(m.contact->hops);
+    }
+    return out;
 }
 
 json write(const adapter_request& m)
@@ -183,6 +188,11 @@
     h.self = read_member(j.at(1));
     for (const json& o : j.at(2))
         h.others.push_back(read_member(o));
+    constexpr std::size_t contact_position = 3;
+    if (j.size() > contact_position) // absent in messages of earlier versions
+        h.contact = access::contact_age{
+            duration(j.at(contact_position).get<duration::rep>()),
+            j.at(contact_position + 1).get<std::uint32_t>()};
     return h;
 }
 
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -1,6 +1,7 @@
 #ifndef LOVAGEGATE_GATEWAY_PEER_MESSAGES_HPP
 #define LOVAGEGATE_GATEWAY_PEER_MESSAGES_HPP
 
+#include "lovagegate/access/store_contact.hpp"
 #include "lovagegate/core/identifiers.hpp"
 #include "lovagegate/core/time.hpp"
 #include "lovagegate/gateway/crash_traits.hpp"
@@ -60,6 +61,7 @@
 {
     member_record self;
     std::vector<member_record> others;
+    std::optional<access::contact_age> contact{}; ///< with the store
 };
 
 /// A version of a model's adapter.
--- a/src/lovagegate/gateway/route_table.cpp
+++ b/src/lovagegate/gateway/route_table.cpp
@@ -29,6 +29,7 @@
     hosts_.clear();
     for (const route& r : config_->routes)
         hosts_[normal_host(r.host)][r.prefix] = &r;
+    workspaces_ = std::make_shared<const access::workspace_table>(config_);
     return true;
 }
 
--- a/src/lovagegate/gateway/route_table.hpp
+++ b/src/lovagegate/gateway/route_table.hpp
@@ -1,6 +1,7 @@
 #ifndef LOVAGEGATE_GATEWAY_ROUTE_TABLE_HPP
 #define LOVAGEGATE_GATEWAY_ROUTE_TABLE_HPP
 
+#include "lovagegate/access/workspace_table.hpp"
 #include "lovagegate/gateway/site_config.hpp"
 
 #include <cstdint>
@@ -32,6 +33,13 @@
     /// @return null if the configuration has no such service
     [[nodiscard]] const service_spec* service(std::string_view name) const;
 
+    /// @return null before the first configuration
+    [[nodiscard]] std::shared_ptr<const access::workspace_table>
+    workspaces() const noexcept
+    {
+        return workspaces_;
+    }
+
     [[nodiscard]] const caller_limits& limits() const noexcept
     {
         return config_->limits;
@@ -48,6 +56,7 @@
     std::shared_ptr<const site_config> config_ =
         std::make_shared<const site_config>();
     std::unordered_map<std::string, prefixes> hosts_;
+    std::shared_ptr<const access::workspace_table> workspaces_;
 };
 
 } // namespace lovagegate::gateway
--- a/src/lovagegate/gateway/site_config.hpp
+++ b/src/lovagegate/gateway/site_config.hpp
@@ -1,6 +1,7 @@
 #ifndef LOVAGEGATE_GATEWAY_SITE_CONFIG_HPP
 #define LOVAGEGATE_GATEWAY_SITE_CONFIG_HPP
 
+#include "lovagegate/access/key_digest.hpp"
 #include "lovagegate/core/time.hpp"
 #include "lovagegate/settings/endpoint.hpp"
 
@@ -87,7 +88,7 @@
 struct workspace_spec
 {
     std::string name;
-    std::vector<std::string> keys;     ///< secrets: never logged or sent on
+    std::vector<access::key_digest> keys;
     std::optional<std::uint32_t> rank; ///< replaces the rank of routes
     quota_unit unit = quota_unit::requests;
     double plain_tokens = 1; ///< of a request without usable token counts
--- a/src/lovagegate/gateway/store_mirror.cpp
+++ b/src/lovagegate/gateway/store_mirror.cpp
@@ -87,6 +87,9 @@
 
 void store_mirror::start()
 {
+    operator_reader_.set_answer_handler([this] {
+        state_.contact.on_store_answer(net::event_loop::now().mono);
+    });
     operator_reader_.start();
     target_reader_.start();
 }
@@ -99,6 +102,20 @@
         operator_reader_.is_failing() || target_reader_.is_failing();
 }
 
+void store_mirror::describe(heartbeat& h, time_point now) const
+{
+    const auto workspaces = state_.routes.workspaces();
+    if (workspaces && workspaces->needs_keys())
+        h.contact = state_.contact.age(now);
+}
+
+void store_mirror::on_contact_told(const heartbeat& h, time_point now)
+{
+    const store_revision mine = operator_reader_.newest();
+    if (h.contact && in_era(h.self.operator_revision, mine) <= mine)
+        state_.contact.on_peer(*h.contact, now);
+}
+
 bool store_mirror::is_state_path(std::string_view path)
 {
     return path.starts_with(peer_state_path);
--- a/src/lovagegate/gateway/store_mirror.hpp
+++ b/src/lovagegate/gateway/store_mirror.hpp
@@ -47,6 +47,14 @@
     /// of this copy.
     void describe(member_record& self) const;
 
+    /// Writes into a heartbeat how long ago the store answered, if callers need
+    /// keys.
+    void describe(heartbeat& h, time_point now) const;
+
+    /// Takes in how long ago the sender of a heartbeat was in contact with the
+    /// store, if that sender knows no newer configuration than this instance.
+    void on_contact_told(const heartbeat& h, time_point now);
+
     /// Handles changes of the store, or a part of them, that another instance
     /// has sent.
     void on_changes(const settings::endpoint& from, const store_changes& news);
--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -429,6 +429,7 @@
     interrupted_ = false;
     contact_uncertain_ = false;
     backoff_ = {};
+    on_answer_();
 }
 
 void store_reader::on_failure(const short_call::result& r)
--- a/src/lovagegate/gateway/store_reader.hpp
+++ b/src/lovagegate/gateway/store_reader.hpp
@@ -126,6 +126,12 @@
     /// @return how long calls have been failing, zero if the last one succeeded
     [[nodiscard]] duration time_without_contact(time_point now) const;
 
+    /// Called when a call of this reader was answered.
+    void set_answer_handler(std::function<void()> handler)
+    {
+        on_answer_ = std::move(handler);
+    }
+
     /// @return for how much longer a deleted entry may merely have expired
     ///         while the store didn't answer, as this instance or the one that
     ///         it has its news from has found; zero if deletions are certain
@@ -196,6 +202,7 @@
     item_handler on_item_;
     batch_handler on_batch_;
     contact_handler on_contact_lost_;
+    std::function<void()> on_answer_ = [] {};
     store_reader_settings settings_;
     item_map items_;
     item_map partial_items_;
--- a/standins/site/dialect.cpp
+++ b/standins/site/dialect.cpp
@@ -53,7 +53,7 @@
                   {"maxBodyBytes", 1048576},
                   {"headerTimeoutMs", 3000},
                   {"idleTimeoutMs", site.idle_timeout_ms}};
-    return json{{"version", site.version},
+    json config{{"version", site.version},
                 {"limits", limits},
                 {"routes",
                  {{{"name", "r"},
@@ -66,8 +66,16 @@
                    {"service", "s"},
                    {"maxAttempts", site.attempts},
                    {"resumable", site.resumable}}}},
-                {"services", json::array({service})}}
-        .dump();
+                {"services", json::array({service})}};
+    if (site.anonymous)
+        config["routes"][0]["anonymous"] = true;
+    for (const auto& w : site.workspaces) {
+        json workspace{{"name", w.name}, {"apiKeys", json::array({w.key})}};
+        if (w.priority)
+            workspace["priority"] = *w.priority;
+        config["tenants"].push_back(std::move(workspace));
+    }
+    return config.dump();
 }
 
 std::string config_text(std::uint64_t version,
@@ -144,6 +152,35 @@
            field(header::time_left_ms, "15000") + "\r\n" + more + "\r\n";
 }
 
+std::string key_header(const std::string& key)
+{
+    return field(header::key, key) + "\r\n";
+}
+
+bool has_key(const seen_request& r)
+{
+    return r.head.has(header::key);
+}
+
+std::string workspace_header(const std::string& name)
+{
+    return field(header::workspace, name) + "\r\n";
+}
+
+std::string workspace_of(const seen_request& r)
+{
+    std::string out;
+    for (const auto& h : r.head.headers)
+        if (net::same_name(h.name, header::workspace))
+            out += h.value + ';';
+    return out;
+}
+
+std::string priority_of(const seen_request& r)
+{
+    return std::string(r.head.header(header::priority));
+}
+
 std::string signature_header()
 {
     return field(header::target_signature, signature) + "\r\n";
--- a/standins/site/dialect.hpp
+++ b/standins/site/dialect.hpp
@@ -9,11 +9,20 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// What the users' platform, its callers and its targets say on the wire, for
 /// scripts and tests.
 namespace lovagegate::standins {
 
+/// A workspace in the configuration, with one key.
+struct workspace_description
+{
+    std::string name;
+    std::string key;
+    std::optional<int> priority{};
+};
+
 /// One route to one service "s" with all targets.
 struct site_description
 {
@@ -27,6 +36,9 @@
     bool engines = false;
     /// How long a caller's connection may be idle; 0 names no limits.
     int idle_timeout_ms = 0;
+    /// Callers need keys if there are any.
+    std::vector<workspace_description> workspaces{};
+    bool anonymous = false; ///< the route needs no key
 };
 
 /// @return the operator's configuration
@@ -92,6 +104,16 @@
                                        const std::string& more = {},
                                        const std::string& method = "GET");
 
+/// @return the header that bears a workspace's key
+[[nodiscard]] std::string key_header(const std::string& key);
+[[nodiscard]] bool has_key(const seen_request& r);
+/// @return the header that names the workspace, which only the gateway sets
+[[nodiscard]] std::string workspace_header(const std::string& name);
+/// @return all values of that header, each followed by a semicolon
+[[nodiscard]] std::string workspace_of(const seen_request& r);
+/// @return the request's priority as sent to its target
+[[nodiscard]] std::string priority_of(const seen_request& r);
+
 /// @return the header that shows that a target made the answer
 [[nodiscard]] std::string signature_header();
 
--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -15,9 +15,13 @@
               "rijeka-a", 12, true, {{"e1", 12, 13ms, 14, 15, 16, 17, 18}}};
     h.others.push_back(
         {"10.0.0.2", 1, 2, false, 3, 4, 5, false, "", 1, false, {}});
+    h.contact = access::contact_age{70ms, 2};
     const auto back = decode(encode(h));
     REQUIRE(back);
     const auto& got = std::get<heartbeat>(*back);
+    REQUIRE(got.contact);
+    CHECK(got.contact->age == 70ms);
+    CHECK(got.contact->hops == 2);
     CHECK(got.self.address == "10.0.0.1");
     CHECK(got.self.beat == 8);
     CHECK(got.self.leaving);
--- a/tests/gateway/site_fixture.hpp
+++ b/tests/gateway/site_fixture.hpp
@@ -150,8 +150,10 @@
 
     site(const site_description& description,
          std::vector<target_script> targets, gateway_limits limits = {})
-        : limits_(limits)
+        : limits_(limits), warm_up_headers_(warm_up_header)
     {
+        if (!description.workspaces.empty())
+            warm_up_headers_ += key_header(description.workspaces.front().key);
         std::promise<void> ready;
         standins_thread_ = std::thread([&, this] {
             net::event_loop loop;
@@ -292,7 +294,7 @@
         }
         // Waits until the gateway knows the configuration and the targets.
         for (;;) {
-            const auto a = ask(request_text("warm-up", warm_up_header));
+            const auto a = ask(request_text("warm-up", warm_up_headers_));
             if (a.head.status != 503)
                 break;
             std::this_thread::sleep_for(10ms);
@@ -350,6 +352,7 @@
     }
 
     gateway_limits limits_;
+    std::string warm_up_headers_;
     closed_port unreachable_;
     std::thread standins_thread_;
     std::thread gateway_thread_;
