--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -1,6 +1,7 @@
 #ifndef LOVAGEGATE_GATEWAY_FORWARDING_HPP
 #define LOVAGEGATE_GATEWAY_FORWARDING_HPP
 
+#include "lovagegate/access/authentication.hpp"
 #include "lovagegate/gateway/adapter_coordinator.hpp"
 #include "lovagegate/gateway/answer_backpressure.hpp"
 #include "lovagegate/gateway/caller_connection.hpp"
@@ -87,6 +88,9 @@
     /// Waits for the first configuration, then sends to the first target.
     void wait_for_configuration();
     bool admit();
+    /// Finds the request's workspace by its key.
+    /// @return whether the request may be served
+    bool authenticate();
     /// Answers a request that crashes engines.
     /// @return whether the request has ended
     bool reject_if_crashing(time_point now);
@@ -201,6 +205,7 @@
     caller_message message_;
     request_facts facts_;
     std::shared_ptr<const route> route_;
+    access::caller_identity identity_; ///< set when the request is admitted
     std::string service_;
     crash_traits traits_;
     time_point deadline_{}; ///< earlier of route timeout and caller's deadline
