Limit the tokens of a workspace over all instances

Cause: a workspace's rate limit binds the sum of what all instances admit, and the limits range from less than a request for each instance to far above it, so that neither equal parts nor counting alone keep them. Change: quota::fleet_quota admits the fraction of demand that a coordinator derives from the reports of all instances (quota_report, quota_share). Requests above the limit get 429 with Retry-After; tokens of a request that was admitted and never ran are given back. Settings: bounds.quotaWindowS, bounds.quotaOverage and bounds.quotaSlack. Not yet run with real sockets.

--- a/src/lovagegate/gateway/boot_settings.hpp
+++ b/src/lovagegate/gateway/boot_settings.hpp
@@ -2,6 +2,7 @@
 #define LOVAGEGATE_GATEWAY_BOOT_SETTINGS_HPP
 
 #include "lovagegate/core/time.hpp"
+#include "lovagegate/quota/workspace_limit.hpp"
 #include "lovagegate/settings/endpoint.hpp"
 
 #include <cstddef>
@@ -40,6 +41,8 @@
     double retry_ratio = 0.2; ///< retries per request, over all instances
     duration retry_window = 10s;
     double retry_slack = 50; ///< additional retries in each window
+    /// Limits of workspaces, over all instances.
+    quota::quota_settings quota;
     bool engines_check_fencing = true;
     bool first_start =
         false; ///< whether the whole system starts for the first time
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -1,5 +1,6 @@
 #include "lovagegate/gateway/forwarding.hpp"
 
+#include "lovagegate/core/boottime.hpp"
 #include "lovagegate/core/hash.hpp"
 #include "lovagegate/gateway/adapter_planner.hpp"
 #include "lovagegate/logging/log.hpp"
@@ -18,6 +19,7 @@
 constexpr int not_found = 404;
 constexpr int misdirected = 421;
 constexpr int bad_request = 400;
+constexpr int too_many_requests = 429;
 constexpr int bad_gateway = 502;
 constexpr int unavailable = 503;
 constexpr int gateway_timeout = 504;
@@ -101,6 +103,9 @@
 /// Reason for refusing a request for which no target's limit has room.
 constexpr std::string_view targets_limit_requests =
     "the targets limit their requests";
+/// Reason for refusing a request because of its workspace's limit.
+constexpr std::string_view workspace_limit_reason =
+    "the workspace is over its limit";
 /// Longest Retry-After because of targets' limits: they may end at any time.
 constexpr duration max_limit_retry_after = 5s;
 /// Events of one send after which the engine is assumed not to crash on the
@@ -283,12 +288,28 @@
     if (!facts_.adapter.empty())
         adapter_ = adapter_name(facts_.model, facts_.adapter);
     service_ = choose_service();
+    if (!take_tokens())
+        return false;
     s.retries.on_request(service_, message_.arrived);
     s.counts.add("requests");
     arm_timer();
     return true;
 }
 
+bool forwarding::take_tokens()
+{
+    const auto refused_for = context_.quota.admit(
+        identity_.name(), identity_.tokens, boottime_now());
+    holds_tokens_ = !refused_for;
+    if (holds_tokens_)
+        return true;
+    context_.state.counts.add("refusals", "reason", workspace_limit_reason);
+    log("refused", workspace_limit_reason);
+    caller_->answer(too_many_requests, workspace_limit_reason, refused_for);
+    finish("refused");
+    return false;
+}
+
 bool forwarding::reject_if_crashing(time_point now)
 {
     const crash_verdict verdict = context_.crashes.verdict(traits_, now);
@@ -1134,6 +1155,9 @@
         context_.adapters.cancel(adapter_request_id_);
     adapter_request_id_ = 0;
     release_target();
+    if (holds_tokens_ && runs_ == 0)
+        context_.quota.give_back(identity_.name(), identity_.tokens,
+                                 boottime_now());
     context_.on_done(*this);
 }
 
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -12,6 +12,7 @@
 #include "lovagegate/gateway/gateway_state.hpp"
 #include "lovagegate/gateway/liveness_probe.hpp"
 #include "lovagegate/gateway/target_pool.hpp"
+#include "lovagegate/quota/fleet_quota.hpp"
 
 #include <functional>
 #include <memory>
@@ -37,6 +38,7 @@
     std::mt19937_64& random;
     crash_reports& crashes;
     answer_memory& memory;
+    quota::fleet_quota& quota;
     /// Called when `crashes` has notices to send.
     std::function<void()> on_crash_notice;
     /// Called when a target's address refuses the connection (nothing listens
@@ -88,6 +90,9 @@
     /// Waits for the first configuration, then sends to the first target.
     void wait_for_configuration();
     bool admit();
+    /// Takes the request's tokens from the limit of its workspace.
+    /// @return false if the request was refused for lack of them
+    bool take_tokens();
     /// Answers a request that crashes engines.
     /// @return whether the request has ended
     bool reject_if_crashing(time_point now);
@@ -261,6 +266,7 @@
         false; ///< the next send is already charged to the retry budget
     bool ending_ = false; ///< the instance shuts down
     bool done_ = false;
+    bool holds_tokens_ = false;     ///< counted towards its workspace's limit
     duration time_to_first_byte_{}; ///< since the whole request was received
     duration time_to_first_send_{}; ///< since the whole request was received
     duration longest_event_gap_{};  ///< between two deliveries of events
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -1,7 +1,9 @@
 #include "lovagegate/gateway/gateway_daemon.hpp"
 
+#include "lovagegate/core/boottime.hpp"
 #include "lovagegate/core/hash.hpp"
 #include "lovagegate/logging/log.hpp"
+#include "lovagegate/quota/configured_limits.hpp"
 #include "platform/http_fields.hpp"
 #include "platform/published.hpp"
 #include "platform/words.hpp"
@@ -9,9 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <array>
 #include <cmath>
-#include <ctime>
 #include <utility>
 
 namespace lovagegate::gateway {
@@ -45,16 +45,6 @@
 constexpr duration mass_removal_window = 1s;
 constexpr double mass_removal_share = 0.25;
 constexpr std::size_t min_mass_removals = 2;
-/// Returns a monotonic time that includes the time while the machine is
-/// suspended.
-time_point boottime_now()
-{
-    timespec t{};
-    ::clock_gettime(CLOCK_BOOTTIME, &t);
-    return time_point(std::chrono::duration_cast<duration>(
-        std::chrono::seconds(t.tv_sec) + std::chrono::nanoseconds(t.tv_nsec)));
-}
-
 incarnation make_incarnation()
 {
     return static_cast<incarnation>(
@@ -97,6 +87,17 @@
             time_point::max()};
 }
 
+/// @return what identifies this instance to those that share limits with it
+quota::identity identity_of(const gateway_state& state)
+{
+    const std::string& self = state.boot.address;
+    const auto others =
+        std::ranges::count_if(state.boot.seeds, [&](const auto& seed) {
+            return seed.address != self;
+        });
+    return {self, state.members.self().start, static_cast<std::size_t>(others)};
+}
+
 void respond(net::exchange& exchange, int status, const char* type,
              const std::string& body)
 {
@@ -131,6 +132,12 @@
                 [this] { return trial_rank(); }}),
       answer_memory_(limits_for_process(
           state_.boot.memory_mb * bytes_per_megabyte, max_event_bytes)),
+      quota_(
+          identity_of(state_), state_.boot.quota, random_(),
+          [this](const std::string& to, const peer_message& m) {
+              send_to_peer(to, m);
+          },
+          state_.counts),
       forwarding_context_{
           loop_,
           state_,
@@ -139,6 +146,7 @@
           random_,
           crashes_,
           answer_memory_,
+          quota_,
           [this] { schedule_crash_notices(); },
           [this](const std::string& target) {
               if (const auto* t = state_.targets.find(target))
@@ -416,11 +424,14 @@
             site_config config = parse_config(item.value);
             const std::uint64_t version = config.version;
             const std::uint64_t routes = config.routes.size();
-            if (state_.routes.adopt(std::move(config)))
+            if (state_.routes.adopt(std::move(config))) {
+                quota_.set_limits(
+                    quota::configured_limits(state_.routes.config()));
                 logging::write(logging::level::info, "config_in_force",
                                {{"version", version},
                                 {"routes", routes},
                                 {"revision", to_string(item.revision)}});
+            }
         } catch (const published_error& e) {
             state_.counts.add("config_unreadable");
             logging::write(
@@ -641,6 +652,10 @@
         on_limit_notice(*limit, now);
     } else if (const auto* news = std::get_if<store_changes>(&*message)) {
         store_.on_changes(from, *news);
+    } else if (const auto* report = std::get_if<quota_report>(&*message)) {
+        quota_.on_message(from.address, *report, boottime_now());
+    } else if (const auto* share = std::get_if<quota_share>(&*message)) {
+        quota_.on_message(from.address, *share);
     }
 }
 
@@ -686,6 +701,8 @@
         for (const auto& address : out.to)
             send_datagram(address, datagram);
     }
+    quota_.set_members(state_.members.alive(now.mono), state_.members.leaving(),
+                       boottime_now());
     store_.pull_missing(now.mono);
     repeat_crash_reports();
 }
@@ -701,6 +718,7 @@
         adapters_.stop("the process was paused", now);
     }
     last_tick_ = with_suspension;
+    quota_.tick(with_suspension);
     if (state_.stopping)
         adapters_.tick_requests(now.mono);
     else
@@ -771,7 +789,7 @@
     all.add("connections_to_targets_stale", pool_.counts().stale);
     all.add("log_lines_left_out", logging::lines_dropped());
     all.add("answers_of_other_requests", pool_.counts().unexpected_answers);
-    const std::array gauges{
+    std::vector gauges{
         metrics::gauge{"open_requests", static_cast<double>(requests_.size())},
         metrics::gauge{"answer_bytes_held",
                        static_cast<double>(answer_memory_.shared_bytes())},
@@ -809,6 +827,10 @@
         metrics::gauge{"store_out_of_contact_seconds",
                        to_seconds(store_.targets().time_without_contact(now))},
         metrics::gauge{"ready", is_ready() ? 1.0 : 0.0}};
+    gauges.push_back({"quota_workspaces_coordinated",
+                      static_cast<double>(quota_.coordinated())});
+    for (const auto& f : quota_.fractions())
+        gauges.push_back({"quota_fraction{" + f.label + "}", f.fraction});
     return metrics_.page(all, gauges);
 }
 
--- a/src/lovagegate/gateway/member_table.cpp
+++ b/src/lovagegate/gateway/member_table.cpp
@@ -118,6 +118,15 @@
     return hears_seed && known > 1;
 }
 
+std::vector<std::string> member_table::leaving() const
+{
+    std::vector<std::string> out;
+    for (const auto& [address, m] : members_)
+        if (m.record.leaving)
+            out.push_back(address);
+    return out;
+}
+
 bool member_table::has_majority(time_point now) const
 {
     std::size_t heard = 1;
--- a/src/lovagegate/gateway/member_table.hpp
+++ b/src/lovagegate/gateway/member_table.hpp
@@ -109,6 +109,9 @@
     /// @return addresses of the live members and of this one, in order
     [[nodiscard]] std::vector<std::string> alive(time_point now) const;
 
+    /// @return addresses of the known members that have said that they leave
+    [[nodiscard]] std::vector<std::string> leaving() const;
+
     /// @return whether more than half of the recently known members, with this
     ///         one, are alive
     [[nodiscard]] bool has_majority(time_point now) const;
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -21,7 +21,9 @@
     crash_notice = 7,
     answered_prompt_parts = 8,
     blocked_prompt_parts = 9,
-    limit_notice = 10
+    limit_notice = 10,
+    quota_report = 11,
+    quota_share = 12
 };
 
 json write(const engine_claim& c)
@@ -102,6 +104,31 @@
                         m.age.count()});
 }
 
+json write(const quota_report& m)
+{
+    json entries = json::array();
+    for (const auto& e : m.entries) {
+        entries.push_back(e.workspace);
+        entries.push_back(e.admitted);
+        entries.push_back(e.demand_per_s);
+    }
+    return json::array({tag::quota_report, m.start, m.sequence, m.coordinators,
+                        m.instances, m.part, m.part_count, std::move(entries)});
+}
+
+json write(const quota_share& m)
+{
+    json entries = json::array();
+    for (const auto& e : m.entries) {
+        entries.push_back(e.workspace);
+        entries.push_back(e.fraction);
+        entries.push_back(e.room);
+    }
+    return json::array({tag::quota_share, m.start, m.sequence, m.coordinators,
+                        m.report_start, m.report_sequence, m.reporters,
+                        m.instances, m.part, m.part_count, std::move(entries)});
+}
+
 json write(const store_changes& m)
 {
     json bases = json::array();
@@ -254,6 +281,41 @@
     return m;
 }
 
+/// Number of elements that an entry of a quota message takes.
+constexpr std::size_t quota_entry_size = 3;
+
+quota_report read_quota_report(const json& j)
+{
+    quota_report m{j.at(1).get<incarnation>(),
+                   j.at(2).get<std::uint64_t>(),
+                   j.at(3).get<std::uint32_t>(),
+                   j.at(4).get<std::uint32_t>(),
+                   j.at(5).get<std::uint32_t>(),
+                   j.at(6).get<std::uint32_t>(),
+                   {}};
+    const json& e = j.at(7);
+    for (std::size_t i = 0; i < e.size(); i += quota_entry_size)
+        m.entries.push_back({e.at(i).get<std::uint64_t>(),
+                             e.at(i + 1).get<std::int64_t>(),
+                             e.at(i + 2).get<std::int64_t>()});
+    return m;
+}
+
+quota_share read_quota_share(const json& j)
+{
+    quota_share m{j.at(1).get<incarnation>(),   j.at(2).get<std::uint64_t>(),
+                  j.at(3).get<std::uint32_t>(), j.at(4).get<incarnation>(),
+                  j.at(5).get<std::uint64_t>(), j.at(6).get<std::uint32_t>(),
+                  j.at(7).get<std::uint32_t>(), j.at(8).get<std::uint32_t>(),
+                  j.at(9).get<std::uint32_t>(), {}};
+    const json& e = j.at(10);
+    for (std::size_t i = 0; i < e.size(); i += quota_entry_size)
+        m.entries.push_back({e.at(i).get<std::uint64_t>(),
+                             e.at(i + 1).get<std::uint32_t>(),
+                             e.at(i + 2).get<std::int64_t>()});
+    return m;
+}
+
 std::optional<peer_message> read(const json& j)
 {
     switch (static_cast<tag>(j.at(0).get<unsigned>())) {
@@ -289,6 +351,10 @@
         return read_blocked_parts(j);
     case tag::limit_notice:
         return read_limit_notice(j);
+    case tag::quota_report:
+        return read_quota_report(j);
+    case tag::quota_share:
+        return read_quota_share(j);
     }
     return std::nullopt;
 }
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -184,10 +184,58 @@
     fingerprint content = 0; ///< of the joined `packed`, if there are parts
 };
 
+/// Reports the tokens of workspaces that the sender's callers asked for and
+/// that it admitted, to the instance that coordinates their limits. It repeats
+/// sums over a window instead of changes, so that lost and duplicated reports
+/// do no harm.
+struct quota_report
+{
+    struct entry
+    {
+        std::uint64_t workspace = 0;
+        std::int64_t admitted = 0;     ///< in the window
+        std::int64_t demand_per_s = 0; ///< over the last seconds
+    };
+    incarnation start = 0;
+    std::uint64_t sequence = 0;
+    /// Identifies the sender's list of coordinators.
+    std::uint32_t coordinators = 0;
+    std::uint32_t instances = 0; ///< largest number known in the last minute
+    /// A report with many workspaces is sent in several messages that differ
+    /// only in `part` and `entries`.
+    std::uint32_t part = 0;
+    std::uint32_t part_count = 1;
+    std::vector<entry> entries; ///< workspaces used within the window
+};
+
+/// Answer to a quota_report: what the receiver may admit.
+struct quota_share
+{
+    struct entry
+    {
+        std::uint64_t workspace = 0;
+        std::uint32_t fraction = 0; ///< of demand, in units of 1/10,000
+        std::int64_t room = 0; ///< tokens left for all reporters, may be < 0
+    };
+    incarnation start = 0; ///< of the sender
+    std::uint64_t sequence = 0;
+    std::uint32_t coordinators = 0; ///< that of the report
+    /// The receiver's latest report that was taken into account.
+    incarnation report_start = 0;
+    std::uint64_t report_sequence = 0;
+    std::uint32_t reporters = 0; ///< instances that report to the sender
+    std::uint32_t instances = 0; ///< between which it divides limits
+    std::uint32_t part = 0;
+    std::uint32_t part_count = 1;
+    /// Workspaces that have used half of their limit or more; all others may
+    /// admit what is asked for.
+    std::vector<entry> entries;
+};
+
 using peer_message =
     std::variant<heartbeat, adapter_request, adapter_reply, adapter_usage,
                  crash_notice, store_changes, answered_prompt_parts,
-                 blocked_prompt_parts, limit_notice>;
+                 blocked_prompt_parts, limit_notice, quota_report, quota_share>;
 
 /// @return the encoded datagram
 [[nodiscard]] std::string encode(const peer_message& message);
--- a/tests/platform_wire/boot_settings_test.cpp
+++ b/tests/platform_wire/boot_settings_test.cpp
@@ -53,6 +53,9 @@
     CHECK(s.first_start);
     CHECK(s.descriptors == 3900);
     CHECK(s.drain_after_notice == 2s);
+    CHECK(s.quota.window == 8s);
+    CHECK(s.quota.overage == 0.25);
+    CHECK(s.quota.slack == 17'000);
 }
 
 TEST_CASE(
@@ -73,3 +76,19 @@
     CHECK(message_of(with_line("no equals sign")) ==
           "boot.conf:15: expected KEY=VALUE, found 'no equals sign'");
 }
+
+// Guards against bounds of the workspaces' limits that are read from the wrong
+// key or in the wrong unit, and against a window without a length.
+TEST_CASE("the bounds of workspaces' limits are read", "[platform_wire]")
+{
+    const auto s =
+        parse_settings("boot.conf", with_line("bounds.quotaWindowS=4\n"
+                                              "bounds.quotaOverage=0.5\n"
+                                              "bounds.quotaSlack=900"));
+    CHECK(s.quota.window == 4s);
+    CHECK(s.quota.overage == 0.5);
+    CHECK(s.quota.slack == 900);
+    CHECK(message_of(with_line("bounds.quotaWindowS=0"))
+              .find("bounds.quotaWindowS: expected a number, 1 or more") !=
+          std::string::npos);
+}
