Grant permits of plain services by a coordinator

Instances chose among the targets of a plain service each on its own; with more instances than slots some targets queued and rejected while others were idle. A coordinator for each service, chosen among the stronger live instances, now grants permits, orders waiting requests by priority and time left, shares by workspace and kind, and refuses what would be late.

--- a/src/lovagegate/gateway/boot_settings.hpp
+++ b/src/lovagegate/gateway/boot_settings.hpp
@@ -32,6 +32,7 @@
     std::size_t memory_mb = 260;
     std::size_t descriptors = 4100;
     double link_bytes_per_s = 125e6; ///< bandwidth of the machine's link
+    double cpu_cores = 0; ///< that the process may use; 0 if not stated
 
     duration drain_after_notice =
         2s; ///< time in which a leaving target still gets requests
@@ -41,6 +42,8 @@
     duration retry_window = 10s;
     double retry_slack = 50; ///< additional retries in each window
     bool engines_check_fencing = true;
+    /// Engines are not sent more tokens than their memory holds.
+    bool engines_bound_memory = false;
     bool first_start =
         false; ///< whether the whole system starts for the first time
 };
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -132,11 +132,13 @@
       message_(std::move(message)),
       facts_(platform_wire::read_request(message_.head)),
       retry_delay_(target_retry_delay),
-      backpressure_(context.memory, *caller_, [this] {
-          silent_since_ = net::event_loop::now().mono;
-          // Silence is not checked while reading is paused.
-          arm_timer();
-      })
+      backpressure_(context.memory, *caller_,
+                    [this] {
+                        silent_since_ = net::event_loop::now().mono;
+                        // Silence is not checked while reading is paused.
+                        arm_timer();
+                    }),
+      permit_(context.permits)
 {
 }
 
@@ -366,8 +368,11 @@
         refuse("no time left");
         return;
     }
+    if (wait_for_permit(now))
+        return;
     const placement_request wanted = make_placement_request(now);
-    const auto allowed = candidates(now);
+    auto allowed = candidates(now);
+    permit_.restrict_to_granted(allowed, excluded_);
     const auto choice =
         s.placements.choose(wanted, allowed, s.members.count(now), now);
     if (!choice && allowed.empty()) {
@@ -398,6 +403,26 @@
     wait_for_adapter(choice->target, false);
 }
 
+bool forwarding::wait_for_permit(time_point now)
+{
+    // A request that may have run already can't be refused any more.
+    if (runs_ > 0 || head_sent_)
+        return false;
+    return permit_.ask(
+        {service_, *route_, 0, message_.arrived, facts_.time_left, deadline_},
+        [this] { on_permit_decided(); }, now);
+}
+
+void forwarding::on_permit_decided()
+{
+    if (done_)
+        return;
+    if (permit_.refused_for())
+        refuse("no permit in time");
+    else
+        try_next_target();
+}
+
 void forwarding::wait_for_adapter(const std::string& target, bool was_missing)
 {
     const std::uint64_t version = context_.state.releases.newest(
@@ -530,6 +555,7 @@
     if (const service_spec* spec = s.routes.service(service_))
         is_at_engine_ = spec->engine.has_value();
     s.placements.on_sent(target, now.mono);
+    permit_.on_sent(now.mono);
     if (!adapter_.empty())
         context_.adapters.begin_use(target, adapter_);
     if (sends_ == 1)
@@ -575,11 +601,25 @@
     call_.reset();
     probe_.reset();
     discarded_.reset();
-    context_.state.placements.on_left(target_, net::event_loop::now().mono);
+    const time_point now = net::event_loop::now().mono;
+    context_.state.placements.on_left(target_, now);
+    permit_.on_left(run_outcome(), now);
     if (!adapter_.empty())
         context_.adapters.end_use(target_, adapter_);
 }
 
+permit_outcome forwarding::run_outcome() const
+{
+    if (rejected_)
+        return permit_outcome::rejected;
+    if (done_)
+        return permit_outcome::unused; // the caller left
+    return answer_.status != 0 && answer_.status < first_server_error &&
+                   !discarding_
+               ? permit_outcome::answered
+               : permit_outcome::failed;
+}
+
 bool forwarding::may_run_again() const
 {
     // An answer that has begun can be continued by another target only after a
@@ -1085,6 +1125,8 @@
     const gateway_state& s = context_.state;
     if (s.routes.version() == 0)
         return startup_retry_after;
+    if (const auto wait = permit_.refused_for())
+        return *wait;
     // The deadline of the route binds one attempt only; the caller may have
     // time for another one.
     const time_point latest =
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -1,6 +1,7 @@
 #ifndef LOVAGEGATE_GATEWAY_FORWARDING_HPP
 #define LOVAGEGATE_GATEWAY_FORWARDING_HPP
 
+#include "lovagegate/capacity/request_permit.hpp"
 #include "lovagegate/gateway/adapter_coordinator.hpp"
 #include "lovagegate/gateway/answer_backpressure.hpp"
 #include "lovagegate/gateway/caller_connection.hpp"
@@ -36,6 +37,7 @@
     std::mt19937_64& random;
     crash_reports& crashes;
     answer_memory& memory;
+    capacity::service_permits& permits;
     /// Called when `crashes` has notices to send.
     std::function<void()> on_crash_notice;
     /// Called when a target's address refuses the connection (nothing listens
@@ -97,6 +99,9 @@
     void on_answer_begun();
     [[nodiscard]] const std::string& choose_service() const;
     void try_next_target();
+    /// @return whether the request waits for a permit of its service
+    bool wait_for_permit(time_point now);
+    void on_permit_decided();
     /// @param was_missing the target rejected an earlier send because the
     ///         adapter was not loaded yet
     void wait_for_adapter(const std::string& target, bool was_missing);
@@ -104,6 +109,8 @@
     /// @return whether the retry budget allows one more send
     bool consume_retry(time_point now);
     void release_target();
+    /// @return how the run at the target ends that is about to be released
+    [[nodiscard]] permit_outcome run_outcome() const;
     void on_rejected();
     /// Called when it is certain that the target has not run the request.
     void on_not_run();
@@ -228,6 +235,7 @@
     answer_facts answer_facts_;
     std::string buffer_; ///< answer that can still be replaced by a retry
     answer_backpressure backpressure_;
+    capacity::request_permit permit_;
     std::uint32_t early_sends_ =
         0;                    ///< rejected sends before the adapter was loaded
     std::uint32_t sends_ = 0; ///< requests that may have reached a target
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -78,6 +78,13 @@
                                       : engine_ownership::start_kind::unfenced;
 }
 
+std::uint32_t cpu_permille(const boot_settings& boot)
+{
+    constexpr double permille = 1000;
+    const double cores = boot.cpu_cores > 0 ? boot.cpu_cores : 1;
+    return static_cast<std::uint32_t>(std::clamp(cores * permille, 1.0, 1e6));
+}
+
 gateway_state make_state(const boot_settings& boot, std::mt19937_64& random)
 {
     const time_point now = net::event_loop::now().mono;
@@ -131,6 +138,10 @@
                 [this] { return trial_rank(); }}),
       answer_memory_(limits_for_process(
           state_.boot.memory_mb * bytes_per_megabyte, max_event_bytes)),
+      permits_(loop_, state_, random_,
+               [this](const std::string& to, const peer_message& m) {
+                   send_to_peer(to, m);
+               }),
       forwarding_context_{
           loop_,
           state_,
@@ -139,6 +150,7 @@
           random_,
           crashes_,
           answer_memory_,
+          permits_,
           [this] { schedule_crash_notices(); },
           [this](const std::string& target) {
               if (const auto* t = state_.targets.find(target))
@@ -206,6 +218,7 @@
     listener_ = std::make_unique<net::tcp_listener>(
         loop_, state_.boot.callers, [this](int fd) { accept_caller(fd); });
     state_.members.self().failure_domain = state_.boot.failure_domain;
+    state_.members.self().cpu_permille = cpu_permille(state_.boot);
     last_tick_ = boottime_now();
     run_every(tick_interval, [this] { tick(); });
     run_every(connection_check_interval, [this] { check_connections(); });
@@ -612,6 +625,8 @@
         return;
     }
     const time_point now = net::event_loop::now().mono;
+    if (permits_.on_message(from.address, *message))
+        return;
     if (const auto* h = std::get_if<heartbeat>(&*message)) {
         const auto heard = state_.members.on_heartbeat(*h, from.address, now);
         if (heard.store_contact_changed)
@@ -802,6 +817,11 @@
                        static_cast<double>(state_.targets.limited(now))},
         metrics::gauge{"adapter_loads_in_transit",
                        static_cast<double>(adapters_.loads_in_transit())},
+        metrics::gauge{"permits_held", static_cast<double>(permits_.held())},
+        metrics::gauge{"permits_coordinated", permits_.coordinated().permits},
+        metrics::gauge{"permits_in_use", permits_.coordinated().in_use},
+        metrics::gauge{"permit_requests_waiting",
+                       permits_.coordinated().waiting},
         metrics::gauge{"blocked_prompt_parts",
                        static_cast<double>(crashes_.blocked_parts(now))},
         metrics::gauge{"config_version",
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -21,7 +21,11 @@
     crash_notice = 7,
     answered_prompt_parts = 8,
     blocked_prompt_parts = 9,
-    limit_notice = 10
+    limit_notice = 10,
+    place_request = 21,
+    place_grant = 22,
+    place_refusal = 23,
+    place_release = 24
 };
 
 json write(const engine_claim& c)
@@ -36,11 +40,11 @@
     json claims = json::array();
     for (const auto& c : m.claims)
         claims.push_back(write(c));
-    return json::array({m.address, m.start, m.beat, m.leaving, m.config_version,
-                        m.operator_revision.number, m.target_revision.number,
-                        m.store_silent, m.failure_domain, m.members,
-                        m.claims_omitted, std::move(claims),
-                        m.operator_revision.era, m.target_revision.era});
+    return json::array(
+        {m.address, m.start, m.beat, m.leaving, m.config_version,
+         m.operator_revision.number, m.target_revision.number, m.store_silent,
+         m.failure_domain, m.members, m.claims_omitted, std::move(claims),
+         m.operator_revision.era, m.target_revision.era, m.cpu_permille});
 }
 
 json write(const heartbeat& m)
@@ -102,6 +106,40 @@
                         m.age.count()});
 }
 
+json write(const std::vector<place_release::entry>& entries)
+{
+    json out = json::array();
+    for (const auto& e : entries)
+        out.push_back(json::array({e.number, e.outcome, e.run_time.count()}));
+    return out;
+}
+
+json write(const place_request& m)
+{
+    return json::array({tag::place_request, m.service, m.number, m.priority,
+                        m.workspace, m.kind, m.objective_left.count(),
+                        m.deadline_left.count(), m.needs_no_permit,
+                        m.unpermitted, m.unpermitted_run_time.count(),
+                        write(m.released)});
+}
+
+json write(const place_grant& m)
+{
+    return json::array({tag::place_grant, m.number, m.answer, m.target,
+                        m.expected_wait.count(), m.no_request_for.count()});
+}
+
+json write(const place_refusal& m)
+{
+    return json::array(
+        {tag::place_refusal, m.number, m.retry_after.count(), m.reason});
+}
+
+json write(const place_release& m)
+{
+    return json::array({tag::place_release, m.service, write(m.entries)});
+}
+
 json write(const store_changes& m)
 {
     json bases = json::array();
@@ -174,6 +212,9 @@
     m.claims_omitted = j.at(10).get<bool>();
     for (const json& c : j.at(11))
         m.claims.push_back(read_claim(c));
+    constexpr std::size_t cpu_position = 14;
+    if (j.size() > cpu_position) // absent in messages of earlier versions
+        m.cpu_permille = j.at(cpu_position).get<std::uint32_t>();
     return m;
 }
 
@@ -254,6 +295,54 @@
     return m;
 }
 
+/// @return the value that the number stands for, or the last one
+template <typename Enum>
+Enum read_enum(const json& j, Enum last)
+{
+    const auto n = j.get<unsigned>();
+    return n < static_cast<unsigned>(last) ? static_cast<Enum>(n) : last;
+}
+
+std::vector<place_release::entry> read_place_entries(const json& j)
+{
+    std::vector<place_release::entry> out;
+    for (const json& e : j)
+        out.push_back({e.at(0).get<std::uint64_t>(),
+                       read_enum(e.at(1), permit_outcome::unused),
+                       duration(e.at(2).get<duration::rep>())});
+    return out;
+}
+
+place_request read_place_request(const json& j)
+{
+    return {j.at(1).get<std::string>(),
+            j.at(2).get<std::uint64_t>(),
+            j.at(3).get<std::uint32_t>(),
+            j.at(4).get<std::uint64_t>(),
+            j.at(5).get<std::uint64_t>(),
+            duration(j.at(6).get<duration::rep>()),
+            duration(j.at(7).get<duration::rep>()),
+            j.at(8).get<bool>(),
+            j.at(9).get<std::uint32_t>(),
+            duration(j.at(10).get<duration::rep>()),
+            read_place_entries(j.at(11))};
+}
+
+place_grant read_place_grant(const json& j)
+{
+    return {j.at(1).get<std::uint64_t>(),
+            read_enum(j.at(2), place_answer::unmanaged),
+            j.at(3).get<std::string>(), duration(j.at(4).get<duration::rep>()),
+            duration(j.at(5).get<duration::rep>())};
+}
+
+place_refusal read_place_refusal(const json& j)
+{
+    return {j.at(1).get<std::uint64_t>(),
+            duration(j.at(2).get<duration::rep>()),
+            read_enum(j.at(3), place_refusal_reason::deadline)};
+}
+
 std::optional<peer_message> read(const json& j)
 {
     switch (static_cast<tag>(j.at(0).get<unsigned>())) {
@@ -289,6 +378,15 @@
         return read_blocked_parts(j);
     case tag::limit_notice:
         return read_limit_notice(j);
+    case tag::place_request:
+        return read_place_request(j);
+    case tag::place_grant:
+        return read_place_grant(j);
+    case tag::place_refusal:
+        return read_place_refusal(j);
+    case tag::place_release:
+        return place_release{j.at(1).get<std::string>(),
+                             read_place_entries(j.at(2))};
     }
     return std::nullopt;
 }
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -53,6 +53,8 @@
     /// Whether the claims are omitted; the receiver keeps those it has.
     bool claims_omitted = false;
     std::vector<engine_claim> claims;
+    /// Share of a core that the instance may use; 0 if it says nothing.
+    std::uint32_t cpu_permille = 0;
 };
 
 /// Sent periodically by each instance.
@@ -184,10 +186,84 @@
     fingerprint content = 0; ///< of the joined `packed`, if there are parts
 };
 
+/// How the use of a permit ended.
+enum class permit_outcome : std::uint8_t
+{
+    answered, ///< the target answered the request
+    rejected, ///< the target refused it without running it
+    failed,   ///< the target failed, or could not be reached
+    unused,   ///< the request was not sent, or its end says nothing
+};
+
+/// Gives back permits of a service; of any if its name is empty.
+struct place_release
+{
+    struct entry
+    {
+        std::uint64_t number = 0; ///< of the request that got the permit
+        permit_outcome outcome = permit_outcome::unused;
+        duration run_time{}; ///< from sending the request; if answered
+    };
+    std::string service;
+    std::vector<entry> entries;
+};
+
+/// Asks the coordinator of a plain service for a permit.
+struct place_request
+{
+    std::string service;
+    std::uint64_t number = 0;   ///< chosen by the sender; the replies repeat it
+    std::uint32_t priority = 0; ///< 0 is the most urgent
+    std::uint64_t workspace = 0; ///< hash; 0: none
+    std::uint64_t kind = 0;      ///< hash of the route
+    /// When the message was sent; below zero for a late request.
+    duration objective_left{};
+    duration deadline_left{};
+    /// The request was sent without a permit; the reply only says whether the
+    /// next ones may be, too.
+    bool needs_no_permit = false;
+    /// Requests that the sender sent without a permit and that have ended since
+    /// its last message, and the time that they ran in total.
+    std::uint32_t unpermitted = 0;
+    duration unpermitted_run_time{};
+    std::vector<place_release::entry> released{};
+};
+
+enum class place_answer : std::uint8_t
+{
+    granted,   ///< the request may be sent to the target
+    waiting,   ///< the request is queued; another reply follows
+    unmanaged, ///< the request may be sent to any target
+};
+
+struct place_grant
+{
+    std::uint64_t number = 0;
+    place_answer answer = place_answer::unmanaged;
+    std::string target{};      ///< of a granted permit
+    duration expected_wait{};  ///< until the next reply, if queued
+    duration no_request_for{}; ///< time in which no permits are needed
+};
+
+enum class place_refusal_reason : std::uint8_t
+{
+    overload, ///< it would be late, or make others late
+    late,     ///< it is late already, and others still can be in time
+    deadline, ///< it can't be served before its deadline
+};
+
+struct place_refusal
+{
+    std::uint64_t number = 0;
+    duration retry_after{};
+    place_refusal_reason reason = place_refusal_reason::overload;
+};
+
 using peer_message =
     std::variant<heartbeat, adapter_request, adapter_reply, adapter_usage,
                  crash_notice, store_changes, answered_prompt_parts,
-                 blocked_prompt_parts, limit_notice>;
+                 blocked_prompt_parts, limit_notice, place_request, place_grant,
+                 place_refusal, place_release>;
 
 /// @return the encoded datagram
 [[nodiscard]] std::string encode(const peer_message& message);
--- /dev/null
+++ b/tests/capacity/permit_simulation_test.cpp
@@ -0,0 +1,99 @@
+#include "permit_simulation.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+using namespace lovagegate;
+using namespace lovagegate::capacity;
+
+namespace {
+
+constexpr double capacity_per_second = 300; // 18 slots of 60 ms
+
+simulation_settings with_load(double load, bool permits = true)
+{
+    simulation_settings s;
+    s.permits = permits;
+    // Sixteen workspaces of different size; postings and look-ups.
+    double weights = 0;
+    for (std::uint64_t w = 1; w <= 16; ++w)
+        weights += static_cast<double>(w);
+    for (std::uint64_t w = 1; w <= 16; ++w) {
+        const double rate =
+            load * capacity_per_second * static_cast<double>(w) / weights;
+        s.demands.push_back({0.8 * rate, w, 1, 1});
+        s.demands.push_back({0.2 * rate, w, 2, 1});
+    }
+    return s;
+}
+
+service_count measure(permit_simulation& sim, duration warm_up = 5s,
+                      duration length = 15s)
+{
+    sim.run(warm_up);
+    sim.reset_counts();
+    sim.run(length);
+    auto c = sim.total();
+    std::cout << "  requests " << c.requests << ", in time "
+              << c.share_in_time() << ", late " << c.late << ", refused "
+              << c.refused << ", p50 " << to_ms(c.quantile(0.5)) << " ms, p99 "
+              << to_ms(c.quantile(0.99)) << " ms, datagrams per request "
+              << static_cast<double>(sim.datagrams) /
+                     static_cast<double>(std::max<std::size_t>(1, c.requests))
+              << ", rejections by targets " << sim.rejections << '\n';
+    return c;
+}
+
+} // namespace
+
+// Guards against instances that guess each on its own: at 0.9 of the capacity
+// some targets queue while others are idle.
+TEST_CASE("under nine tenths of the capacity nothing is refused or late",
+          "[capacity]")
+{
+    for (const double load : {0.5, 0.7, 0.88}) {
+        std::cout << "load " << load << '\n';
+        permit_simulation sim(with_load(load));
+        auto c = measure(sim);
+        CHECK(c.refused == 0);
+        CHECK(c.quantile(0.99) < 300ms);
+        CHECK(sim.rejections == 0);
+        CHECK(sim.double_runs == 0);
+    }
+}
+
+// Guards against queues in which all requests become late: those that are
+// served must be in time, and the targets must not idle.
+TEST_CASE("above the capacity as many as possible are served in time",
+          "[capacity]")
+{
+    for (const double load : {1.1, 1.3, 1.5}) {
+        std::cout << "load " << load << '\n';
+        permit_simulation sim(with_load(load));
+        const auto c = measure(sim);
+        CHECK(c.share_in_time() * load > 0.93);
+        CHECK(sim.double_runs == 0);
+        std::cout << "  without permits:\n";
+        permit_simulation alone(with_load(load, false));
+        measure(alone);
+    }
+}
+
+// Guards against a service with enough capacity that pays for the detour.
+TEST_CASE("permits of a service with little use aren't asked for", "[capacity]")
+{
+    simulation_settings s;
+    s.run_time = 15ms;
+    s.objective = 100ms;
+    s.demands = {{160, 0, 1, 0}, {60, 0, 2, 0}};
+    permit_simulation sim(s);
+    sim.run(5s);
+    sim.reset_counts();
+    auto c = measure(sim, 0s);
+    CHECK(c.refused == 0);
+    CHECK(c.late == 0);
+    CHECK(c.quantile(0.99) < 30ms);
+    CHECK(static_cast<double>(sim.datagrams) <
+          1.0 * static_cast<double>(c.requests));
+}
