--- a/src/lovagegate/capacity/permit_coordinator.cpp
+++ b/src/lovagegate/capacity/permit_coordinator.cpp
@@ -25,6 +25,10 @@
 constexpr double run_time_allowance = 1.3;
 /// For the way of the grant, of the request and of the answer.
 constexpr duration transit_allowance = 20ms;
+/// A queue that never empties for this time is no burst. Waiting longer then
+/// serves nobody more, so requests may wait for this share of their time only.
+constexpr duration max_burst_time = 300ms;
+constexpr double standing_queue_share = 0.6;
 /// A request that waits is acknowledged after this time. Its sender goes on
 /// alone 40 ms after its request.
 constexpr duration sign_delay = 15ms;
@@ -41,6 +45,8 @@
 /// serve, not all at once.
 constexpr double return_share = 0.15;
 constexpr duration min_retry_after = 200ms;
+/// Bounds the times that datagrams state.
+constexpr duration max_time_left = 1h;
 /// Bounds for rates that are computed from few answers.
 constexpr double min_run_seconds = 0.001;
 constexpr double min_per_second = 0.1;
@@ -176,17 +182,16 @@
               now);
         return;
     }
-    const duration answer_time = std::chrono::duration_cast<duration>(
-                                     run_time_allowance * mean_run_time()) +
-                                 transit_allowance;
+    if (line_.size() == 0)
+        idle_at_ = now;
     const admission::waiting_request waiting{
         ++last_id_,
         r.priority,
         r.workspace,
         r.kind,
         now,
-        now + r.objective_left - answer_time,
-        now + r.deadline_left - answer_time};
+        now + longest_wait(r.objective_left, now),
+        now + longest_wait(r.deadline_left, now)};
     senders_[last_id_] = {key, now + sign_delay};
     requests_[last_id_] = waiting;
     waiting_ids_[key] = last_id_;
@@ -194,6 +199,22 @@
     grant_free_permits(now);
 }
 
+duration permit_coordinator::longest_wait(duration time_left,
+                                          time_point now) const
+{
+    const duration answer_time = std::chrono::duration_cast<duration>(
+                                     run_time_allowance * mean_run_time()) +
+                                 transit_allowance;
+    const duration wait =
+        std::clamp<duration>(time_left, -max_time_left, max_time_left) -
+        answer_time;
+    const bool stands = now - idle_at_ > max_burst_time;
+    return wait > duration::zero() && stands
+               ? std::chrono::duration_cast<duration>(wait *
+                                                      standing_queue_share)
+               : wait;
+}
+
 std::map<std::string, permit_coordinator::target_record>::iterator
 permit_coordinator::choose_target(time_point now)
 {
--- a/src/lovagegate/capacity/permit_coordinator.hpp
+++ b/src/lovagegate/capacity/permit_coordinator.hpp
@@ -114,6 +114,10 @@
                time_point now);
     void record_busy(duration run_time, time_point now);
     [[nodiscard]] duration mean_run_time() const;
+    /// @return longest time that a request may wait so that its answer takes
+    ///         no longer than `time_left`; below zero if that is impossible
+    [[nodiscard]] duration longest_wait(duration time_left,
+                                        time_point now) const;
     /// @return requests that the targets take in a second
     [[nodiscard]] double per_second() const;
     [[nodiscard]] std::uint32_t slots() const;
@@ -134,6 +138,7 @@
     double busy_seconds_ = 0; ///< decaying sum of run times
     time_point busy_at_{};
     time_point started_{};
+    time_point idle_at_{}; ///< when last nothing waited
     std::vector<outgoing_message> out_;
 };
 
