Pass over engines without memory for a request

An engine fails if the tokens of its running and queued requests exceed its memory; 48 queued drafts of 2,368 tokens do. Where the settings' contracts name pressure, an estimate from the owner's report and what this instance has sent since now rules out engines without room while others have it.

A coordinator that answers late once in 5 s is asked again at once, so that a stall of 50 ms doesn't cost a second without permits.

Effect on a fleet: not measured.

--- a/src/lovagegate/capacity/permit_client.cpp
+++ b/src/lovagegate/capacity/permit_client.cpp
@@ -13,6 +13,10 @@
 constexpr duration sign_timeout = 40ms;
 /// Time for which a silent coordinator isn't asked again.
 constexpr duration distrust_time = 1s;
+/// A coordinator that was silent once in this time, and answers after all, is
+/// asked again: it was only kept from its core. One that is always too late
+/// would delay each request.
+constexpr duration forgiveness_interval = 5s;
 /// If this process didn't run for this time, what the coordinator sent may be
 /// unread yet.
 constexpr duration max_tick_delay = 15ms;
@@ -137,10 +141,19 @@
     s.renewable_until = s.unneeded_until + renewal_time;
 }
 
+void permit_client::on_heard(const std::string& coordinator, time_point now)
+{
+    coordinator_record& c = coordinators_[coordinator];
+    c.last_heard = now;
+    if (c.may_be_forgiven)
+        c.distrusted_until = {};
+    c.may_be_forgiven = false;
+}
+
 void permit_client::on_message(const std::string& from, const place_grant& m,
                                time_point now)
 {
-    coordinators_[from].last_heard = now;
+    on_heard(from, now);
     if (const auto renewal = renewals_.find(m.number);
         renewal != renewals_.end()) {
         apply_unneeded_time(services_[renewal->second], m.no_request_for, now);
@@ -174,7 +187,7 @@
 void permit_client::on_message(const std::string& from, const place_refusal& m,
                                time_point now)
 {
-    coordinators_[from].last_heard = now;
+    on_heard(from, now);
     const auto it = questions_.find(m.number);
     if (it == questions_.end())
         return;
@@ -199,8 +212,12 @@
     coordinator_record& c = coordinators_[q.coordinator];
     // A coordinator that answers others has lost this one only.
     if (c.last_heard < q.asked_at) {
-        if (now >= c.distrusted_until)
+        if (now >= c.distrusted_until) {
             silent_.push_back(q.coordinator);
+            c.may_be_forgiven = c.silent_at == time_point{} ||
+                                now - c.silent_at > forgiveness_interval;
+            c.silent_at = now;
+        }
         c.distrusted_until = now + distrust_time;
     }
     counts_.add("permit_fallback_sends", "reason", "silent");
--- a/src/lovagegate/capacity/permit_client.hpp
+++ b/src/lovagegate/capacity/permit_client.hpp
@@ -122,7 +122,9 @@
     struct coordinator_record
     {
         time_point last_heard{};
+        time_point silent_at{}; ///< when it last missed a time limit
         time_point distrusted_until{};
+        bool may_be_forgiven = false;
     };
 
     struct pending_releases
@@ -138,6 +140,8 @@
                        const std::string& service,
                        gateway::place_release::entry entry, time_point now);
     void apply_unneeded_time(service_record& s, duration time, time_point now);
+    /// Called when a coordinator shows that it lives.
+    void on_heard(const std::string& coordinator, time_point now);
     void decide(std::map<std::uint64_t, question>::iterator it,
                 const permit_decision& decision);
     void on_silence(std::map<std::uint64_t, question>::iterator it,
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -350,6 +350,10 @@
     wanted.service = service_;
     wanted.prompt_prefix = facts_.prompt_prefix;
     wanted.prompt_tokens = facts_.prompt_tokens;
+    wanted.output_tokens = facts_.output_tokens;
+    const service_spec* const spec = context_.state.routes.service(service_);
+    if (context_.state.boot.engines_bound_memory && spec && spec->engine)
+        wanted.engine_tokens = spec->engine->kv_cache_tokens;
     wanted.excluded = excluded_;
     if (facts_.model.empty())
         return wanted;
@@ -554,7 +558,9 @@
     // A later configuration may no longer name the service.
     if (const service_spec* spec = s.routes.service(service_))
         is_at_engine_ = spec->engine.has_value();
-    s.placements.on_sent(target, now.mono);
+    s.placements.on_sent(target, now.mono,
+                         std::uint64_t{facts_.prompt_tokens} +
+                             facts_.output_tokens);
     permit_.on_sent(now.mono);
     if (!adapter_.empty())
         context_.adapters.begin_use(target, adapter_);
--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -41,6 +41,9 @@
 constexpr double last_resort_cost = 4000; ///< leaving targets are chosen last
 /// Cost of a target that was recently unreachable or refused loads.
 constexpr double unavailable_cost = 3000;
+/// Cost of an engine without memory for the request. Higher than all others
+/// together, since an engine whose memory overflows loses all its requests.
+constexpr double no_memory_cost = 20'000;
 /// Cost of a target that recently refused a request as full.
 constexpr double recently_full_cost = 300;
 /// Random part of the load: keeps instances from all choosing the same target.
@@ -97,9 +100,11 @@
 {
 }
 
-void placement::on_sent(const std::string& target, time_point now)
+void placement::on_sent(const std::string& target, time_point now,
+                        std::uint64_t tokens)
 {
     target_stats& b = target_stats_[target];
+    memory_.on_sent(target, b.service, tokens, now);
     ++b.open_requests;
     ++b.sent_since_report;
     paces_[b.service].on_sent(now);
@@ -207,6 +212,7 @@
 
 void placement::on_load_report(const engine_claim& claim, time_point now)
 {
+    memory_.on_report(claim, now);
     target_stats& b = target_stats_[claim.engine];
     b.reported_requests = claim.running + claim.waiting;
     b.reported_at = now;
@@ -274,6 +280,7 @@
     target_stats& b = target_stats_[entry.id];
     if (b.started_ms != entry.started_ms) {
         const auto open = b.open_requests;
+        memory_.forget(entry.id);
         b = {};
         b.open_requests = open;
         b.started_ms = entry.started_ms;
@@ -304,6 +311,7 @@
 void placement::forget(const std::string& target)
 {
     target_stats_.erase(target);
+    memory_.forget(target);
 }
 
 bool placement::is_resident(const std::string& target,
@@ -339,7 +347,7 @@
 std::string_view
 target_cost::largest_excess(const target_cost& other) const noexcept
 {
-    const std::array<std::pair<double, std::string_view>, 8> parts{{
+    const std::array<std::pair<double, std::string_view>, 9> parts{{
         {crowding - other.crowding, "crowding"},
         {stalled_streams - other.stalled_streams, "halting"},
         {load - other.load, "load"},
@@ -348,6 +356,7 @@
         {domain - other.domain, "domain"},
         {failure - other.failure, "failure"},
         {availability - other.availability, "standing"},
+        {memory - other.memory, "memory"},
     }};
     return std::ranges::max_element(parts)->second;
 }
@@ -481,6 +490,13 @@
             cost.domain = cross_domain_cost;
         cost.failure = failure_cost * b.failure_share;
         cost.availability = availability_cost(t, b, resident, now);
+        if (request.engine_tokens > 0 &&
+            !memory_.has_room(
+                t.entry.id, request.service,
+                {std::uint64_t{request.prompt_tokens} + request.output_tokens,
+                 request.engine_tokens, t.entry.slots},
+                now))
+            cost.memory = no_memory_cost;
         if (rank == 0)
             first_cost = cost;
         if (best && cost.sum() >= best_cost.sum())
--- a/src/lovagegate/gateway/placement.hpp
+++ b/src/lovagegate/gateway/placement.hpp
@@ -1,6 +1,7 @@
 #ifndef LOVAGEGATE_GATEWAY_PLACEMENT_HPP
 #define LOVAGEGATE_GATEWAY_PLACEMENT_HPP
 
+#include "lovagegate/capacity/engine_memory.hpp"
 #include "lovagegate/core/time.hpp"
 #include "lovagegate/gateway/peer_messages.hpp"
 #include "lovagegate/gateway/service_pace.hpp"
@@ -27,6 +28,10 @@
     /// Start of the prompt; requests that share it use one key.
     std::string prompt_prefix;
     std::uint32_t prompt_tokens = 0;
+    std::uint32_t output_tokens = 0; ///< upper bound
+    /// Memory of each engine of the service, in tokens; 0 if engines may be
+    /// sent more than their memory holds.
+    std::uint64_t engine_tokens = 0;
     std::span<const std::string> excluded; ///< ids of targets already tried
 };
 
@@ -63,11 +68,12 @@
     double domain = 0;       ///< delay and bytes between failure domains
     double failure = 0;      ///< it failed requests
     double availability = 0; ///< leaving, unreachable, full or refusing loads
+    double memory = 0;       ///< no room for the request's tokens
 
     [[nodiscard]] double sum() const noexcept
     {
         return crowding + stalled_streams + load + adapter_slot + rank +
-               domain + failure + availability;
+               domain + failure + availability + memory;
     }
 
     /// @return name of the component with the largest excess over the other
@@ -87,7 +93,9 @@
     placement(std::string own_domain, std::uint64_t random_seed);
 
     /// Called when a request is sent to a target and when it has ended there.
-    void on_sent(const std::string& target, time_point now);
+    /// @param tokens of the prompt and, at most, of the answer
+    void on_sent(const std::string& target, time_point now,
+                 std::uint64_t tokens = 0);
     void on_left(const std::string& target, time_point now);
 
     /// Called when a target has answered a request.
@@ -229,6 +237,7 @@
                                            time_point now) const;
 
     std::string own_domain_;
+    capacity::engine_memory memory_;
     std::map<std::string, target_stats> target_stats_;
     std::unordered_map<std::string, service_pace> paces_; ///< by service
     std::unordered_map<std::string, key_demand> demands_;
--- a/tests/capacity/permit_failures_test.cpp
+++ b/tests/capacity/permit_failures_test.cpp
@@ -223,6 +223,31 @@
     CHECK(client.ask(q, "c", keep, now + 1041ms) != 0);
 }
 
+// Guards against a second without permits after each short stall of a
+// coordinator, and against waiting for one that always answers too late.
+TEST_CASE("a coordinator that answers late once is asked again", "[capacity]")
+{
+    counters counts;
+    permit_client client(counts, 1);
+    const permit_question q{"s", 0, 0, 1, 300ms, 4s};
+    time_point now(10s);
+    const auto ignore = [](const permit_decision&) {};
+    const auto ask_and_answer_late = [&] {
+        now += 1ms;
+        const auto number = client.ask(q, "c", ignore, now);
+        REQUIRE(number != 0);
+        client.tick(now += 40ms);
+        client.on_message(
+            "c",
+            gateway::place_grant{
+                number, gateway::place_answer::granted, "t", {}, {}},
+            now += 10ms);
+    };
+    ask_and_answer_late();
+    ask_and_answer_late();
+    CHECK(client.ask(q, "c", ignore, now) == 0);
+}
+
 // Guards against an instance that was starved of its core and takes its own
 // delay for the silence of the coordinator.
 TEST_CASE("after a delay of the process, unread replies are read first",
--- a/tests/capacity/permit_simulation_test.cpp
+++ b/tests/capacity/permit_simulation_test.cpp
@@ -97,3 +97,45 @@
     CHECK(static_cast<double>(sim.datagrams) <
           1.0 * static_cast<double>(c.requests));
 }
+
+// Guards against a workspace with six times its usual demand that takes the
+// service of the others.
+TEST_CASE("only the workspace that surges is refused more", "[capacity]")
+{
+    simulation_settings s;
+    for (std::uint64_t w = 1; w <= 16; ++w)
+        s.demands.push_back({w == 3 ? 24.0 : 16.0, w, 1, 1});
+    s.demands[2].surge = 6;
+    s.demands[2].surge_from = 21s;
+    s.demands[2].surge_to = 60s;
+    permit_simulation sim(s);
+    sim.run(22s);
+    sim.reset_counts();
+    sim.run(15s);
+    const double all = sim.total().share_in_time();
+    for (std::uint64_t w = 1; w <= 16; ++w) {
+        const double share = sim.of_workspace(w).share_in_time();
+        std::cout << "  workspace " << w << ": " << share << '\n';
+        CHECK(share > (w == 3 ? 0.25 * all : 0.9));
+    }
+    CHECK(all > 0.75); // 300 of 384 are 0.78
+}
+
+// Guards against a kind with 2.4 times its usual demand that takes the service
+// of the other kind.
+TEST_CASE("only the kind that surges is refused more", "[capacity]")
+{
+    simulation_settings s;
+    s.demands = {{160, 0, 1, 1}, {37, 0, 2, 1}};
+    s.demands[0].surge = 2.4;
+    s.demands[0].surge_from = 21s;
+    s.demands[0].surge_to = 60s;
+    permit_simulation sim(s);
+    sim.run(22s);
+    sim.reset_counts();
+    sim.run(15s);
+    std::cout << "  kinds: " << sim.of_kind(1).share_in_time() << ", "
+              << sim.of_kind(2).share_in_time() << '\n';
+    CHECK(sim.of_kind(2).share_in_time() > 0.9);
+    CHECK(sim.of_kind(1).share_in_time() > 0.62); // 263 of 384 are 0.68
+}
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -105,6 +105,32 @@
     CHECK(site.choose(p, "a1")->target != home);
 }
 
+// Guards against an engine that crashes because its memory overflows while
+// another one has room, and against that bound where nobody asked for it.
+TEST_CASE("an engine without memory for a request is passed over", "[gateway]")
+{
+    engines site(2);
+    placement p("z", 1);
+    const auto home = site.choose(p, "a1")->target;
+    p.on_resident(home, "m/a1", 1, site.now);
+    for (const auto* id : {"e0", "e1"})
+        p.on_load_report({id, 1, {}, 5, 0, id == home ? 840U : 100U, 0, 9},
+                         site.now);
+    CHECK(site.choose(p, "a1")->target == home);
+    placement_request wanted;
+    wanted.service = "llm";
+    wanted.adapter = adapter_ref{"m", "a1", 0};
+    wanted.prompt_tokens = 2000;
+    wanted.output_tokens = 368;
+    wanted.engine_tokens = 84665;
+    const auto all = site.directory.usable("llm", site.now);
+    CHECK(p.choose(wanted, all, 8, site.now)->target != home);
+    // If none has room, the request isn't refused.
+    for (const auto* id : {"e0", "e1"})
+        p.on_load_report({id, 1, {}, 5, 0, 900, 0, 9}, site.now);
+    CHECK(p.choose(wanted, all, 8, site.now));
+}
+
 TEST_CASE("an unreachable engine is avoided for a while", "[gateway]")
 {
     engines site(4);
--- a/tests/platform_wire/boot_settings_test.cpp
+++ b/tests/platform_wire/boot_settings_test.cpp
@@ -55,6 +55,27 @@
     CHECK(s.drain_after_notice == 2s);
 }
 
+// Guards against a bound that changes a deployment which didn't ask for it.
+TEST_CASE("engines' memory is bounded where the contracts name it",
+          "[platform_wire]")
+{
+    const auto bounds = [](const std::string& line) {
+        return parse_settings("boot.conf", with_line(line))
+            .engines_bound_memory;
+    };
+    CHECK_FALSE(bounds(""));
+    CHECK_FALSE(bounds("contracts=health,pressures"));
+    CHECK(bounds("contracts=health,pressure"));
+    CHECK(bounds("contracts=pressure"));
+}
+
+TEST_CASE("the share of a core is read", "[platform_wire]")
+{
+    CHECK(parse_settings("boot.conf", valid_settings).cpu_cores == 0);
+    CHECK(parse_settings("boot.conf", with_line("limits.cpuShare=0.09"))
+              .cpu_cores == 0.09);
+}
+
 TEST_CASE(
     "an invalid setting is rejected with file, line, key and expected value",
     "[platform_wire]")
