Notice targets that stop, and keep surges from becoming usual

Three leases that living holders let expire now count as a failure, avoided targets get nothing while others are usable, and permits are asked for while a target is weak or an unpermitted request is rejected.

--- a/src/lovagegate/admission/flow_shares.cpp
+++ b/src/lovagegate/admission/flow_shares.cpp
@@ -10,6 +10,8 @@
 /// Time over which the usual demand of a flow is averaged. A surge of half a
 /// minute must not become usual.
 constexpr duration usual_demand_time = 300s;
+/// Time after its first request in which the usual demand of a flow is learnt.
+constexpr duration learning_time = 10s;
 /// Time over which recent service is averaged: enough requests of a small
 /// workspace, and short enough to follow a surge.
 constexpr duration recent_time = 4s;
@@ -18,6 +20,8 @@
 constexpr double starved_share = 0.4;
 /// With fewer recent requests, the share served says nothing.
 constexpr double min_recent_requests = 3;
+/// Rates of a flow that has just begun say nothing.
+constexpr double min_age_seconds = 1;
 /// Bounds the memory for flows that callers make up.
 constexpr std::size_t max_flows = 4096;
 
@@ -32,7 +36,7 @@
 {
     flow_record out = f;
     const duration age = now - f.last;
-    out.usual *= kept(age, usual_demand_time);
+    out.usual_rate *= kept(age, usual_demand_time);
     out.recent *= kept(age, recent_time);
     out.served *= kept(age, recent_time);
     out.last = now;
@@ -44,8 +48,14 @@
     if (f.first == time_point{})
         f.first = f.last = now;
     f = at(f, now);
-    f.usual += 1;
     f.recent += 1;
+    if (now - f.first < learning_time) {
+        f.learnt += 1;
+        return;
+    }
+    if (f.usual_rate == 0)
+        f.usual_rate = f.learnt / to_seconds(learning_time);
+    f.usual_rate += 1 / to_seconds(usual_demand_time);
 }
 
 void flow_shares::add_served(flow_record& f, time_point now)
@@ -77,14 +87,14 @@
     if (it == flows_.end())
         return 0;
     const flow_record f = at(it->second, now);
-    // The averages of a young flow cover its age only.
-    const double age = to_seconds(now - f.first);
-    const auto covered = [&](duration decay_time) {
-        const double whole = to_seconds(decay_time);
-        return whole * (1 - std::exp(-std::max(age, 0.1) / whole));
-    };
-    const double usual_rate = f.usual / covered(usual_demand_time);
-    const double served_rate = f.served / covered(recent_time);
+    const double age = std::max(to_seconds(now - f.first), min_age_seconds);
+    const double usual_rate =
+        f.usual_rate > 0 ? f.usual_rate
+                         : f.learnt / std::min(age, to_seconds(learning_time));
+    // The recent average of a young flow covers its age only.
+    const double recent_seconds = to_seconds(recent_time);
+    const double served_rate =
+        f.served / (recent_seconds * (1 - std::exp(-age / recent_seconds)));
     return usual_rate > 0 ? served_rate / usual_rate : 0;
 }
 
--- a/src/lovagegate/admission/flow_shares.hpp
+++ b/src/lovagegate/admission/flow_shares.hpp
@@ -38,9 +38,10 @@
     {
         time_point first{};
         time_point last{};
-        double usual = 0;  ///< decaying count over usual_demand_time
-        double recent = 0; ///< decaying count over recent_time
-        double served = 0; ///< decaying count over recent_time
+        double learnt = 0;     ///< requests in learning_time
+        double usual_rate = 0; ///< requests a second, after learning_time
+        double recent = 0;     ///< decaying count over recent_time
+        double served = 0;     ///< decaying count over recent_time
     };
 
     /// @return the record with its counts decayed to the time
--- a/src/lovagegate/capacity/permit_client.cpp
+++ b/src/lovagegate/capacity/permit_client.cpp
@@ -122,12 +122,18 @@
     held_.erase(it);
 }
 
-void permit_client::on_unpermitted_answer(const std::string& service,
-                                          duration run_time)
+void permit_client::on_unpermitted_end(const std::string& service,
+                                       permit_outcome outcome,
+                                       duration run_time)
 {
     service_record& s = services_[service];
-    ++s.unpermitted;
-    s.unpermitted_run_time += run_time;
+    if (outcome == permit_outcome::answered) {
+        ++s.unpermitted;
+        s.unpermitted_run_time += run_time;
+    } else if (outcome != permit_outcome::unused) {
+        // A target is in trouble, which the coordinator may know.
+        s.unneeded_until = s.renewable_until = {};
+    }
 }
 
 void permit_client::apply_unneeded_time(service_record& s, duration time,
--- a/src/lovagegate/capacity/permit_client.hpp
+++ b/src/lovagegate/capacity/permit_client.hpp
@@ -66,8 +66,9 @@
     void release(std::uint64_t number, gateway::permit_outcome outcome,
                  duration run_time, time_point now);
 
-    /// Called when a request that was sent without a permit has been answered.
-    void on_unpermitted_answer(const std::string& service, duration run_time);
+    /// Called when the run of a request that was sent without a permit ends.
+    void on_unpermitted_end(const std::string& service,
+                            gateway::permit_outcome outcome, duration run_time);
 
     void on_message(const std::string& from, const gateway::place_grant& m,
                     time_point now);
--- a/src/lovagegate/capacity/permit_coordinator.cpp
+++ b/src/lovagegate/capacity/permit_coordinator.cpp
@@ -19,6 +19,9 @@
 /// holder has ended, or its release was lost.
 constexpr int lease_run_times = 3;
 constexpr duration min_lease = 100ms;
+/// A target has stopped if living holders let so many of its leases expire and
+/// none got an answer meanwhile.
+constexpr std::uint32_t max_expired_leases = 3;
 /// Largest multiple of the mean run time that is allowed for when it is decided
 /// whether a request can meet its objective: runs differ, and the target queues
 /// a few requests.
@@ -45,7 +48,8 @@
 /// serve, not all at once.
 constexpr double return_share = 0.15;
 constexpr duration min_retry_after = 200ms;
-/// Bounds the times that datagrams state.
+/// Bounds for times that datagrams state.
+constexpr duration max_run_time = 60s;
 constexpr duration max_time_left = 1h;
 /// Bounds for rates that are computed from few answers.
 constexpr double min_run_seconds = 0.001;
@@ -119,6 +123,7 @@
 
 void permit_coordinator::record_busy(duration run_time, time_point now)
 {
+    run_time = std::min(run_time, max_run_time);
     constexpr double weight = 0.05;
     mean_run_time_ =
         has_run_time_
@@ -145,7 +150,7 @@
 {
     const bool is_low = now - started_ > use_learning_time &&
                         line_.size() == 0 && use(now) < low_use &&
-                        leases_.size() < slots();
+                        leases_.size() < slots() && !has_weak_target(now);
     return is_low ? no_request_time : duration::zero();
 }
 
@@ -163,6 +168,7 @@
 {
     if (started_ == time_point{})
         started_ = busy_at_ = now;
+    last_heard_[from] = now;
     if (r.unpermitted > 0 && r.unpermitted_run_time > duration::zero()) {
         const duration each = r.unpermitted_run_time / r.unpermitted;
         constexpr std::uint32_t most = 100; // bounds the loop
@@ -197,6 +203,11 @@
     waiting_ids_[key] = last_id_;
     refuse(line_.add(waiting, per_second(), now), now);
     grant_free_permits(now);
+    // A sign that is due soon is sent at once: this process may be late then.
+    if (const auto it = senders_.find(waiting.id);
+        it != senders_.end() &&
+        line_.expected_wait(waiting.id, per_second()) > sign_delay)
+        send_sign(waiting.id, it->second, now);
 }
 
 duration permit_coordinator::longest_wait(duration time_left,
@@ -218,15 +229,20 @@
 std::map<std::string, permit_coordinator::target_record>::iterator
 permit_coordinator::choose_target(time_point now)
 {
-    auto best = targets_.end();
-    const auto cost = [&](const target_record& t) {
-        return std::pair(t.limit.is_avoided(now),
-                         static_cast<double>(t.in_use) / t.limit.value());
+    // Requests had better wait than go to a target that has stopped.
+    const bool all_avoided = std::ranges::all_of(targets_, [&](const auto& t) {
+        return t.second.limit.is_avoided(now);
+    });
+    const auto use_of = [](const target_record& t) {
+        return static_cast<double>(t.in_use) / t.limit.value();
     };
+    auto best = targets_.end();
     for (auto it = targets_.begin(); it != targets_.end(); ++it) {
-        if (it->second.in_use >= it->second.limit.value())
+        const concurrency_limit& limit = it->second.limit;
+        if (it->second.in_use >= limit.value() ||
+            (limit.is_avoided(now) && !all_avoided))
             continue;
-        if (best == targets_.end() || cost(it->second) < cost(best->second))
+        if (best == targets_.end() || use_of(it->second) < use_of(best->second))
             best = it;
     }
     return best;
@@ -263,6 +279,7 @@
     const std::string& from, std::span<const place_release::entry> entries,
     time_point now)
 {
+    last_heard_[from] = now;
     for (const auto& e : entries) {
         const request_key key{from, e.number};
         if (const auto waiting = waiting_ids_.find(key);
@@ -282,9 +299,12 @@
         if (const auto t = targets_.find(it->second.target);
             t != targets_.end()) {
             concurrency_limit& limit = t->second.limit;
-            if (e.outcome == permit_outcome::answered)
-                limit.on_answer(e.run_time, it->second.in_use);
-            else if (e.outcome == permit_outcome::rejected)
+            if (e.outcome == permit_outcome::answered) {
+                t->second.expired = 0;
+                limit.on_answer(
+                    std::clamp<duration>(e.run_time, 0ms, max_run_time),
+                    it->second.in_use);
+            } else if (e.outcome == permit_outcome::rejected)
                 limit.on_rejection(now);
             else if (e.outcome == permit_outcome::failed)
                 limit.on_failure(now);
@@ -302,12 +322,35 @@
     leases_.erase(it);
 }
 
+void permit_coordinator::on_expired(const request_key& key, const lease& l,
+                                    time_point now)
+{
+    const auto t = targets_.find(l.target);
+    const auto heard = last_heard_.find(key.from);
+    if (t == targets_.end() || heard == last_heard_.end() ||
+        heard->second <= l.granted_at)
+        return; // the holder may have ended
+    if (++t->second.expired < max_expired_leases)
+        return;
+    t->second.expired = 0;
+    t->second.limit.on_failure(now);
+}
+
+bool permit_coordinator::has_weak_target(time_point now) const
+{
+    return std::ranges::any_of(targets_, [&](const auto& t) {
+        const concurrency_limit& limit = t.second.limit;
+        return limit.is_avoided(now) || limit.value() < limit.slots();
+    });
+}
+
 void permit_coordinator::end_expired_leases(time_point now)
 {
     for (auto it = leases_.begin(); it != leases_.end();) {
         const auto next = std::next(it);
         if (it->second.ends <= now) {
             counts_.add("permits_expired");
+            on_expired(it->first, it->second, now);
             end_lease(it);
         }
         it = next;
@@ -352,13 +395,17 @@
 
 void permit_coordinator::send_signs(time_point now)
 {
-    for (auto& [id, sender] : senders_) {
-        if (now < sender.next_sign)
-            continue;
-        const duration wait = line_.expected_wait(id, per_second());
-        sender.next_sign = now + wait + sign_delay;
-        reply(sender.key, {0, place_answer::waiting, {}, wait, {}}, now);
-    }
+    for (auto& [id, sender] : senders_)
+        if (now >= sender.next_sign)
+            send_sign(id, sender, now);
+}
+
+void permit_coordinator::send_sign(std::uint64_t id, waiting_sender& sender,
+                                   time_point now)
+{
+    const duration wait = line_.expected_wait(id, per_second());
+    sender.next_sign = now + wait + sign_delay;
+    reply(sender.key, {0, place_answer::waiting, {}, wait, {}}, now);
 }
 
 void permit_coordinator::release_all_waiting(time_point now)
--- a/src/lovagegate/capacity/permit_coordinator.hpp
+++ b/src/lovagegate/capacity/permit_coordinator.hpp
@@ -79,6 +79,8 @@
     {
         concurrency_limit limit;
         std::uint32_t in_use = 0;
+        /// Leases since the last answer that their living holders let expire.
+        std::uint32_t expired = 0;
     };
 
     struct lease
@@ -106,8 +108,13 @@
     [[nodiscard]] duration retry_after(const admission::waiting_request& r,
                                        time_point now);
     void end_expired_leases(time_point now);
+    /// Called when a lease has expired.
+    void on_expired(const request_key& key, const lease& l, time_point now);
+    /// @return whether a target has failed or rejects requests
+    [[nodiscard]] bool has_weak_target(time_point now) const;
     void end_lease(std::map<request_key, lease>::iterator it);
     void send_signs(time_point now);
+    void send_sign(std::uint64_t id, waiting_sender& sender, time_point now);
     /// Lets all that wait choose on their own.
     void release_all_waiting(time_point now);
     void reply(const request_key& key, gateway::place_grant grant,
@@ -131,6 +138,7 @@
     std::map<std::uint64_t, waiting_sender> senders_; ///< by id in line_
     std::map<std::uint64_t, admission::waiting_request> requests_;
     std::map<request_key, std::uint64_t> waiting_ids_;
+    std::map<std::string, time_point> last_heard_; ///< by instance
     std::uint64_t last_id_ = 0;
     time_point next_return_{}; ///< of a refused caller
     duration mean_run_time_{};
--- a/src/lovagegate/capacity/request_permit.cpp
+++ b/src/lovagegate/capacity/request_permit.cpp
@@ -98,8 +98,8 @@
     const duration run_time = now - sent_at_;
     if (number_ != 0)
         give_back(outcome, run_time);
-    else if (outcome == permit_outcome::answered)
-        permits_.on_unpermitted_answer(service_, run_time);
+    else
+        permits_.on_unpermitted_end(service_, outcome, run_time);
 }
 
 } // namespace lovagegate::capacity
--- a/src/lovagegate/capacity/service_permits.cpp
+++ b/src/lovagegate/capacity/service_permits.cpp
@@ -123,10 +123,11 @@
     flush();
 }
 
-void service_permits::on_unpermitted_answer(const std::string& service,
-                                            duration run_time)
+void service_permits::on_unpermitted_end(const std::string& service,
+                                         permit_outcome outcome,
+                                         duration run_time)
 {
-    client_.on_unpermitted_answer(service, run_time);
+    client_.on_unpermitted_end(service, outcome, run_time);
 }
 
 service_permits::coordinated_service&
--- a/src/lovagegate/capacity/service_permits.hpp
+++ b/src/lovagegate/capacity/service_permits.hpp
@@ -49,7 +49,8 @@
     void cancel(std::uint64_t number);
     void release(std::uint64_t number, gateway::permit_outcome outcome,
                  duration run_time);
-    void on_unpermitted_answer(const std::string& service, duration run_time);
+    void on_unpermitted_end(const std::string& service,
+                            gateway::permit_outcome outcome, duration run_time);
 
     /// Processes a message of this class.
     /// @return whether it is one
--- a/tests/capacity/permit_failures_test.cpp
+++ b/tests/capacity/permit_failures_test.cpp
@@ -55,6 +55,24 @@
     CHECK(sim.double_runs == 0);
 }
 
+// Guards against a target that has stopped and gets a third of the requests
+// all the same, because the leases of its permits end.
+TEST_CASE("a target that has stopped gets few requests", "[capacity]")
+{
+    permit_simulation sim(with_rate(180));
+    sim.run(3s);
+    sim.freeze_target(1);
+    sim.run(1s);
+    sim.reset_counts();
+    sim.run(10s);
+    const auto c = sim.total();
+    CAPTURE(c.requests, c.late, c.refused, sim.coordinator(0).permits(),
+            sim.sum_of_counts("permits_expired"),
+            sim.sum_of_counts("permit_fallback_sends{reason=\"silent\"}"),
+            sim.sum_of_counts("permits_granted"));
+    CHECK(c.share_in_time() > 0.97);
+}
+
 // Guards against two halves of a fleet that together overload the targets.
 TEST_CASE("two coordinators serve in time, too", "[capacity]")
 {
--- a/tests/capacity/permit_simulation.hpp
+++ b/tests/capacity/permit_simulation.hpp
@@ -125,6 +125,8 @@
         for (auto& fn : std::exchange(n.held_back, {}))
             fn();
     }
+    /// The target takes requests and doesn't answer any more.
+    void freeze_target(std::size_t i) { targets_[i].frozen = true; }
     /// The instance ends and loses all that it knew.
     void end(std::size_t i) { nodes_[i]->ended = true; }
     /// The instances from..to ask another coordinator.
@@ -186,6 +188,7 @@
         time_point first_attempt{};
         time_point deadline{};
         std::size_t attempts = 0;
+        std::size_t rejections = 0; ///< of this attempt
         std::size_t runs = 0;
     };
     using call_ptr = std::shared_ptr<call>;
@@ -197,6 +200,7 @@
     struct fake_target
     {
         std::uint32_t running = 0;
+        bool frozen = false;
         std::deque<work> queue;
     };
 
@@ -269,7 +273,12 @@
     void attempt(const call_ptr& c)
     {
         ++c->attempts;
-        const std::size_t i = random_instance();
+        c->rejections = 0;
+        choose_target(random_instance(), c);
+    }
+
+    void choose_target(std::size_t i, const call_ptr& c)
+    {
         node& n = *nodes_[i];
         if (!settings_.permits) {
             send(i, c, 0, random_target());
@@ -355,6 +364,8 @@
         ++t.running;
         peak_running = std::max<std::size_t>(peak_running, t.running);
         at(now_ + settings_.run_time, [this, &t, w = std::move(w)] {
+            if (t.frozen)
+                return;
             --t.running;
             if (!t.queue.empty()) {
                 work next = std::move(t.queue.front());
@@ -376,12 +387,20 @@
                                  served ? permit_outcome::answered
                                         : permit_outcome::rejected,
                                  now_ - sent, now_);
-            else if (served)
-                n.client.on_unpermitted_answer("s", now_ - sent);
+            else
+                n.client.on_unpermitted_end("s",
+                                            served ? permit_outcome::answered
+                                                   : permit_outcome::rejected,
+                                            now_ - sent);
             flush(i);
         }
         if (!served) {
-            refused(c, 700ms);
+            // As an instance does: another target, then a refusal.
+            constexpr std::size_t max_rejections = 3;
+            if (++c->rejections < max_rejections && !n.ended)
+                choose_target(i, c);
+            else
+                refused(c, 700ms);
             return;
         }
         if (c->first_attempt < counted_from_)
