--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -118,6 +118,7 @@
     metrics::registry metrics_;
     answer_memory answer_memory_;
     quota::fleet_quota quota_;
+    capacity::service_permits permits_;
     forwarding_context forwarding_context_;
     caller_context caller_context_;
     std::map<caller_connection*, caller_ptr> callers_;
