Let the owner of an engine admit the requests of all instances

Load reports reach other instances of a large fleet over a second late, so that all choose the engine with the lowest told load: 25 requests reached one engine within 5 ms, and engines of 32 slots held 60 to 70 requests. Started engines, with a load of 0, were flooded the same way.

Counts heal by the open requests that adapter_usage tells.

After a refusal, placement adds a large random part to the load: with the usual one, all instances were refused by the same engines in turn.

Not measured on a deployment.

--- a/src/lovagegate/gateway/adapter_coordinator.cpp
+++ b/src/lovagegate/gateway/adapter_coordinator.cpp
@@ -244,19 +244,35 @@
 void adapter_coordinator::send_adapter_uses(bool all)
 {
     const time_point now = net::event_loop::now().mono;
+    if (all)
+        add_engines_with_requests();
     for (auto& [engine, mine] : uses_)
-        if (mine.changed || (all && (!mine.open.empty() || mine.streams > 0)))
+        if (mine.changed || (all && (!mine.open.empty() || mine.streams > 0 ||
+                                     mine.open_requests > 0)))
             send_adapter_use(engine, mine, now);
     std::erase_if(uses_, [](const auto& u) {
         return u.second.open.empty() && u.second.streams == 0;
     });
 }
 
+void adapter_coordinator::add_engines_with_requests()
+{
+    if (!open_requests_)
+        return;
+    for (const auto& [id, t] : state_.targets.all())
+        if (const auto open = open_requests_(id); open > 0)
+            uses_[id].open_requests = open;
+}
+
 void adapter_coordinator::send_adapter_use(const std::string& engine,
                                            engine_use& mine, time_point now)
 {
-    adapter_usage use{engine, {}, mine.streams, mine.stalled_streams};
-    mine.streams = mine.stalled_streams = 0;
+    adapter_usage use{engine,
+                      {},
+                      mine.streams,
+                      mine.stalled_streams,
+                      open_requests_ ? open_requests_(engine) : 0};
+    mine.streams = mine.stalled_streams = mine.open_requests = 0;
     mine.changed = false;
     for (const auto& [name, open] : mine.open)
         use.adapters.push_back(name);
@@ -422,6 +438,7 @@
             continue;
         it = owned_engines_.try_emplace(id, id, *s->engine).first;
         it->second.started_ms = t->entry.started_ms;
+        it->second.last_report = now.mono;
         it->second.planner.add_cached_adapters(
             state_.placements.cached_adapters(id));
         for (const auto& [name, known] : state_.releases.all())
@@ -470,6 +487,7 @@
             state_.placements.on_unreachable(id, now);
         return;
     }
+    e.last_report = now;
     try {
         e.planner.on_report(platform_wire::parse_report(r.body), now);
     } catch (const platform_wire::published_error& error) {
@@ -648,6 +666,14 @@
     return out;
 }
 
+std::optional<time_point>
+adapter_coordinator::last_report(const std::string& engine) const
+{
+    const auto it = owned_engines_.find(engine);
+    return it == owned_engines_.end() ? std::nullopt
+                                      : std::optional(it->second.last_report);
+}
+
 std::size_t adapter_coordinator::loads_in_transit() const
 {
     std::size_t n = 0;
--- a/src/lovagegate/gateway/adapter_coordinator.hpp
+++ b/src/lovagegate/gateway/adapter_coordinator.hpp
@@ -29,6 +29,14 @@
                         target_pool& pool, peer_sender send);
     ~adapter_coordinator();
 
+    /// @param open returns the requests of this instance that are open at an
+    ///        engine or may be sent there; their number is told to the owner
+    void
+    set_open_requests(std::function<std::uint32_t(const std::string&)> open)
+    {
+        open_requests_ = std::move(open);
+    }
+
     /// Requests an adapter on an engine.
     /// @param was_absent the engine returned a request because the adapter was
     ///        not loaded
@@ -80,6 +88,11 @@
     /// Returns the engine claims for the next heartbeat.
     [[nodiscard]] std::vector<engine_claim> claims(time_point now) const;
 
+    /// @return when the owned engine last answered a poll of its report, or, if
+    ///         it hasn't, when this instance began to own it
+    [[nodiscard]] std::optional<time_point>
+    last_report(const std::string& engine) const;
+
     /// @return loads in progress on owned engines
     [[nodiscard]] std::size_t loads_in_transit() const;
 
@@ -106,6 +119,7 @@
         time_point ready_check_at{}; ///< time of the scheduled check for a
                                      ///< finished load
         std::int64_t started_ms = 0;
+        time_point last_report{};
         /// Moving average over the streams of all instances, 0 to 1.
         double stalled_stream_share = 0;
     };
@@ -115,6 +129,7 @@
     {
         /// Open requests of this instance by adapter.
         std::map<std::string, std::uint32_t> open;
+        std::uint32_t open_requests = 0; ///< also those without an adapter
         /// Adapters were added or removed since the last message.
         bool changed = false;
         std::uint32_t streams = 0;
@@ -160,6 +175,9 @@
     void schedule_changed_uses(engine_use& use);
     /// @param all also those that didn't change since the last message
     void send_adapter_uses(bool all);
+    /// Adds the engines at which this instance has open requests to those whose
+    /// use is told.
+    void add_engines_with_requests();
     void send_adapter_use(const std::string& engine, engine_use& mine,
                           time_point now);
     void log_change(const engine_ownership::change& c) const;
@@ -173,6 +191,7 @@
     std::map<std::string, owned_engine> owned_engines_;
     std::map<std::uint64_t, pending_request> pending_requests_;
     std::map<std::string, engine_use> uses_;
+    std::function<std::uint32_t(const std::string&)> open_requests_;
     bool use_flush_scheduled_ = false;
     std::uint64_t last_number_ = 0;
     time_point last_use_flush_{};
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -17,6 +17,7 @@
 constexpr int first_server_error = 500;
 constexpr int not_found = 404;
 constexpr int misdirected = 421;
+constexpr int too_many_requests = 429;
 constexpr int bad_request = 400;
 constexpr int bad_gateway = 502;
 constexpr int unavailable = 503;
@@ -101,6 +102,7 @@
 /// Reason for refusing a request for which no target's limit has room.
 constexpr std::string_view targets_limit_requests =
     "the targets limit their requests";
+constexpr std::string_view engines_are_full = "engines are full";
 /// Longest Retry-After because of targets' limits: they may end at any time.
 constexpr duration max_limit_retry_after = 5s;
 /// Events of one send after which the engine is assumed not to crash on the
@@ -132,11 +134,13 @@
       message_(std::move(message)),
       facts_(platform_wire::read_request(message_.head)),
       retry_delay_(target_retry_delay),
-      backpressure_(context.memory, *caller_, [this] {
-          silent_since_ = net::event_loop::now().mono;
-          // Silence is not checked while reading is paused.
-          arm_timer();
-      })
+      backpressure_(context.memory, *caller_,
+                    [this] {
+                        silent_since_ = net::event_loop::now().mono;
+                        // Silence is not checked while reading is paused.
+                        arm_timer();
+                    }),
+      admission_(context.admission)
 {
 }
 
@@ -366,10 +370,18 @@
         refuse("no time left");
         return;
     }
-    const placement_request wanted = make_placement_request(now);
+    admission_.reset();
+    placement_request wanted = make_placement_request(now);
+    wanted.chosen_again = !admission_.refusals().empty();
     const auto allowed = candidates(now);
     const auto choice =
         s.placements.choose(wanted, allowed, s.members.count(now), now);
+    const bool waits_too_long =
+        choice && choice->expected_wait > deadline_ - now;
+    if (wanted.chosen_again && (!choice || waits_too_long)) {
+        go_to_least_loaded();
+        return;
+    }
     if (!choice && allowed.empty()) {
         refuse(no_target_reason(now));
         return;
@@ -378,24 +390,70 @@
         refuse("no further target");
         return;
     }
-    target_load_when_chosen_ = choice->load;
-    if (choice->expected_wait > (deadline_ - now)) {
-        refuse("engines are full");
+    if (waits_too_long) {
+        refuse(engines_are_full);
+        return;
+    }
+    if (context_.admission.applies_to(service_, now))
+        ask_owner(*choice, head_sent_);
+    else
+        go_to(*choice);
+}
+
+void forwarding::ask_owner(const placement_choice& choice, bool must_run)
+{
+    const target_state* const t = context_.state.targets.find(choice.target);
+    run_request ask{0,
+                    choice.target,
+                    route_->rank,
+                    facts_.prompt_tokens,
+                    facts_.prompt_tokens + facts_.output_tokens,
+                    is_stream() ? route_->latency_objective : duration::zero(),
+                    must_run};
+    admission_.ask(choice, std::move(ask), t != nullptr ? t->entry.slots : 1,
+                   [this, choice, alive = alive_](bool may_send) {
+                       if (!*alive || done_)
+                           return;
+                       if (may_send) {
+                           admission_.refusals().take_least_loaded(excluded_);
+                           go_to(choice);
+                           return;
+                       }
+                       excluded_.push_back(choice.target);
+                       if (admission_.refusals().is_complete())
+                           go_to_least_loaded();
+                       else
+                           try_next_target();
+                   });
+}
+
+void forwarding::go_to_least_loaded()
+{
+    const auto choice = admission_.refusals().take_least_loaded(excluded_);
+    if (!choice) {
+        refuse(engines_are_full);
         return;
     }
-    target_ = choice->target;
+    context_.state.counts.add("engine_admissions_overridden");
+    ask_owner(*choice, true);
+}
+
+void forwarding::go_to(const placement_choice& choice)
+{
+    target_load_when_chosen_ = choice.load;
+    target_ = choice.target;
     adapter_expected_ = false;
-    if (choice->resident) {
-        send(choice->target);
+    if (choice.resident) {
+        send(choice.target);
         return;
     }
     logging::write(logging::level::info, "adapter_wanted",
                    {{"request", facts_.attempt_id},
-                    {"target", choice->target},
+                    {"target", choice.target},
                     {"adapter", adapter_},
-                    {"rank", std::uint64_t{choice->rank}},
-                    {"passed_over", choice->first_rank_rejection}});
-    wait_for_adapter(choice->target, false);
+                    {"rank", std::uint64_t{choice.rank}},
+                    {"passed_over", choice.first_rank_rejection}});
+    wait_for_adapter(choice.target, false);
 }
 
 void forwarding::wait_for_adapter(const std::string& target, bool was_missing)
@@ -573,6 +631,7 @@
     is_trial_ = false;
     backpressure_.end();
     call_.reset();
+    admission_.reset();
     probe_.reset();
     discarded_.reset();
     context_.state.placements.on_left(target_, net::event_loop::now().mono);
@@ -696,10 +755,8 @@
     const auto longest =
         std::min(max_pause_extension, std::chrono::duration_cast<duration>(
                                           pause * max_pause_extension_share));
-    const duration extension(std::uniform_int_distribution<duration::rep>(
-        0, longest.count())(context_.random));
-    const bool is_new = s.targets.on_pause(target_, target_started_ms_,
-                                           now + pause + extension, now);
+    const bool is_new = s.targets.on_pause(
+        target_, target_started_ms_, now + pause + random_up_to(longest), now);
     s.counts.add("target_notices", "reason", "pauses");
     if (!is_new)
         return;
@@ -725,6 +782,8 @@
     answer_facts_ = platform_wire::read_answer(head);
     if (answer_facts_.not_run) {
         rejected_ = true;
+        if (head.status == unavailable || head.status == too_many_requests)
+            admission_.set_outcome(run_event::rejected);
         return;
     }
     const bool success = is_success(head.status);
@@ -739,6 +798,7 @@
     }
     if (head.status >= first_server_error) {
         context_.state.placements.on_failure(target_, now);
+        admission_.set_outcome(run_event::failed);
         discarding_ = may_run_again() && !head_sent_;
     }
     forwarding_events_ = success && is_stream();
@@ -824,6 +884,7 @@
 void forwarding::deliver_whole_events(std::string_view whole)
 {
     const time_point now = net::event_loop::now().mono;
+    admission_.on_event(now - sent_at_);
     if (!head_sent_) {
         deliver_head(answer_, false);
         context_.state.placements.on_first_event(target_, now - sent_at_);
@@ -988,6 +1049,7 @@
     const time_point now = net::event_loop::now().mono;
     s.counts.add("sends_failed", "reason", to_string(f));
     log("send_failed", to_string(f));
+    admission_.set_outcome(run_event::failed);
     release_target();
     if (nothing_sent(f)) {
         on_not_run();
@@ -1075,8 +1137,11 @@
     }
     context_.state.counts.add("refusals", "reason", reason);
     log("refused", reason);
-    caller_->answer(unavailable, reason,
-                    retry_after(net::event_loop::now().mono));
+    duration pause = retry_after(net::event_loop::now().mono);
+    if (reason == engines_are_full &&
+        context_.admission.applies_to(service_, message_.arrived))
+        pause += random_up_to(pause_return_spread);
+    caller_->answer(unavailable, reason, pause);
     finish("refused");
 }
 
@@ -1094,9 +1159,14 @@
         next_send = now + time_between_sends(*limit);
     if (!next_send || *next_send >= latest)
         return refusal_retry_after;
-    const duration spread(std::uniform_int_distribution<duration::rep>(
-        0, pause_return_spread.count())(context_.random));
-    return std::min(*next_send + spread, latest) - now;
+    return std::min(*next_send + random_up_to(pause_return_spread), latest) -
+           now;
+}
+
+duration forwarding::random_up_to(duration longest)
+{
+    return duration(std::uniform_int_distribution<duration::rep>(
+        0, longest.count())(context_.random));
 }
 
 void forwarding::fail(int status, std::string_view reason)
@@ -1132,6 +1202,7 @@
     if (adapter_request_id_ != 0)
         context_.adapters.cancel(adapter_request_id_);
     adapter_request_id_ = 0;
+    admission_.reset();
     release_target();
     context_.on_done(*this);
 }
@@ -1274,6 +1345,7 @@
     s.counts.add("sends_failed", "reason", "silent");
     log("send_failed", "silent");
     s.placements.on_failure(target_, now);
+    admission_.set_outcome(run_event::failed);
     const std::string target = target_;
     release_target();
     excluded_.push_back(target);
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -11,6 +11,7 @@
 #include "lovagegate/gateway/gateway_state.hpp"
 #include "lovagegate/gateway/liveness_probe.hpp"
 #include "lovagegate/gateway/target_pool.hpp"
+#include "lovagegate/pace/request_admission.hpp"
 
 #include <functional>
 #include <memory>
@@ -36,6 +37,7 @@
     std::mt19937_64& random;
     crash_reports& crashes;
     answer_memory& memory;
+    pace::engine_admission& admission;
     /// Called when `crashes` has notices to send.
     std::function<void()> on_crash_notice;
     /// Called when a target's address refuses the connection (nothing listens
@@ -97,6 +99,13 @@
     void on_answer_begun();
     [[nodiscard]] const std::string& choose_service() const;
     void try_next_target();
+    /// Asks the owner of the chosen engine, if it must admit the request, and
+    /// then goes there or chooses again.
+    /// @param must_run the owner only counts the request
+    void ask_owner(const placement_choice& choice, bool must_run);
+    /// Goes to the least loaded of the engines whose owners refused.
+    void go_to_least_loaded();
+    void go_to(const placement_choice& choice);
     /// @param was_missing the target rejected an earlier send because the
     ///         adapter was not loaded yet
     void wait_for_adapter(const std::string& target, bool was_missing);
@@ -167,6 +176,7 @@
     void refuse(std::string_view reason);
     /// @return Retry-After for a refusal
     [[nodiscard]] duration retry_after(time_point now);
+    [[nodiscard]] duration random_up_to(duration longest);
     void fail(int status, std::string_view reason);
     void abort_answer(std::string_view reason);
     void finish(std::string_view outcome);
@@ -228,6 +238,7 @@
     answer_facts answer_facts_;
     std::string buffer_; ///< answer that can still be replaced by a retry
     answer_backpressure backpressure_;
+    pace::request_admission admission_;
     std::uint32_t early_sends_ =
         0;                    ///< rejected sends before the adapter was loaded
     std::uint32_t sends_ = 0; ///< requests that may have reached a target
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -131,6 +131,10 @@
                 [this] { return trial_rank(); }}),
       answer_memory_(limits_for_process(
           state_.boot.memory_mb * bytes_per_megabyte, max_event_bytes)),
+      admission_(loop_, state_, adapters_, random_(),
+                 [this](const std::string& to, const peer_message& m) {
+                     send_to_peer(to, m);
+                 }),
       forwarding_context_{
           loop_,
           state_,
@@ -139,6 +143,7 @@
           random_,
           crashes_,
           answer_memory_,
+          admission_,
           [this] { schedule_crash_notices(); },
           [this](const std::string& target) {
               if (const auto* t = state_.targets.find(target))
@@ -197,6 +202,8 @@
               on_target_item(item, in_doubt);
           })
 {
+    adapters_.set_open_requests(
+        [this](const std::string& engine) { return admission_.open(engine); });
     ready_server_ = make_page_server(state_.boot.readiness.address,
                                      state_.boot.readiness.port);
     control_server_ =
@@ -629,6 +636,13 @@
         adapters_.on_message(from.address, *answer);
     } else if (const auto* use = std::get_if<adapter_usage>(&*message)) {
         adapters_.on_message(from.address, *use);
+        admission_.on_message(from.address, *use);
+    } else if (const auto* run = std::get_if<run_request>(&*message)) {
+        admission_.on_message(from.address, *run);
+    } else if (const auto* reply = std::get_if<run_reply>(&*message)) {
+        admission_.on_message(from.address, *reply);
+    } else if (const auto* update = std::get_if<run_update>(&*message)) {
+        admission_.on_message(from.address, *update);
     } else if (const auto* crash = std::get_if<crash_notice>(&*message)) {
         crashes_.on_message(*crash, now);
     } else if (const auto* answered =
@@ -705,6 +719,7 @@
         adapters_.tick_requests(now.mono);
     else
         adapters_.tick(now);
+    admission_.tick(now.mono);
 }
 
 void gateway_daemon::check_connections()
@@ -802,6 +817,8 @@
                        static_cast<double>(state_.targets.limited(now))},
         metrics::gauge{"adapter_loads_in_transit",
                        static_cast<double>(adapters_.loads_in_transit())},
+        metrics::gauge{"engines_in_slow_start",
+                       static_cast<double>(admission_.engines_in_slow_start())},
         metrics::gauge{"blocked_prompt_parts",
                        static_cast<double>(crashes_.blocked_parts(now))},
         metrics::gauge{"config_version",
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -117,6 +117,7 @@
     crash_reports crashes_;
     metrics::registry metrics_;
     answer_memory answer_memory_;
+    pace::engine_admission admission_;
     forwarding_context forwarding_context_;
     caller_context caller_context_;
     std::map<caller_connection*, caller_ptr> callers_;
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -21,7 +21,10 @@
     crash_notice = 7,
     answered_prompt_parts = 8,
     blocked_prompt_parts = 9,
-    limit_notice = 10
+    limit_notice = 10,
+    run_request = 30,
+    run_reply = 31,
+    run_update = 32
 };
 
 json write(const engine_claim& c)
@@ -66,8 +69,8 @@
 
 json write(const adapter_usage& m)
 {
-    return json::array(
-        {tag::adapter_usage, m.engine, m.adapters, m.streams, m.halting});
+    return json::array({tag::adapter_usage, m.engine, m.adapters, m.streams,
+                        m.halting, m.open_requests});
 }
 
 json write(const crash_notice& m)
@@ -102,6 +105,28 @@
                         m.age.count()});
 }
 
+json write(const run_request& m)
+{
+    return json::array({tag::run_request, m.number, m.engine, m.priority,
+                        m.prompt_tokens, m.all_tokens, m.objective.count(),
+                        m.must_run});
+}
+
+json write(const run_reply& m)
+{
+    return json::array({tag::run_reply, m.number, m.engine, m.verdict,
+                        m.open_requests, m.usable_slots});
+}
+
+json write(const run_update& m)
+{
+    json entries = json::array();
+    for (const auto& e : m.entries)
+        entries.push_back(json::array(
+            {e.engine, e.number, e.event, e.first_event_time.count()}));
+    return json::array({tag::run_update, std::move(entries)});
+}
+
 json write(const store_changes& m)
 {
     json bases = json::array();
@@ -254,6 +279,50 @@
     return m;
 }
 
+adapter_usage read_adapter_usage(const json& j)
+{
+    adapter_usage m{j.at(1).get<std::string>(),
+                    j.at(2).get<std::vector<std::string>>(),
+                    j.at(3).get<std::uint32_t>(), j.at(4).get<std::uint32_t>()};
+    constexpr std::size_t open_position = 5;
+    if (j.size() > open_position) // absent in messages of earlier versions
+        m.open_requests = j.at(open_position).get<std::uint32_t>();
+    return m;
+}
+
+run_request read_run_request(const json& j)
+{
+    return {
+        j.at(1).get<std::uint64_t>(), j.at(2).get<std::string>(),
+        j.at(3).get<std::uint32_t>(), j.at(4).get<std::uint32_t>(),
+        j.at(5).get<std::uint32_t>(), duration(j.at(6).get<duration::rep>()),
+        j.at(7).get<bool>()};
+}
+
+run_reply read_run_reply(const json& j)
+{
+    const auto verdict = j.at(3).get<unsigned>();
+    return {j.at(1).get<std::uint64_t>(), j.at(2).get<std::string>(),
+            verdict <= static_cast<unsigned>(run_verdict::not_owner)
+                ? static_cast<run_verdict>(verdict)
+                : run_verdict::not_owner,
+            j.at(4).get<std::uint32_t>(), j.at(5).get<std::uint32_t>()};
+}
+
+run_update read_run_update(const json& j)
+{
+    run_update m;
+    for (const json& e : j.at(1)) {
+        const auto event = e.at(2).get<unsigned>();
+        if (event <= static_cast<unsigned>(run_event::failed))
+            m.entries.push_back({e.at(0).get<std::string>(),
+                                 e.at(1).get<std::uint64_t>(),
+                                 static_cast<run_event>(event),
+                                 duration(e.at(3).get<duration::rep>())});
+    }
+    return m;
+}
+
 std::optional<peer_message> read(const json& j)
 {
     switch (static_cast<tag>(j.at(0).get<unsigned>())) {
@@ -272,9 +341,7 @@
                              j.at(2).get<std::string>(), read_status(j.at(3)),
                              j.at(4).get<std::uint64_t>()};
     case tag::adapter_usage:
-        return adapter_usage{
-            j.at(1).get<std::string>(), j.at(2).get<std::vector<std::string>>(),
-            j.at(3).get<std::uint32_t>(), j.at(4).get<std::uint32_t>()};
+        return read_adapter_usage(j);
     case tag::store_changes:
         return read_news(j);
     case tag::single_crash_notice:
@@ -289,6 +356,12 @@
         return read_blocked_parts(j);
     case tag::limit_notice:
         return read_limit_notice(j);
+    case tag::run_request:
+        return read_run_request(j);
+    case tag::run_reply:
+        return read_run_reply(j);
+    case tag::run_update:
+        return read_run_update(j);
     }
     return std::nullopt;
 }
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -108,6 +108,9 @@
     /// pause longer than their route allows.
     std::uint32_t streams = 0;
     std::uint32_t halting = 0;
+    /// Requests that the sender has open at the engine, or may send by its
+    /// owner's admission; earlier versions don't tell them.
+    std::uint32_t open_requests = 0;
 };
 
 /// Reports that connections to an engine broke during requests, which may mean
@@ -184,10 +187,65 @@
     fingerprint content = 0; ///< of the joined `packed`, if there are parts
 };
 
+/// Asks the owner of an engine whether a request may be sent there now.
+struct run_request
+{
+    std::uint64_t number = 0; ///< chosen by the sender; the reply repeats it
+    std::string engine;
+    std::uint32_t priority = 0; ///< 0 is the most urgent
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t all_tokens = 0; ///< of prompt and answer
+    /// Latency objective of the first event; zero: the answer is no stream.
+    duration objective{};
+    /// It is sent anyway, because its caller has the beginning of the answer or
+    /// other owners refused it, and is only to be counted.
+    bool must_run = false;
+};
+
+enum class run_verdict : std::uint8_t
+{
+    admitted,
+    refused,
+    not_owner, ///< the receiver doesn't own the engine
+};
+
+struct run_reply
+{
+    std::uint64_t number = 0;
+    std::string engine;
+    run_verdict verdict = run_verdict::not_owner;
+    std::uint32_t open_requests = 0; ///< of all instances, without this one
+    /// Open requests that are allowed now: those that have begun and the
+    /// window, at most the limit.
+    std::uint32_t usable_slots = 0;
+};
+
+enum class run_event : std::uint8_t
+{
+    begun, ///< the first event has come
+    ended,
+    rejected, ///< the engine refused it for lack of capacity
+    failed,
+};
+
+/// Tells the owner of engines what became of requests that it admitted.
+struct run_update
+{
+    struct entry
+    {
+        std::string engine;
+        std::uint64_t number = 0; ///< of the run_request
+        run_event event = run_event::ended;
+        duration first_event_time{}; ///< since the send, if it has begun
+    };
+    std::vector<entry> entries;
+};
+
 using peer_message =
     std::variant<heartbeat, adapter_request, adapter_reply, adapter_usage,
                  crash_notice, store_changes, answered_prompt_parts,
-                 blocked_prompt_parts, limit_notice>;
+                 blocked_prompt_parts, limit_notice, run_request, run_reply,
+                 run_update>;
 
 /// @return the encoded datagram
 [[nodiscard]] std::string encode(const peer_message& message);
--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -45,6 +45,10 @@
 constexpr double recently_full_cost = 300;
 /// Random part of the load: keeps instances from all choosing the same target.
 constexpr double max_load_jitter = 0.06;
+/// The same after the owner of an engine has refused, up to
+/// queueing_load_threshold: the engines that seem to be next are the same for
+/// all instances, too.
+constexpr double max_load_jitter_when_refused = 1.0;
 /// Time that a request is assumed to run before any answer has shown it.
 constexpr duration initial_run_time = 1500ms;
 /// Cost of each request above queueing_load_threshold.
@@ -85,6 +89,8 @@
 constexpr duration load_refused_backoff = 500ms;
 /// Age up to which a load report is used.
 constexpr duration report_ttl = 4s;
+/// Age of load reports in large fleets, where heartbeats are relayed.
+constexpr duration relayed_report_delay = 1s;
 /// A published entry may still list an adapter for one heartbeat after its
 /// unload.
 constexpr duration max_entry_lag = 2500ms;
@@ -147,7 +153,8 @@
     b.mean_event_gap_at = now;
 }
 
-double placement::record_demand(const std::string& key, time_point now)
+double placement::record_demand(const std::string& key, bool is_new,
+                                time_point now)
 {
     if (demands_.size() >= max_demand_entries)
         std::erase_if(demands_, [&](const auto& d) {
@@ -155,7 +162,8 @@
         });
     key_demand& d = demands_[key];
     const double age = to_seconds(now - d.at) / to_seconds(demand_decay_time);
-    d.count = (d.at == time_point{} ? 0 : d.count * std::exp(-age)) + 1;
+    d.count = (d.at == time_point{} ? 0 : d.count * std::exp(-age)) +
+              (is_new ? 1 : 0);
     d.at = now;
     return d.count;
 }
@@ -208,14 +216,26 @@
 void placement::on_load_report(const engine_claim& claim, time_point now)
 {
     target_stats& b = target_stats_[claim.engine];
-    b.reported_requests = claim.running + claim.waiting;
     b.reported_at = now;
-    b.sent_since_report = 0;
+    if (!b.load_told_at || now - *b.load_told_at >= relayed_report_delay) {
+        b.reported_requests = claim.running + claim.waiting;
+        b.sent_since_report = 0;
+    }
     b.stalled_stream_share = claim.halting_permille / per_mille;
     b.free_adapter_slots = claim.free_adapter_slots;
     b.loads_since_report = 0;
 }
 
+void placement::on_told_load(const std::string& target, std::uint32_t open,
+                             time_point now)
+{
+    target_stats& b = target_stats_[target];
+    b.reported_requests = open;
+    b.sent_since_report = 0;
+    b.reported_at = now;
+    b.load_told_at = now;
+}
+
 void placement::on_resident(const std::string& target,
                             const std::string& adapter, std::uint64_t version,
                             time_point now)
@@ -425,7 +445,8 @@
     // request for an idle adapter is one in the whole fleet.
     const double others_recent =
         needs_adapter
-            ? (record_demand(adapter, now) - 1) * static_cast<double>(instances)
+            ? (record_demand(adapter, !request.chosen_again, now) - 1) *
+                  static_cast<double>(instances)
             : 0;
     const double expected_uses = others_recent * requests_per_load_ratio;
     const service_pace& pace = paces_[request.service];
@@ -441,6 +462,8 @@
     target_cost first_cost;
     target_cost best_cost;
     std::uniform_real_distribution<double> load_jitter(0, max_load_jitter);
+    std::uniform_real_distribution<double> jitter_when_refused(
+        0, max_load_jitter_when_refused);
     std::uniform_real_distribution<double> home_jitter(0, max_home_jitter_cost);
     for (std::size_t rank = 0; rank < order.size(); ++rank) {
         const target_state& t = *order[rank].target;
@@ -451,11 +474,16 @@
         const bool resident =
             !needs_adapter ||
             is_resident(t.entry.id, adapter, request.adapter->version);
+        double apparent = running;
+        if (request.chosen_again)
+            apparent = std::max(
+                running, std::min((load + jitter_when_refused(random_)) * slots,
+                                  queueing_load_threshold * slots));
         double wait = 0;
         if (running > slots && run_time)
             wait = (running - slots) / slots * to_ms(*run_time);
         target_cost cost;
-        cost.crowding = crowding_cost(b, running, slots, now);
+        cost.crowding = crowding_cost(b, apparent, slots, now);
         if (now - b.reported_at < report_ttl)
             cost.stalled_streams =
                 stalled_streams_cost * b.stalled_stream_share;
--- a/src/lovagegate/gateway/placement.hpp
+++ b/src/lovagegate/gateway/placement.hpp
@@ -28,6 +28,9 @@
     std::string prompt_prefix;
     std::uint32_t prompt_tokens = 0;
     std::span<const std::string> excluded; ///< ids of targets already tried
+    /// The owner of the first choice refused, so another one is made. The
+    /// demand isn't counted once more.
+    bool chosen_again = false;
 };
 
 /// The target chosen for a request.
@@ -108,6 +111,12 @@
     /// Applies the load of an engine as its owner reported it.
     void on_load_report(const engine_claim& claim, time_point now);
 
+    /// Applies the number of requests at an engine that its owner has just
+    /// told this instance. Load reports by way of other instances don't replace
+    /// it for some time, since they are older.
+    void on_told_load(const std::string& target, std::uint32_t open,
+                      time_point now);
+
     /// Called when an engine turns out to hold, or not to hold, an adapter.
     void on_resident(const std::string& target, const std::string& adapter,
                      std::uint64_t version, time_point now);
@@ -168,7 +177,8 @@
         /// Loads requested by this instance since the last report.
         std::uint32_t loads_since_report = 0;
         time_point reported_at{};
-        double failure_share = 0; ///< moving average, 0 to 1
+        std::optional<time_point> load_told_at; ///< by its owner directly
+        double failure_share = 0;               ///< moving average, 0 to 1
         time_point unreachable_until{};
         duration unreachable_backoff{};
         time_point full_until{};
@@ -192,7 +202,8 @@
 
     /// @return decayed number of requests of this instance for a key, including
     ///         this one
-    double record_demand(const std::string& key, time_point now);
+    /// @param is_new false: the request was counted before
+    double record_demand(const std::string& key, bool is_new, time_point now);
     [[nodiscard]] static double crowding_cost(const target_stats& b,
                                               double running, double slots,
                                               time_point now);
--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -49,10 +49,11 @@
         decode(encode(adapter_reply{5, "e", adapter_status::expected, 6}));
     REQUIRE(answer);
     CHECK(std::get<adapter_reply>(*answer).status == adapter_status::expected);
-    const auto use = decode(encode(adapter_usage{"e", {"m/a"}, 7, 3}));
+    const auto use = decode(encode(adapter_usage{"e", {"m/a"}, 7, 3, 4}));
     REQUIRE(use);
     CHECK(std::get<adapter_usage>(*use).streams == 7);
     CHECK(std::get<adapter_usage>(*use).halting == 3);
+    CHECK(std::get<adapter_usage>(*use).open_requests == 4);
     const std::string bytes("\0\xff\x80", 3);
     const auto news = decode(encode(store_changes{
         true, 1, 2, true, {{"servers/x", 1}}, bytes, {"10.0.0.2"}}));
@@ -61,6 +62,44 @@
     CHECK(std::get<store_changes>(*news).bases.front().key == "servers/x");
 }
 
+// A field that is lost or swapped on the way would admit requests under
+// another number, so that the owner's counts drift from the engine's.
+TEST_CASE("messages of the admission to engines are decoded as they were "
+          "encoded",
+          "[gateway]")
+{
+    const auto ask =
+        decode(encode(run_request{~0ULL, "e", 3, 400, 900, 500ms, true}));
+    REQUIRE(ask);
+    const auto& asked = std::get<run_request>(*ask);
+    CHECK(asked.number == ~0ULL);
+    CHECK(asked.engine == "e");
+    CHECK(asked.priority == 3);
+    CHECK(asked.prompt_tokens == 400);
+    CHECK(asked.all_tokens == 900);
+    CHECK(asked.objective == 500ms);
+    CHECK(asked.must_run);
+    const auto reply =
+        decode(encode(run_reply{7, "e", run_verdict::refused, 28, 27}));
+    REQUIRE(reply);
+    const auto& answered = std::get<run_reply>(*reply);
+    CHECK(answered.number == 7);
+    CHECK(answered.engine == "e");
+    CHECK(answered.verdict == run_verdict::refused);
+    CHECK(answered.open_requests == 28);
+    CHECK(answered.usable_slots == 27);
+    const auto update = decode(encode(run_update{
+        {{"e", 7, run_event::begun, 80ms}, {"f", 8, run_event::failed, {}}}}));
+    REQUIRE(update);
+    const auto& entries = std::get<run_update>(*update).entries;
+    REQUIRE(entries.size() == 2);
+    CHECK(entries.front().engine == "e");
+    CHECK(entries.front().number == 7);
+    CHECK(entries.front().event == run_event::begun);
+    CHECK(entries.front().first_event_time == 80ms);
+    CHECK(entries.back().event == run_event::failed);
+}
+
 TEST_CASE("revisions keep their eras between instances", "[gateway]")
 {
     heartbeat h;
