Name the workspace and its tokens in the log lines of a request

An operator who looks for the cause of a refusal for a workspace's limit, or for what a workspace sends, could not tell requests of workspaces apart. Both fields are empty or 0 without workspaces.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -184,6 +184,8 @@
                     {"sends", std::uint64_t{sends_}},
                     {"ms", static_cast<std::uint64_t>(to_ms(elapsed()))},
                     {"config", context_.state.routes.version()},
+                    {"workspace", identity_.name()},
+                    {"tokens", static_cast<std::uint64_t>(identity_.tokens)},
                     {"reason", reason}});
 }
 
