Bear no earlier request's id in a refusal of a partial head

Cause: the id of the last request on a connection stayed set until the next head was complete, so that 408, 400 and 431 for a partial head bore it. Change: the id is cleared with the first byte of a request.

--- a/src/lovagegate/gateway/caller_connection.cpp
+++ b/src/lovagegate/gateway/caller_connection.cpp
@@ -79,8 +79,12 @@
         return true;
     parsing_ = true;
     while (!busy_ && !done_ && !lingering_ && !unread_.empty()) {
-        if (!reader_.started())
+        if (!reader_.started()) {
             state_since_ = net::event_loop::now().mono;
+            // A refusal before the head is whole must not bear the id of the
+            // previous request.
+            attempt_id_.clear();
+        }
         std::string_view data = unread_;
         const auto progress = reader_.read(
             data, [this](net::message_head& head) { on_head(head); },
--- a/src/lovagegate/gateway/caller_connection.hpp
+++ b/src/lovagegate/gateway/caller_connection.hpp
@@ -47,7 +47,8 @@
 struct connection_summary
 {
     close_reason reason;
-    std::string_view attempt_id; ///< of the last request
+    /// Of the last request; empty while its head is incomplete.
+    std::string_view attempt_id;
     bool answering = false;      ///< the answer to the request is incomplete
     std::size_t partial_request_bytes =
         0;                        ///< received bytes of an incomplete request
