Choose among engines at random after an owner's refusal

In the simulated fleet at 64% of the slots, half of all requests were refused four times and then sent anyway: the engines with the lowest reported load are the same for all instances and were filled in the second since. The random part of the load, of up to all slots, didn't change that. A choice after a refusal now ignores reported loads, unless the owner told one in the last 0.3 s.

Three refusals instead of four are enough with it.

--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -45,10 +45,6 @@
 constexpr double recently_full_cost = 300;
 /// Random part of the load: keeps instances from all choosing the same target.
 constexpr double max_load_jitter = 0.06;
-/// The same after the owner of an engine has refused, up to
-/// queueing_load_threshold: the engines that seem to be next are the same for
-/// all instances, too.
-constexpr double max_load_jitter_when_refused = 1.0;
 /// Time that a request is assumed to run before any answer has shown it.
 constexpr duration initial_run_time = 1500ms;
 /// Cost of each request above queueing_load_threshold.
@@ -91,6 +87,8 @@
 constexpr duration report_ttl = 4s;
 /// Age of load reports in large fleets, where heartbeats are relayed.
 constexpr duration relayed_report_delay = 1s;
+/// Time for which a load told by the owner itself is better than none.
+constexpr duration told_load_ttl = 300ms;
 /// A published entry may still list an adapter for one heartbeat after its
 /// unload.
 constexpr duration max_entry_lag = 2500ms;
@@ -462,8 +460,8 @@
     target_cost first_cost;
     target_cost best_cost;
     std::uniform_real_distribution<double> load_jitter(0, max_load_jitter);
-    std::uniform_real_distribution<double> jitter_when_refused(
-        0, max_load_jitter_when_refused);
+    std::uniform_real_distribution<double> assumed_load(
+        0, queueing_load_threshold);
     std::uniform_real_distribution<double> home_jitter(0, max_home_jitter_cost);
     for (std::size_t rank = 0; rank < order.size(); ++rank) {
         const target_state& t = *order[rank].target;
@@ -474,11 +472,13 @@
         const bool resident =
             !needs_adapter ||
             is_resident(t.entry.id, adapter, request.adapter->version);
-        double apparent = running;
-        if (request.chosen_again)
-            apparent = std::max(
-                running, std::min((load + jitter_when_refused(random_)) * slots,
-                                  queueing_load_threshold * slots));
+        // After a refusal, reports mislead: the engines that seem to be next
+        // are the same for all instances.
+        const bool told =
+            b.load_told_at && now - *b.load_told_at < told_load_ttl;
+        const double apparent = request.chosen_again && !told
+                                    ? assumed_load(random_) * slots
+                                    : running;
         double wait = 0;
         if (running > slots && run_time)
             wait = (running - slots) / slots * to_ms(*run_time);
--- a/src/lovagegate/gateway/placement.hpp
+++ b/src/lovagegate/gateway/placement.hpp
@@ -28,8 +28,8 @@
     std::string prompt_prefix;
     std::uint32_t prompt_tokens = 0;
     std::span<const std::string> excluded; ///< ids of targets already tried
-    /// The owner of the first choice refused, so another one is made. The
-    /// demand isn't counted once more.
+    /// The owner of the first choice refused, so another one is made, without
+    /// regard to reported loads. The demand isn't counted once more.
     bool chosen_again = false;
 };
 
--- a/src/lovagegate/pace/request_admission.hpp
+++ b/src/lovagegate/pace/request_admission.hpp
@@ -20,7 +20,7 @@
 public:
     /// Owners that are asked before the request goes to the least loaded of
     /// their engines: the gate steers requests, it doesn't end them.
-    static constexpr std::size_t max_refusals = 4;
+    static constexpr std::size_t max_refusals = 3;
 
     /// @param usable open requests that the engine's owner allows now
     /// @param slots of the engine
