Count requests that wait for an adapter as unbegun once they are sent

A load takes 260 ms and more, in which the engine reads no prompt for the request. Such requests filled the window, so that the engine's owner refused others, and these cost loads elsewhere. The instance now tells the owner when it sends them (run_event::sent).

A load told by an owner no longer counts as a report for the free adapter slots, which only reports tell: an engine without a report yet seemed to have none.

[pace] passes (23 cases), as do the tests of peer messages, placement, decisions and ownership. The effect on adapter loads isn't measured.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -588,6 +588,7 @@
     if (const service_spec* spec = s.routes.service(service_))
         is_at_engine_ = spec->engine.has_value();
     s.placements.on_sent(target, now.mono);
+    admission_.on_sent();
     if (!adapter_.empty())
         context_.adapters.begin_use(target, adapter_);
     if (sends_ == 1)
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -109,7 +109,7 @@
 {
     return json::array({tag::run_request, m.number, m.engine, m.priority,
                         m.prompt_tokens, m.all_tokens, m.objective.count(),
-                        m.must_run});
+                        m.must_run, m.waits_for_adapter});
 }
 
 json write(const run_reply& m)
@@ -296,7 +296,7 @@
         j.at(1).get<std::uint64_t>(), j.at(2).get<std::string>(),
         j.at(3).get<std::uint32_t>(), j.at(4).get<std::uint32_t>(),
         j.at(5).get<std::uint32_t>(), duration(j.at(6).get<duration::rep>()),
-        j.at(7).get<bool>()};
+        j.at(7).get<bool>(),          j.at(8).get<bool>()};
 }
 
 run_reply read_run_reply(const json& j)
@@ -314,7 +314,7 @@
     run_update m;
     for (const json& e : j.at(1)) {
         const auto event = e.at(2).get<unsigned>();
-        if (event <= static_cast<unsigned>(run_event::failed))
+        if (event <= static_cast<unsigned>(run_event::sent))
             m.entries.push_back({e.at(0).get<std::string>(),
                                  e.at(1).get<std::uint64_t>(),
                                  static_cast<run_event>(event),
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -200,6 +200,9 @@
     /// It is sent anyway, because its caller has the beginning of the answer or
     /// other owners refused it, and is only to be counted.
     bool must_run = false;
+    /// It is sent only when its adapter has been loaded; run_event::sent
+    /// follows then.
+    bool waits_for_adapter = false;
 };
 
 enum class run_verdict : std::uint8_t
@@ -226,6 +229,7 @@
     ended,
     rejected, ///< the engine refused it for lack of capacity
     failed,
+    sent, ///< after a wait for its adapter
 };
 
 /// Tells the owner of engines what became of requests that it admitted.
--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -230,7 +230,6 @@
     target_stats& b = target_stats_[target];
     b.reported_requests = open;
     b.sent_since_report = 0;
-    b.reported_at = now;
     b.load_told_at = now;
 }
 
@@ -345,8 +344,9 @@
                                 double others, time_point now)
 {
     const double all = slots == 0 ? 1 : slots;
-    const bool fresh =
-        now - b.reported_at < report_ttl && b.reported_at != time_point{};
+    const time_point known_at =
+        std::max(b.reported_at, b.load_told_at.value_or(time_point{}));
+    const bool fresh = now - known_at < report_ttl && known_at != time_point{};
     const double own = b.open_requests;
     const double requests =
         fresh ? static_cast<double>(b.reported_requests) + b.sent_since_report
--- a/src/lovagegate/pace/admission_client.cpp
+++ b/src/lovagegate/pace/admission_client.cpp
@@ -81,7 +81,7 @@
     if (it == admissions_.end())
         return;
     const admission a = it->second;
-    if (event != run_event::begun) {
+    if (event != run_event::begun && event != run_event::sent) {
         admissions_.erase(it);
         const auto count = open_.find(a.engine);
         if (count != open_.end() && --count->second == 0)
--- a/src/lovagegate/pace/engine_gate.cpp
+++ b/src/lovagegate/pace/engine_gate.cpp
@@ -100,7 +100,8 @@
         request.must_run || (out.open < most && fits_window(request));
     if (!out.admitted)
         return out;
-    const bool waits = request.objective > duration::zero();
+    const bool waits =
+        request.objective > duration::zero() && !request.waits_for_adapter;
     const std::uint64_t backlog = waiting_tokens() + request.prompt_tokens;
     holder& h = holders_[address];
     h.heard = now;
@@ -110,6 +111,22 @@
     return out;
 }
 
+void engine_gate::on_sent(const std::string& address, std::uint64_t number,
+                          time_point now)
+{
+    const auto h = holders_.find(address);
+    if (h == holders_.end())
+        return;
+    h->second.heard = now;
+    const auto it = h->second.admissions.find(number);
+    if (it == h->second.admissions.end() || it->second.waits ||
+        it->second.objective <= duration::zero())
+        return;
+    it->second.since = now;
+    it->second.backlog_tokens = waiting_tokens() + it->second.prompt_tokens;
+    it->second.waits = true;
+}
+
 void engine_gate::learn_prompt_rate(const admission& a, duration time)
 {
     if (time <= duration::zero() || a.backlog_tokens == 0)
--- a/src/lovagegate/pace/engine_gate.hpp
+++ b/src/lovagegate/pace/engine_gate.hpp
@@ -60,6 +60,8 @@
     std::uint32_t prompt_tokens = 0;
     duration objective{}; ///< of the first event; zero: the answer is no stream
     bool must_run = false; ///< always admitted, and counted
+    /// It isn't at the engine before on_sent().
+    bool waits_for_adapter = false;
 };
 
 /// Decides which requests of all instances may be sent to one engine now. Kept
@@ -89,6 +91,10 @@
     decision ask(const std::string& holder, const gate_request& request,
                  time_point now);
 
+    /// Called when a request that waited for its adapter has been sent.
+    void on_sent(const std::string& holder, std::uint64_t number,
+                 time_point now);
+
     /// Called when the first event of an admitted request has come.
     /// @param time since the request was sent
     /// @param usual mean of the service, if known
@@ -136,7 +142,7 @@
         time_point since{};
         /// Prompt tokens that waited at the engine after this request came.
         std::uint64_t backlog_tokens = 0;
-        bool waits = false; ///< for its first event
+        bool waits = false; ///< at the engine, for its first event
     };
 
     struct holder
--- a/src/lovagegate/pace/engine_gates.cpp
+++ b/src/lovagegate/pace/engine_gates.cpp
@@ -85,11 +85,11 @@
     const auto it = gates_.find(ask.engine);
     if (it == gates_.end())
         return reply;
-    const auto decision =
-        it->second.gate.ask(from,
-                            {ask.number, ask.priority, ask.prompt_tokens,
-                             ask.objective, ask.must_run},
-                            now);
+    const auto decision = it->second.gate.ask(
+        from,
+        {ask.number, ask.priority, ask.prompt_tokens, ask.objective,
+         ask.must_run, ask.waits_for_adapter},
+        now);
     reply.verdict =
         decision.admitted ? run_verdict::admitted : run_verdict::refused;
     reply.open_requests = decision.open;
@@ -107,6 +107,9 @@
             continue;
         engine_gate& gate = it->second.gate;
         switch (e.event) {
+        case run_event::sent:
+            gate.on_sent(from, e.number, now);
+            break;
         case run_event::begun:
             gate.on_begun(from, e.number, e.first_event_time,
                           it->second.facts.usual_first_event, now);
--- a/src/lovagegate/pace/request_admission.cpp
+++ b/src/lovagegate/pace/request_admission.cpp
@@ -43,6 +43,7 @@
                             std::function<void(bool may_send)> go_on)
 {
     reset();
+    request.waits_for_adapter = waits_for_adapter_ = !choice.resident;
     question_ = std::make_shared<int>();
     const std::weak_ptr<int> open_question = question_;
     const auto number = shared_.ask(
--- a/src/lovagegate/pace/request_admission.hpp
+++ b/src/lovagegate/pace/request_admission.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lovagegate::pace {
@@ -72,6 +73,13 @@
 
     [[nodiscard]] refused_choices& refusals() noexcept { return refusals_; }
 
+    /// Called when the request has been sent.
+    void on_sent()
+    {
+        if (std::exchange(waits_for_adapter_, false))
+            permit_.on_sent();
+    }
+
     /// Called for each event of the answer.
     /// @param time since the request was sent
     void on_event(duration time) { permit_.on_event(time); }
@@ -89,6 +97,7 @@
     engine_admission& shared_;
     refused_choices refusals_;
     run_permit permit_;
+    bool waits_for_adapter_ = false;
     std::uint64_t number_ = 0;      ///< of the question without an answer
     std::shared_ptr<int> question_; ///< expires when the question is given up
 };
--- a/src/lovagegate/pace/run_permit.hpp
+++ b/src/lovagegate/pace/run_permit.hpp
@@ -37,6 +37,13 @@
     run_permit& operator=(const run_permit&) = delete;
     ~run_permit() { release(); }
 
+    /// Called when a request that waited for its adapter has been sent.
+    void on_sent()
+    {
+        if (tell_)
+            tell_(gateway::run_event::sent, duration::zero());
+    }
+
     /// Called for each event of the request's answer; the first one is told.
     /// @param time since the request was sent
     void on_event(duration time)
--- a/tests/pace/engine_gate_test.cpp
+++ b/tests/pace/engine_gate_test.cpp
@@ -217,3 +217,22 @@
     r.gate.tick(r.now);
     CHECK(r.gate.open() == 7);
 }
+
+// Loads of adapters take 260 ms and more: requests that wait for them would
+// fill the window while the engine reads no prompt.
+TEST_CASE("a request counts as unbegun once it is sent", "[pace]")
+{
+    gate_run r(engine_gate::start_kind::established);
+    for (std::uint64_t n = 1; n <= 8; ++n)
+        REQUIRE(
+            r.gate.ask("10.0.0.1", {n, 0, 1000, objective, false, true}, r.now)
+                .admitted);
+    CHECK(r.gate.unbegun() == 0);
+    CHECK(r.gate.open() == 8);
+    r.gate.on_sent("10.0.0.1", 1, r.now);
+    r.gate.on_sent("10.0.0.1", 1, r.now);
+    CHECK(r.gate.unbegun() == 1);
+    r.gate.on_begun("10.0.0.1", 1, 70ms, usual, r.now);
+    CHECK(r.gate.unbegun() == 0);
+    CHECK(r.gate.window() == 7);
+}
