Ignore a doubled notice that a request was sent

A second run_event::sent after the first event made the request count as unbegun again until its end.

--- a/src/lovagegate/pace/engine_gate.cpp
+++ b/src/lovagegate/pace/engine_gate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 #include <vector>
 
 namespace lovagegate::pace {
@@ -105,9 +106,9 @@
     const std::uint64_t backlog = waiting_tokens() + request.prompt_tokens;
     holder& h = holders_[address];
     h.heard = now;
-    h.admissions.emplace(request.number,
-                         admission{request.prompt_tokens, request.objective,
-                                   now, backlog, waits});
+    h.admissions.emplace(
+        request.number, admission{request.prompt_tokens, request.objective, now,
+                                  backlog, waits, request.waits_for_adapter});
     return out;
 }
 
@@ -119,12 +120,13 @@
         return;
     h->second.heard = now;
     const auto it = h->second.admissions.find(number);
-    if (it == h->second.admissions.end() || it->second.waits ||
-        it->second.objective <= duration::zero())
+    if (it == h->second.admissions.end() ||
+        !std::exchange(it->second.waits_for_adapter, false))
         return;
-    it->second.since = now;
-    it->second.backlog_tokens = waiting_tokens() + it->second.prompt_tokens;
-    it->second.waits = true;
+    admission& a = it->second;
+    a.since = now;
+    a.backlog_tokens = waiting_tokens() + a.prompt_tokens;
+    a.waits = a.objective > duration::zero();
 }
 
 void engine_gate::learn_prompt_rate(const admission& a, duration time)
--- a/src/lovagegate/pace/engine_gate.hpp
+++ b/src/lovagegate/pace/engine_gate.hpp
@@ -143,6 +143,7 @@
         /// Prompt tokens that waited at the engine after this request came.
         std::uint64_t backlog_tokens = 0;
         bool waits = false; ///< at the engine, for its first event
+        bool waits_for_adapter = false;
     };
 
     struct holder
--- a/tests/pace/engine_gate_test.cpp
+++ b/tests/pace/engine_gate_test.cpp
@@ -233,6 +233,7 @@
     r.gate.on_sent("10.0.0.1", 1, r.now);
     CHECK(r.gate.unbegun() == 1);
     r.gate.on_begun("10.0.0.1", 1, 70ms, usual, r.now);
+    r.gate.on_sent("10.0.0.1", 1, r.now); // the datagram came twice
     CHECK(r.gate.unbegun() == 0);
     CHECK(r.gate.window() == 7);
 }
