--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -668,6 +668,7 @@
                          std::uint64_t{facts_.prompt_tokens} +
                              facts_.output_tokens);
     permit_.on_sent(now.mono);
+    admission_.on_sent();
     if (!adapter_.empty())
         context_.adapters.begin_use(target, adapter_);
     if (sends_ == 1)
--- a/src/lovagegate/pace/engine_gate.cpp
+++ b/src/lovagegate/pace/engine_gate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 #include <vector>
 
 namespace lovagegate::pace {
@@ -100,16 +101,34 @@
         request.must_run || (out.open < most && fits_window(request));
     if (!out.admitted)
         return out;
-    const bool waits = request.objective > duration::zero();
+    const bool waits =
+        request.objective > duration::zero() && !request.waits_for_adapter;
     const std::uint64_t backlog = waiting_tokens() + request.prompt_tokens;
     holder& h = holders_[address];
     h.heard = now;
-    h.admissions.emplace(request.number,
-                         admission{request.prompt_tokens, request.objective,
-                                   now, backlog, waits});
+    h.admissions.emplace(
+        request.number, admission{request.prompt_tokens, request.objective, now,
+                                  backlog, waits, request.waits_for_adapter});
     return out;
 }
 
+void engine_gate::on_sent(const std::string& address, std::uint64_t number,
+                          time_point now)
+{
+    const auto h = holders_.find(address);
+    if (h == holders_.end())
+        return;
+    h->second.heard = now;
+    const auto it = h->second.admissions.find(number);
+    if (it == h->second.admissions.end() ||
+        !std::exchange(it->second.waits_for_adapter, false))
+        return;
+    admission& a = it->second;
+    a.since = now;
+    a.backlog_tokens = waiting_tokens() + a.prompt_tokens;
+    a.waits = a.objective > duration::zero();
+}
+
 void engine_gate::learn_prompt_rate(const admission& a, duration time)
 {
     if (time <= duration::zero() || a.backlog_tokens == 0)
