Keep an instance whose seeds are down from ordering beside owners

Until then it orders an engine only after the engine's reports have shown no order of others for a lease (ownership::order_watch), 5 s after its start at the earliest; names the number of orders in each order; and gives the engine up at the first foreign order. It reads its settings each 0.5 s meanwhile. A heartbeat tells whether its sender has found the others; datagrams of earlier versions count as from one that has.

In engine_ownership_test the harness counts accepted orders, and its cut takes a set of addresses; no check of the existing cases changed.

--- a/src/lovagegate/gateway/adapter_coordinator.cpp
+++ b/src/lovagegate/gateway/adapter_coordinator.cpp
@@ -418,10 +418,15 @@
             owned_engines_.erase(it); // a restarted engine holds no adapters
             it = owned_engines_.end();
         }
-        if (it != owned_engines_.end())
+        if (it != owned_engines_.end()) {
+            it->second.planner.set_others_may_order(
+                !state_.ownership.is_established());
             continue;
+        }
         it = owned_engines_.try_emplace(id, id, *s->engine).first;
         it->second.started_ms = t->entry.started_ms;
+        it->second.planner.set_others_may_order(
+            !state_.ownership.is_established());
         it->second.planner.add_cached_adapters(
             state_.placements.cached_adapters(id));
         for (const auto& [name, known] : state_.releases.all())
@@ -435,16 +440,65 @@
     const target_state* t = state_.targets.find(id);
     if (e.report || now < e.next_report || t == nullptr)
         return;
+    e.report = request_report(
+        *t, [this, id](const short_call::result& r) { on_report(id, r); });
+}
+
+std::unique_ptr<short_call>
+adapter_coordinator::request_report(const target_state& t,
+                                    short_call::done_handler done)
+{
     target_request request;
-    request.target = id;
-    request.address = t->entry.address;
-    request.head =
-        platform_wire::write_report_head(to_string(t->entry.address), id);
+    request.target = t.entry.id;
+    request.address = t.entry.address;
+    request.head = platform_wire::write_report_head(to_string(t.entry.address),
+                                                    t.entry.id);
     state_.counts.add("engine_reports_asked");
-    e.report = std::make_unique<short_call>(
-        loop_, pool_, request, connection_limit(t->entry.service), call_timeout,
-        max_report_bytes,
-        [this, id](const short_call::result& r) { on_report(id, r); });
+    return std::make_unique<short_call>(
+        loop_, pool_, request, connection_limit(t.entry.service), call_timeout,
+        max_report_bytes, std::move(done));
+}
+
+void adapter_coordinator::watch_engines(time_point now)
+{
+    const auto& wanted = state_.ownership.watched();
+    std::erase_if(watched_engines_,
+                  [&](const auto& w) { return !wanted.contains(w.first); });
+    for (const auto& id : wanted) {
+        const target_state* t = state_.targets.find(id);
+        watched_engine& w = watched_engines_[id];
+        if (t == nullptr || w.report || now < w.next_report)
+            continue;
+        w.next_report = now + report_interval;
+        w.report = request_report(*t, [this, id, started = t->entry.started_ms](
+                                          const short_call::result& r) {
+            on_watched_report(id, started, r);
+        });
+    }
+}
+
+void adapter_coordinator::on_watched_report(const std::string& id,
+                                            std::int64_t started_ms,
+                                            const short_call::result& r)
+{
+    constexpr int ok = 200;
+    // Deferred, since the call that runs this handler must not destroy itself.
+    loop_.call_later(duration::zero(), [this, id] {
+        const auto kept = watched_engines_.find(id);
+        if (kept != watched_engines_.end())
+            kept->second.report.reset();
+    });
+    if (r.status != ok) {
+        state_.counts.add("engine_reports_failed");
+        return;
+    }
+    try {
+        state_.ownership.on_report(id, started_ms,
+                                   platform_wire::parse_report(r.body).sequence,
+                                   net::event_loop::now());
+    } catch (const platform_wire::published_error&) {
+        state_.counts.add("engine_reports_malformed");
+    }
 }
 
 void adapter_coordinator::on_report(const std::string& id,
@@ -471,7 +525,13 @@
         return;
     }
     try {
-        e.planner.on_report(platform_wire::parse_report(r.body), now);
+        const engine_report report = platform_wire::parse_report(r.body);
+        if (const auto given_up = state_.ownership.on_report(
+                id, e.started_ms, report.sequence, net::event_loop::now())) {
+            log_change(*given_up);
+            return;
+        }
+        e.planner.on_report(report, now);
     } catch (const platform_wire::published_error& error) {
         state_.counts.add("engine_reports_malformed");
         logging::write(logging::level::warning, "engine_report_malformed",
@@ -571,6 +631,10 @@
             kept->second.orders.erase(number);
     });
     it->second.planner.on_order_done(order, outcome, now.mono);
+    if (outcome != order_outcome::accepted &&
+        outcome != order_outcome::unknown &&
+        (order.load || outcome != order_outcome::already))
+        state_.ownership.on_order_failed(id);
     if (outcome == order_outcome::stale_token) {
         state_.ownership.on_token_refused(id, now);
         return;
@@ -588,6 +652,7 @@
         poll_report(id, e, now.mono);
         process_engine(id, e, now.mono);
     }
+    watch_engines(now.mono);
     tick_requests(now.mono);
 }
 
--- a/src/lovagegate/gateway/adapter_coordinator.hpp
+++ b/src/lovagegate/gateway/adapter_coordinator.hpp
@@ -134,6 +134,12 @@
     };
 
     void update_owned_engines(instant now);
+    /// Polls engines whose orders by others this instance must know of.
+    void watch_engines(time_point now);
+    void on_watched_report(const std::string& id, std::int64_t started_ms,
+                           const short_call::result& r);
+    [[nodiscard]] std::unique_ptr<short_call>
+    request_report(const target_state& t, short_call::done_handler done);
     void poll_report(const std::string& id, owned_engine& e, time_point now);
     void on_report(const std::string& id, const short_call::result& r);
     void process_engine(const std::string& id, owned_engine& e, time_point now);
@@ -171,6 +177,13 @@
     target_pool& pool_;
     peer_sender send_;
     std::map<std::string, owned_engine> owned_engines_;
+    struct watched_engine
+    {
+        std::unique_ptr<short_call> report;
+        time_point next_report{};
+    };
+    /// Engines that this instance doesn't own, see engine_ownership::watched().
+    std::map<std::string, watched_engine> watched_engines_;
     std::map<std::uint64_t, pending_request> pending_requests_;
     std::map<std::string, engine_use> uses_;
     bool use_flush_scheduled_ = false;
--- a/src/lovagegate/gateway/adapter_planner.cpp
+++ b/src/lovagegate/gateway/adapter_planner.cpp
@@ -235,7 +235,7 @@
 void adapter_planner::on_report(const engine_report& report, time_point now)
 {
     report_ = report;
-    if (!first_order_accepted_ && !first_order_pending_ &&
+    if (names_numbers() && !first_order_pending_ &&
         (sequence_uncertain_ || report.sequence >= order_sequence_))
         discard_unreported_state(report);
     add_reported_adapters(report, now);
@@ -511,7 +511,7 @@
 
 bool adapter_planner::may_order_more(const std::vector<engine_order>& out) const
 {
-    return first_order_accepted_ || out.empty();
+    return !names_numbers() || out.empty();
 }
 
 std::vector<engine_order> adapter_planner::plan(time_point now)
@@ -520,7 +520,7 @@
     if (!reported_ || first_order_pending_ || now < no_orders_until_)
         return out;
     plan_orders(now, out);
-    if (!first_order_accepted_ && !out.empty()) {
+    if (names_numbers() && !out.empty()) {
         out.front().expect = order_sequence_;
         first_order_pending_ = true;
     }
@@ -553,12 +553,13 @@
     first_order_pending_ = false;
     first_order_accepted_ =
         first_order_accepted_ || outcome == order_outcome::accepted;
-    if (first_order_accepted_)
+    if (!names_numbers())
         return;
     // The unload of an idle adapter takes effect at once and counts as an
     // order.
-    if (outcome == order_outcome::already && !order.load)
-        ++order_sequence_;
+    if (outcome == order_outcome::accepted ||
+        (outcome == order_outcome::already && !order.load))
+        order_sequence_ = std::max(order_sequence_, *order.expect + 1);
     // Another owner's order arrived first, or this one may have been accepted.
     sequence_uncertain_ = outcome == order_outcome::engine_busy ||
                           outcome == order_outcome::unknown;
--- a/src/lovagegate/gateway/adapter_planner.hpp
+++ b/src/lovagegate/gateway/adapter_planner.hpp
@@ -57,6 +57,11 @@
     /// @param spec configuration of the engine
     adapter_planner(std::string id, engine_spec spec);
 
+    /// Sets whether each order names the number of orders that the engine must
+    /// have accepted, not only those before the first accepted one, because
+    /// other instances may send orders, too.
+    void set_others_may_order(bool others) { others_may_order_ = others; }
+
     void set_spec(engine_spec spec) { spec_ = std::move(spec); }
 
     /// Adds adapters that were resident before this instance owned the engine;
@@ -195,6 +200,11 @@
     [[nodiscard]] const model_spec*
     find_model_spec(std::string_view model) const;
     [[nodiscard]] std::uint64_t newest(const std::string& name) const;
+    /// @return whether orders are sent one at a time and with the number
+    [[nodiscard]] bool names_numbers() const
+    {
+        return others_may_order_ || !first_order_accepted_;
+    }
     [[nodiscard]] bool
     may_order_more(const std::vector<engine_order>& out) const;
     void record_first_outcome(const engine_order& order, order_outcome outcome);
@@ -203,6 +213,7 @@
     engine_spec spec_;
     engine_report report_;
     bool reported_ = false;
+    bool others_may_order_ = false;
     /// The engine has accepted an order that was planned for its current state.
     /// From then on its fencing token, or the lease, excludes orders of other
     /// instances.
--- a/src/lovagegate/gateway/engine_ownership.cpp
+++ b/src/lovagegate/gateway/engine_ownership.cpp
@@ -3,6 +3,7 @@
 #include "lovagegate/core/hash.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace lovagegate::gateway {
 
@@ -18,6 +19,12 @@
 /// After a start, the members of a small fleet learn of each other and of each
 /// other's claims within four heartbeats.
 constexpr duration membership_settle_time = 1600ms;
+/// Time after a start in which an instance whose seeds are down finds the
+/// others: the platform names seeds that live within 3 s, the settings are read
+/// again each 0.5 s, and meeting takes three heartbeats, one of which is lost.
+constexpr duration contact_timeout = 5s;
+/// Instances that find the others at once need no reports of engines.
+constexpr duration watch_delay = 1500ms;
 /// Low bits of a token, derived from the address of the instance.
 constexpr unsigned instance_bits = 10;
 /// Added to a refused token; larger than the clock skew between instances.
@@ -50,8 +57,10 @@
 } // namespace
 
 engine_ownership::engine_ownership(duration lease, start_kind start,
-                                   time_point now)
-    : lease_(lease), earliest_order_(now), earliest_order_if_unmet_(now)
+                                   time_point now, bool engines_check_tokens)
+    : lease_(lease), start_(now), engines_check_tokens_(engines_check_tokens),
+      contact_(start == start_kind::first), earliest_order_(now),
+      earliest_order_if_unmet_(now)
 {
     if (start == start_kind::first)
         return;
@@ -71,6 +80,38 @@
 {
     if (const auto it = owned_.find(engine); it != owned_.end())
         it->second.last_order = now;
+    orders_.on_order_sent(engine, now);
+}
+
+void engine_ownership::on_order_failed(std::string_view engine)
+{
+    orders_.on_order_failed(engine);
+}
+
+std::optional<engine_ownership::change>
+engine_ownership::on_report(std::string_view engine, std::int64_t run,
+                            std::uint64_t sequence, instant now)
+{
+    const bool foreign = orders_.on_report(engine, run, sequence, now.mono);
+    const auto mine = owned_.find(engine);
+    if (!foreign || mine == owned_.end())
+        return std::nullopt;
+    if (contact_.is_established()) {
+        // Where engines check tokens, they decide. Else the other instance may
+        // have a higher token, and gives up the engine at the next order.
+        if (engines_check_tokens_)
+            return std::nullopt;
+        auto& highest = highest_token_[std::string(engine)];
+        highest = std::max(highest, mine->second.token) + refused_token_step;
+        mine->second.token = next_token(own_address_, engine, now);
+        highest = mine->second.token;
+        return std::nullopt;
+    }
+    const change out{std::string(engine), false,
+                     "it accepts orders of another instance",
+                     mine->second.token};
+    owned_.erase(mine);
+    return out;
 }
 
 fencing_token engine_ownership::next_token(std::string_view address,
@@ -148,9 +189,7 @@
         candidate_since_.erase(engine);
         if (mine == owned_.end())
             return false;
-        const bool keep = mine->second.token > c->token ||
-                          (mine->second.token == c->token && self < address);
-        if (keep)
+        if (settle_conflict(engine, mine->second, members, m.record, *c, now))
             continue;
         out.push_back({engine, false, "claimed by " + address, c->token});
         owned_.erase(mine);
@@ -163,38 +202,95 @@
         return false;
     }
     const auto [since, added] = candidate_since_.emplace(engine, now.mono);
-    const auto foreign = last_foreign_order_.find(engine);
-    time_point available_from = earliest_order_;
-    if (now.mono < earliest_order_if_unmet_ &&
-        !members.all_members_known(now.mono))
-        available_from = earliest_order_if_unmet_;
-    if (foreign != last_foreign_order_.end())
-        available_from = std::max(available_from,
-                                  foreign->second + lease_ + max_order_delay);
-    if (now.mono < available_from ||
+    const bool provisional = !contact_.is_established();
+    if (provisional)
+        watch(engine, now.mono);
+    const auto available = available_from(members, engine, now.mono);
+    if (!available || now.mono < *available ||
         now.mono - since->second < candidate_settle_time)
         return false;
     const auto token = next_token(self, engine, now);
     owned_.emplace(engine, owned{token, now.mono});
     highest_token_[engine] = token;
     candidate_since_.erase(engine);
-    out.push_back({engine, true, "no live member claims it", token});
+    out.push_back({engine, true,
+                   provisional ? "the engine accepts no orders of others"
+                               : "no live member claims it",
+                   token});
     return true;
 }
 
+std::optional<time_point>
+engine_ownership::available_from(const member_table& members,
+                                 std::string_view engine, time_point now) const
+{
+    time_point from = earliest_order_;
+    if (now < earliest_order_if_unmet_ && !members.all_members_known(now))
+        from = earliest_order_if_unmet_;
+    const auto claimed = last_foreign_order_.find(engine);
+    if (claimed != last_foreign_order_.end())
+        from = std::max(from, claimed->second + lease_ + max_order_delay);
+    if (contact_.is_established())
+        return from;
+    const auto seen = orders_.last_foreign_order(engine);
+    if (!seen)
+        return std::nullopt;
+    return std::max(
+        {from, start_ + contact_timeout, *seen + lease_ + max_order_delay});
+}
+
+bool engine_ownership::settle_conflict(const std::string& engine, owned& mine,
+                                       const member_table& members,
+                                       const member_record& other,
+                                       const engine_claim& c, instant now)
+{
+    const auto& self = members.self().address;
+    if (contact_.is_established() && !other.established) {
+        // The other one gives the engine up as soon as it hears this one. It
+        // may have sent orders, and later ones need a higher token.
+        if (mine.token <= c.token) {
+            mine.token = next_token(self, engine, now);
+            highest_token_[engine] = mine.token;
+        }
+        return true;
+    }
+    if (!contact_.is_established() && other.established)
+        return false;
+    return mine.token > c.token ||
+           (mine.token == c.token && self < other.address);
+}
+
 std::vector<engine_ownership::change>
-engine_ownership::update(const member_table& members,
+engine_ownership::update(member_table& members,
                          std::span<const std::string> engines, instant now)
 {
     std::vector<change> out;
+    watched_.clear();
+    own_address_ = members.self().address;
     record_claims(members, now.mono);
+    if (contact_.update(members, now.mono) &&
+        now.mono - start_ >= watch_delay) {
+        // The others may have owners for all engines, whose claims arrive as
+        // after a start. If they don't, the engines are taken again.
+        earliest_order_ =
+            std::max(earliest_order_, now.mono + membership_settle_time);
+        for (const auto& [engine, o] : owned_)
+            out.push_back({engine, false, "found by other instances", o.token});
+        owned_.clear();
+        candidate_since_.clear();
+    }
+    const auto alive = members.alive(now.mono);
     if (members.self().leaving || !members.has_majority(now.mono)) {
-        out = drop_all(members.self().leaving ? "stopping"
-                                              : "no majority of live members",
-                       now.mono);
+        const auto dropped = drop_all(
+            members.self().leaving ? "stopping" : "no majority of live members",
+            now.mono);
+        out.insert(out.end(), dropped.begin(), dropped.end());
+        // So that the engines can be taken once the others count as gone.
+        for (const auto& engine : engines)
+            if (best_candidate(engine, alive) == members.self().address)
+                watch(engine, now.mono);
         return out;
     }
-    const auto alive = members.alive(now.mono);
     for (const auto& engine : engines)
         update_engine(members, engine, alive, now, out);
     // Gives up engines that are no longer listed.
@@ -207,6 +303,12 @@
     return out;
 }
 
+void engine_ownership::watch(const std::string& engine, time_point now)
+{
+    if (now - start_ >= watch_delay)
+        watched_.insert(engine);
+}
+
 std::vector<engine_ownership::change>
 engine_ownership::drop_all(const std::string& reason, time_point now)
 {
--- a/src/lovagegate/gateway/engine_ownership.hpp
+++ b/src/lovagegate/gateway/engine_ownership.hpp
@@ -4,10 +4,13 @@
 #include "lovagegate/core/identifiers.hpp"
 #include "lovagegate/core/time.hpp"
 #include "lovagegate/gateway/member_table.hpp"
+#include "lovagegate/ownership/fleet_contact.hpp"
+#include "lovagegate/ownership/order_watch.hpp"
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -19,6 +22,12 @@
 /// it orders. An owner keeps its engines while it runs. When its heartbeats
 /// stop, another instance takes over after one lease, by which time a
 /// partitioned owner has detected the partition and stopped.
+///
+/// An instance that hasn't found the others (see ownership::fleet_contact) may
+/// serve beside owners that it doesn't know. It takes an engine provisionally,
+/// once the engine has accepted no orders of others for a lease, names the
+/// number of accepted orders in each order, and gives the engine up as soon as
+/// that number shows an order of another instance.
 class engine_ownership
 {
 public:
@@ -32,7 +41,9 @@
     };
 
     /// @param lease minimum time between orders of two instances to one engine
-    engine_ownership(duration lease, start_kind start, time_point now);
+    /// @param engines_check_tokens whether engines refuse lower tokens
+    engine_ownership(duration lease, start_kind start, time_point now,
+                     bool engines_check_tokens = true);
 
     /// An engine that this instance owns.
     struct owned
@@ -52,7 +63,7 @@
 
     /// Updates the ownership from the members' claims.
     /// @param engines ids of all listed engines
-    std::vector<change> update(const member_table& members,
+    std::vector<change> update(member_table& members,
                                std::span<const std::string> engines,
                                instant now);
 
@@ -64,6 +75,33 @@
 
     void on_ordered(std::string_view engine, time_point now);
 
+    /// Called when an order was certainly not accepted.
+    void on_order_failed(std::string_view engine);
+
+    /// Called for each report of an engine, before orders are planned from it.
+    /// @param run start of the engine
+    /// @param sequence number of orders that it has accepted
+    /// If others give orders to an owned engine, an instance that hasn't found
+    /// the others gives it up, and one that has raises its token if engines
+    /// check none.
+    /// @return the change, if this gives up the engine
+    std::optional<change> on_report(std::string_view engine, std::int64_t run,
+                                    std::uint64_t sequence, instant now);
+
+    /// @return engines whose reports are needed to tell whether others give
+    ///         orders to them
+    [[nodiscard]] const std::set<std::string, std::less<>>&
+    watched() const noexcept
+    {
+        return watched_;
+    }
+
+    /// @return whether this instance has found the deployment's other instances
+    [[nodiscard]] bool is_established() const noexcept
+    {
+        return contact_.is_established();
+    }
+
     /// Called when an engine refuses a token because it has seen a higher one.
     void on_token_refused(std::string_view engine, instant now);
 
@@ -83,11 +121,29 @@
                                            std::string_view engine,
                                            instant now) const;
     void record_claims(const member_table& members, time_point now);
+    void watch(const std::string& engine, time_point now);
+    /// Decides between this owner and a live member that claims the engine.
+    /// @return whether this instance keeps the engine
+    bool settle_conflict(const std::string& engine, owned& mine,
+                         const member_table& members,
+                         const member_record& other, const engine_claim& c,
+                         instant now);
+    /// @return time from which an engine without a known owner may be taken;
+    ///         nothing while that is unknown
+    [[nodiscard]] std::optional<time_point>
+    available_from(const member_table& members, std::string_view engine,
+                   time_point now) const;
     bool update_engine(const member_table& members, const std::string& engine,
                        std::span<const std::string> alive, instant now,
                        std::vector<change>& out);
 
     duration lease_;
+    time_point start_;
+    bool engines_check_tokens_;
+    std::string own_address_;
+    ownership::fleet_contact contact_;
+    ownership::order_watch orders_;
+    std::set<std::string, std::less<>> watched_;
     std::map<std::string, owned, std::less<>> owned_;
     /// Latest time at which another instance may have sent an order, by engine.
     std::map<std::string, time_point, std::less<>> last_foreign_order_;
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -26,6 +26,9 @@
 constexpr duration member_learning_time = 2s;
 /// Interval for checking the time limits of connections.
 constexpr duration connection_check_interval = 250ms;
+/// Interval at which an instance that hasn't found the others reads its
+/// settings again.
+constexpr duration seed_update_interval = 500ms;
 /// After a pause of the process of this length, the leases on its engines may
 /// have expired.
 constexpr duration max_process_pause = 1s;
@@ -86,7 +89,8 @@
             target_directory(boot.drain_after_notice),
             member_table(boot.address, make_incarnation(),
                          addresses(boot.seeds), random()),
-            engine_ownership(boot.lease, kind_of_start(boot), now),
+            engine_ownership(boot.lease, kind_of_start(boot), now,
+                             boot.engines_check_fencing),
             placement(boot.failure_domain, random()),
             retry_budget(boot.retry_ratio, boot.retry_slack, boot.retry_window,
                          boot.first_start ? now : now + boot.retry_window),
@@ -210,6 +214,7 @@
     run_every(tick_interval, [this] { tick(); });
     run_every(connection_check_interval, [this] { check_connections(); });
     run_every(member_settings{}.interval, [this] { send_heartbeats(); });
+    run_every(seed_update_interval, [this] { update_seeds(); });
 }
 
 gateway_daemon::~gateway_daemon()
@@ -286,6 +291,24 @@
     }
 }
 
+void gateway_daemon::update_seeds()
+{
+    if (state_.stopping || state_.ownership.is_established())
+        return;
+    try {
+        const auto seeds = read_settings_().seeds;
+        if (addresses(seeds) == state_.members.seeds())
+            return;
+        state_.boot.seeds = seeds;
+        state_.members.set_seeds(addresses(seeds));
+        logging::write(logging::level::info, "seeds_changed",
+                       {{"seeds", std::uint64_t{seeds.size()}}});
+    } catch (const std::exception&) {
+        // The file may be in the middle of a change.
+        state_.counts.add("settings_unreadable");
+    }
+}
+
 void gateway_daemon::begin_stop()
 {
     const instant now = net::event_loop::now();
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -101,6 +101,10 @@
     /// @return the open requests; each removes itself from the map when it ends
     [[nodiscard]] std::vector<forwarding*> open_requests() const;
     void do_reload();
+    /// Takes the seeds of the settings if they have changed. The platform
+    /// rewrites them without a signal, and an instance whose seeds are down
+    /// finds the others only by new ones.
+    void update_seeds();
     void run_every(duration interval, std::function<void()> fn);
     [[nodiscard]] std::unique_ptr<net::http_server>
     make_page_server(const std::string& address, std::uint16_t port);
--- a/src/lovagegate/gateway/member_table.cpp
+++ b/src/lovagegate/gateway/member_table.cpp
@@ -118,18 +118,19 @@
     return hears_seed && known > 1;
 }
 
+std::size_t member_table::known(time_point now) const
+{
+    return static_cast<std::size_t>(
+        1 + std::ranges::count_if(members_, [&](const auto& entry) {
+            const member& m = entry.second;
+            return !m.record.leaving &&
+                   now - m.last_heard <= settings_.silent_member_ttl;
+        }));
+}
+
 bool member_table::has_majority(time_point now) const
 {
-    std::size_t heard = 1;
-    std::size_t known = 1;
-    for (const auto& [address, m] : members_) {
-        if (m.record.leaving ||
-            now - m.last_heard > settings_.silent_member_ttl)
-            continue;
-        ++known;
-        heard += is_alive(m, now) ? 1U : 0U;
-    }
-    return 2 * heard > known;
+    return 2 * count(now) > known(now);
 }
 
 void member_table::add_records(outgoing& out, member_list from,
--- a/src/lovagegate/gateway/member_table.hpp
+++ b/src/lovagegate/gateway/member_table.hpp
@@ -74,6 +74,11 @@
         seeds_ = std::move(seeds);
     }
 
+    [[nodiscard]] const std::vector<std::string>& seeds() const noexcept
+    {
+        return seeds_;
+    }
+
     /// The record that this instance sends about itself.
     member_record& self() noexcept { return self_; }
     [[nodiscard]] const member_record& self() const noexcept { return self_; }
@@ -127,6 +132,10 @@
     /// @return number of live members, including this one
     [[nodiscard]] std::size_t count(time_point now) const;
 
+    /// @return number of members that count for the majority, including this
+    ///         one: those alive, and those that were recently
+    [[nodiscard]] std::size_t known(time_point now) const;
+
     [[nodiscard]] const std::map<std::string, member, std::less<>>&
     all() const noexcept
     {
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -36,11 +36,11 @@
     json claims = json::array();
     for (const auto& c : m.claims)
         claims.push_back(write(c));
-    return json::array({m.address, m.start, m.beat, m.leaving, m.config_version,
-                        m.operator_revision.number, m.target_revision.number,
-                        m.store_silent, m.failure_domain, m.members,
-                        m.claims_omitted, std::move(claims),
-                        m.operator_revision.era, m.target_revision.era});
+    return json::array(
+        {m.address, m.start, m.beat, m.leaving, m.config_version,
+         m.operator_revision.number, m.target_revision.number, m.store_silent,
+         m.failure_domain, m.members, m.claims_omitted, std::move(claims),
+         m.operator_revision.era, m.target_revision.era, m.established});
 }
 
 json write(const heartbeat& m)
@@ -174,6 +174,9 @@
     m.claims_omitted = j.at(10).get<bool>();
     for (const json& c : j.at(11))
         m.claims.push_back(read_claim(c));
+    constexpr std::size_t established_position = 14;
+    m.established = j.size() <= established_position ||
+                    j.at(established_position).get<bool>();
     return m;
 }
 
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -53,6 +53,10 @@
     /// Whether the claims are omitted; the receiver keeps those it has.
     bool claims_omitted = false;
     std::vector<engine_claim> claims;
+    /// Whether the instance has found the deployment's other instances; see
+    /// ownership::fleet_contact. Earlier versions don't tell; they count as
+    /// having found them.
+    bool established = false;
 };
 
 /// Sent periodically by each instance.
--- a/tests/gateway/adapter_planner_test.cpp
+++ b/tests/gateway/adapter_planner_test.cpp
@@ -530,3 +530,28 @@
     REQUIRE(orders.size() == 1);
     CHECK(orders.front().adapter == "a2");
 }
+
+TEST_CASE("while others may order, each order names the number that it was "
+          "planned for, and waits for the answer to the last one",
+          "[gateway]")
+{
+    // Orders without the number were carried out in turn with those of an owner
+    // that this one didn't know.
+    adapter_planner planner("e1", small_engine(4));
+    planner.set_others_may_order(true);
+    time_point now{10s};
+    auto report = report_with({});
+    report.sequence = 7;
+    planner.on_report(report, now);
+    for (const char* name : {"a", "b"})
+        CHECK(planner.require_adapter(adapter(name), now) ==
+              adapter_status::loading);
+    const auto first = planner.plan(now);
+    REQUIRE(first.size() == 1);
+    CHECK(first.front().expect == 7U);
+    CHECK(planner.plan(now).empty());
+    planner.on_order_done(first.front(), order_outcome::accepted, now);
+    const auto second = planner.plan(now);
+    REQUIRE(second.size() == 1);
+    CHECK(second.front().expect == 8U);
+}
--- a/tests/gateway/engine_ownership_test.cpp
+++ b/tests/gateway/engine_ownership_test.cpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 using namespace lovagegate;
 using namespace lovagegate::gateway;
@@ -25,12 +26,12 @@
 
     using start_kind = engine_ownership::start_kind;
 
-    void start(const std::string& address, start_kind kind)
+    void start(const std::string& address, start_kind kind,
+               std::vector<std::string> seeds = {"10.0.0.1", "10.0.0.2"})
     {
-        auto seeds = std::vector<std::string>{"10.0.0.1", "10.0.0.2"};
         nodes_[address] = std::make_unique<node>(
             node{member_table(address, ++starts_, seeds, starts_),
-                 engine_ownership(lease, kind, now_)});
+                 engine_ownership(lease, kind, now_, false)});
     }
 
     void kill(const std::string& address) { nodes_.erase(address); }
@@ -43,13 +44,20 @@
         n.ownership.drop_all("stopping", now_);
     }
 
-    /// @param cut address that is partitioned from all others
-    void run(duration time, const std::string& cut = {})
+    void set_seeds(const std::string& address, std::vector<std::string> seeds)
+    {
+        nodes_.at(address)->members.set_seeds(std::move(seeds));
+    }
+
+    /// @param cut addresses that are partitioned from all others
+    void run(duration time, const std::set<std::string>& cut = {})
     {
         const time_point until = now_ + time;
         for (; now_ < until; now_ += step) {
             if ((now_.time_since_epoch() / step) % 4 == 0)
                 beat(cut);
+            for (auto& [id, e] : engine_states_)
+                e.reported_sequence = e.sequence;
             for (auto& [address, n] : nodes_)
                 update(*n, address);
         }
@@ -65,6 +73,11 @@
         return out;
     }
 
+    [[nodiscard]] bool is_established(const std::string& address) const
+    {
+        return nodes_.at(address)->ownership.is_established();
+    }
+
     [[nodiscard]] fencing_token token(const std::string& address) const
     {
         return nodes_.at(address)->ownership.find("e1")->token;
@@ -73,6 +86,11 @@
     /// @return shortest time between orders of two instances to one engine
     [[nodiscard]] duration shortest_turn() const { return shortest_turn_; }
     [[nodiscard]] bool tokens_grew() const { return tokens_grew_; }
+    /// @return whether an engine accepted orders of an instance, of another one
+    ///         and of the first one again within a lease
+    [[nodiscard]] bool took_turns() const { return took_turns_; }
+    /// Instances whose callers need no orders.
+    std::set<std::string> idle;
     engine_ownership& ownership(const std::string& address)
     {
         return nodes_.at(address)->ownership;
@@ -87,11 +105,13 @@
         member_table members;
         engine_ownership ownership;
     };
-    struct last_order
+    struct engine_state
     {
-        std::string by;
-        time_point at;
+        std::string last_by;
         fencing_token token = 0;
+        std::map<std::string, time_point> last_order; ///< by instance
+        std::uint64_t sequence = 0;
+        std::uint64_t reported_sequence = 0; ///< at the begin of a step
     };
 
     [[nodiscard]] wall_time wall() const
@@ -109,7 +129,7 @@
         return out;
     }
 
-    void beat(const std::string& cut)
+    void beat(const std::set<std::string>& cut)
     {
         for (auto& [address, n] : nodes_) {
             if (!n->members.self().leaving)
@@ -119,7 +139,8 @@
                     c.since_last_order += 4 * step;
             for (const auto& out : n->members.next(now_))
                 for (const auto& to : out.to)
-                    if (address != cut && to != cut && nodes_.contains(to))
+                    if (cut.contains(address) == cut.contains(to) &&
+                        nodes_.contains(to))
                         nodes_.at(to)->members.on_heartbeat(out.message,
                                                             address, now_);
         }
@@ -129,24 +150,48 @@
     {
         const instant at{now_, wall() + skew[address]};
         n.ownership.update(n.members, engines_, at);
+        for (const auto& id : engines_)
+            if (n.ownership.find(id) || n.ownership.watched().contains(id))
+                n.ownership.on_report(id, 1,
+                                      engine_states_[id].reported_sequence, at);
+        if (idle.contains(address))
+            return;
         // Every owner sends orders all the time: the worst case for a change of
         // owner.
-        for (const auto& [id, o] : n.ownership.all()) {
-            last_order& last = last_[id];
-            if (!last.by.empty() && last.by != address) {
-                shortest_turn_ = std::min(shortest_turn_, now_ - last.at);
-                tokens_grew_ = tokens_grew_ && o.token > last.token;
-            }
-            last = {address, now_, o.token};
-            n.ownership.on_ordered(id, now_);
+        for (const auto& [id, o] : n.ownership.all())
+            order(n, address, id, o.token);
+    }
+
+    void order(node& n, const std::string& address, const std::string& id,
+               fencing_token token)
+    {
+        engine_state& e = engine_states_[id];
+        n.ownership.on_ordered(id, now_);
+        if (!n.ownership.is_established() &&
+            e.sequence != e.reported_sequence) {
+            n.ownership.on_order_failed(id); // the order names the number
+            return;
         }
+        if (!e.last_by.empty() && e.last_by != address) {
+            shortest_turn_ =
+                std::min(shortest_turn_, now_ - e.last_order[e.last_by]);
+            tokens_grew_ = tokens_grew_ && token > e.token;
+            const auto before = e.last_order.find(address);
+            took_turns_ = took_turns_ || (before != e.last_order.end() &&
+                                          now_ - before->second < lease);
+        }
+        e.last_by = address;
+        e.token = token;
+        e.last_order[address] = now_;
+        ++e.sequence;
     }
 
     std::map<std::string, std::unique_ptr<node>> nodes_;
-    std::map<std::string, last_order> last_;
+    std::map<std::string, engine_state> engine_states_;
     std::vector<std::string> engines_{"e1", "e2", "e3", "e4"};
     duration shortest_turn_ = 1h;
     bool tokens_grew_ = true;
+    bool took_turns_ = false;
     std::uint64_t starts_ = 0;
     time_point now_{100s};
 };
@@ -193,7 +238,7 @@
     owners fleet(5);
     fleet.run(5s);
     const auto owner = fleet.who("e1").front();
-    fleet.run(9s, owner);
+    fleet.run(9s, {owner});
     REQUIRE(fleet.who("e1").size() == 1);
     CHECK(fleet.who("e1").front() != owner);
     fleet.run(9s);
@@ -308,3 +353,138 @@
     REQUIRE(fleet.who("e1").size() == 1);
     CHECK(fleet.token(self) > refused + 2000 * 1024);
 }
+
+TEST_CASE("an instance whose seeds are down gives no orders beside owners that "
+          "it doesn't know",
+          "[gateway]")
+{
+    // The instance knew nobody, waited for a lease and took all engines.
+    const auto kind =
+        GENERATE(owners::start_kind::fenced, owners::start_kind::unfenced);
+    owners fleet(7);
+    fleet.run(5s);
+    fleet.kill("10.0.0.1");
+    fleet.kill("10.0.0.2");
+    fleet.start("10.0.0.8", kind);
+    fleet.run(20s);
+    CHECK(fleet.shortest_turn() >= lease);
+    CHECK_FALSE(fleet.took_turns());
+    for (const char* engine : {"e1", "e2", "e3", "e4"}) {
+        REQUIRE(fleet.who(engine).size() == 1);
+        CHECK(fleet.who(engine).front() != "10.0.0.8");
+    }
+    // The platform names seeds that live.
+    fleet.set_seeds("10.0.0.8", {"10.0.0.3", "10.0.0.4"});
+    fleet.run(5s);
+    CHECK(fleet.is_established("10.0.0.8"));
+    CHECK_FALSE(fleet.took_turns());
+}
+
+TEST_CASE("two instances whose seeds name each other and are down otherwise "
+          "give no orders beside owners that they don't know",
+          "[gateway]")
+{
+    owners fleet(7);
+    fleet.run(5s);
+    fleet.kill("10.0.0.1");
+    fleet.kill("10.0.0.2");
+    fleet.start("10.0.0.8", owners::start_kind::unfenced);
+    fleet.start("10.0.0.9", owners::start_kind::unfenced,
+                {"10.0.0.1", "10.0.0.8"});
+    fleet.run(20s);
+    CHECK_FALSE(fleet.took_turns());
+    for (const char* engine : {"e1", "e2", "e3", "e4"})
+        CHECK(fleet.who(engine).size() == 1);
+}
+
+TEST_CASE("an instance that took idle engines gives them up when their owner "
+          "orders again",
+          "[gateway]")
+{
+    owners fleet(7);
+    fleet.run(5s);
+    fleet.kill("10.0.0.1");
+    fleet.kill("10.0.0.2");
+    fleet.start("10.0.0.8", owners::start_kind::unfenced);
+    fleet.run(8s); // survivors take what the lost ones owned
+    const std::set<std::string> others{"10.0.0.3", "10.0.0.4", "10.0.0.5",
+                                       "10.0.0.6", "10.0.0.7"};
+    fleet.idle = others;
+    fleet.run(8s);
+    CHECK(fleet.who("e1").size() == 2);
+    fleet.idle = {"10.0.0.8"};
+    fleet.run(300ms);
+    fleet.idle = {};
+    fleet.run(8s);
+    CHECK_FALSE(fleet.took_turns());
+    for (const char* engine : {"e1", "e2", "e3", "e4"}) {
+        REQUIRE(fleet.who(engine).size() == 1);
+        CHECK(fleet.who(engine).front() != "10.0.0.8");
+    }
+}
+
+TEST_CASE("an instance that took idle engines gives them up when it is found",
+          "[gateway]")
+{
+    owners fleet(7);
+    fleet.run(5s);
+    fleet.kill("10.0.0.1");
+    fleet.kill("10.0.0.2");
+    fleet.start("10.0.0.8", owners::start_kind::unfenced);
+    fleet.run(8s);
+    fleet.idle = {"10.0.0.3", "10.0.0.4", "10.0.0.5", "10.0.0.6", "10.0.0.7"};
+    fleet.run(8s);
+    const auto taken = fleet.token("10.0.0.8");
+    fleet.set_seeds("10.0.0.8", {"10.0.0.3", "10.0.0.4"});
+    fleet.run(3s);
+    REQUIRE(fleet.who("e1").size() == 1);
+    const auto owner = fleet.who("e1").front();
+    CHECK(owner != "10.0.0.8");
+    CHECK(fleet.token(owner) > taken); // the engine has seen the other token
+    CHECK_FALSE(fleet.took_turns());
+}
+
+TEST_CASE("an instance that is alone for good owns engines in bounded time",
+          "[gateway]")
+{
+    const auto kind =
+        GENERATE(owners::start_kind::first, owners::start_kind::fenced,
+                 owners::start_kind::unfenced);
+    owners fleet(0);
+    fleet.start("10.0.0.8", kind);
+    fleet.run(5500ms);
+    for (const char* engine : {"e1", "e2", "e3", "e4"})
+        CHECK(fleet.who(engine).size() == 1);
+}
+
+TEST_CASE(
+    "the halves of a fleet that stays cut don't give orders to one engine "
+    "in turn",
+    "[gateway]")
+{
+    // After ten seconds each half forgot the other one and took all engines.
+    owners fleet(6);
+    fleet.run(5s);
+    fleet.run(30s, {"10.0.0.4", "10.0.0.5", "10.0.0.6"});
+    CHECK_FALSE(fleet.took_turns());
+    CHECK(fleet.shortest_turn() >= lease);
+    fleet.run(8s);
+    CHECK_FALSE(fleet.took_turns());
+    for (const char* engine : {"e1", "e2", "e3", "e4"})
+        CHECK(fleet.who(engine).size() == 1);
+}
+
+TEST_CASE("the instances that are left after the loss of most own engines as "
+          "soon as the others count as gone",
+          "[gateway]")
+{
+    owners fleet(8);
+    fleet.run(5s);
+    for (const char* lost :
+         {"10.0.0.4", "10.0.0.5", "10.0.0.6", "10.0.0.7", "10.0.0.8"})
+        fleet.kill(lost);
+    fleet.run(14s);
+    for (const char* engine : {"e1", "e2", "e3", "e4"})
+        CHECK(fleet.who(engine).size() == 1);
+    CHECK(fleet.shortest_turn() >= lease);
+}
--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -15,9 +15,12 @@
               "rijeka-a", 12, true, {{"e1", 12, 13ms, 14, 15, 16, 17, 18}}};
     h.others.push_back(
         {"10.0.0.2", 1, 2, false, 3, 4, 5, false, "", 1, false, {}});
+    h.self.established = true;
     const auto back = decode(encode(h));
     REQUIRE(back);
     const auto& got = std::get<heartbeat>(*back);
+    CHECK(got.self.established);
+    CHECK_FALSE(got.others.front().established);
     CHECK(got.self.address == "10.0.0.1");
     CHECK(got.self.beat == 8);
     CHECK(got.self.leaving);
@@ -176,3 +179,20 @@
     CHECK_FALSE(decode(std::string(depth, array_of_one)));
     CHECK_FALSE(decode(std::string(depth, array_of_one) + '\x01'));
 }
+
+TEST_CASE("an instance of an earlier version counts as having found the others",
+          "[gateway]")
+{
+    // Otherwise an instance that joins it would never count as having found
+    // any, and name numbers in all orders.
+    heartbeat h;
+    h.self.address = "10.0.0.1";
+    auto message = nlohmann::json::from_cbor(encode(h));
+    auto& record = message.at(1);
+    record.erase(record.size() - 1);
+    std::string datagram;
+    nlohmann::json::to_cbor(message, datagram);
+    const auto back = decode(datagram);
+    REQUIRE(back);
+    CHECK(std::get<heartbeat>(*back).self.established);
+}
