Require a settled version of an adapter while a newer one settles

The release table kept only the newest release, so the time after which a version is required began anew with each one, and no version was required meanwhile.

Each release settles by its own time now. Engines refuse a request that names another version than they hold; until the newest release has settled, a request therefore names the version that the engine is thought to hold, if that is no older than the settled one. forwarding::send does so for every send, whoever owns the engine.

--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -486,7 +486,8 @@
     if (!facts_.model.empty())
         fields.priority = std::min(route_->rank, lowest_priority);
     if (facts_.version == 0 && !adapter_.empty())
-        fields.required_version = s.releases.newest(adapter_, true, now.mono);
+        fields.required_version = s.releases.required(
+            adapter_, s.placements.held_version(target, adapter_), now.mono);
     if (head_sent_ || !splitter_.last_id().empty())
         fields.resume_after = splitter_.last_id();
     const bool has_body = !message_.body.empty() ||
--- a/src/lovagegate/gateway/placement.cpp
+++ b/src/lovagegate/gateway/placement.cpp
@@ -306,6 +306,16 @@
     target_stats_.erase(target);
 }
 
+std::uint64_t placement::held_version(const std::string& target,
+                                      std::string_view adapter) const
+{
+    const auto b = target_stats_.find(target);
+    if (b == target_stats_.end())
+        return 0;
+    const auto a = b->second.adapters.find(adapter);
+    return a == b->second.adapters.end() ? 0 : a->second;
+}
+
 bool placement::is_resident(const std::string& target,
                             const std::string& adapter,
                             std::uint64_t version) const
--- a/src/lovagegate/gateway/placement.hpp
+++ b/src/lovagegate/gateway/placement.hpp
@@ -128,6 +128,11 @@
 
     void forget(const std::string& target);
 
+    /// @return version of the adapter that is assumed to be loaded there; 0 if
+    ///         none is, or its version is unknown
+    [[nodiscard]] std::uint64_t held_version(const std::string& target,
+                                             std::string_view adapter) const;
+
     /// @return whether the adapter is assumed to be loaded there, at least at
     ///         the version
     [[nodiscard]] bool is_resident(const std::string& target,
--- a/src/lovagegate/gateway/releases.hpp
+++ b/src/lovagegate/gateway/releases.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lovagegate::gateway {
 
@@ -25,10 +26,27 @@
     [[nodiscard]] std::uint64_t newest(std::string_view name, bool settled,
                                        time_point now) const;
 
+    /// Engines refuse a request that names another version than they hold, so a
+    /// newer one that an engine holds already is named instead of the settled.
+    /// @param name MODEL/NAME
+    /// @param held version that the engine is assumed to hold; 0: unknown
+    /// @return the version that a request sent now must run on; 0: any
+    [[nodiscard]] std::uint64_t
+    required(std::string_view name, std::uint64_t held, time_point now) const;
+
     struct known_release
     {
         adapter_release release;
         time_point since{};
+        /// Newest version that was settled when this one was published, or
+        /// before, and younger ones, the oldest first. Each settles by its own
+        /// time: successors must not put it off.
+        struct earlier_version
+        {
+            std::uint64_t version = 0;
+            time_point since{};
+        };
+        std::vector<earlier_version> earlier{};
     };
 
     [[nodiscard]] const std::map<std::string, known_release, std::less<>>&
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -358,6 +358,42 @@
     CHECK(releases.newest("m/b", false, now) == 0);
 }
 
+TEST_CASE("a version stays required while a newer one isn't settled yet",
+          "[gateway]")
+{
+    // Releases 2.9 s apart left no version required, and engines without an
+    // owner served the first one for longer than the operators allow.
+    release_table releases;
+    const time_point now{10s};
+    releases.adopt({"m", "a", 2}, now);
+    releases.adopt({"m", "a", 3}, now + 2900ms);
+    CHECK(releases.newest("m/a", true, now + 2900ms) == 0);
+    CHECK(releases.newest("m/a", true, now + 3s) == 2);
+    CHECK(releases.newest("m/a", false, now + 3s) == 3);
+    CHECK(releases.newest("m/a", true, now + 5800ms) == 2);
+    CHECK(releases.newest("m/a", true, now + 5900ms) == 3);
+    releases.adopt({"m", "a", 4}, now + 20s);
+    CHECK(releases.newest("m/a", true, now + 20s) == 3);
+}
+
+TEST_CASE(
+    "a request names the version that an engine holds unless it is too old",
+    "[gateway]")
+{
+    // Naming the settled version would make engines that have the next one
+    // refuse; naming none would let others serve the one before.
+    release_table releases;
+    const time_point now{10s};
+    releases.adopt({"m", "a", 2}, now);
+    CHECK(releases.required("m/a", 1, now) == 0);
+    releases.adopt({"m", "a", 3}, now + 4s);
+    CHECK(releases.required("m/a", 0, now + 4s) == 2);
+    CHECK(releases.required("m/a", 1, now + 4s) == 2);
+    CHECK(releases.required("m/a", 2, now + 4s) == 2);
+    CHECK(releases.required("m/a", 3, now + 4s) == 3);
+    CHECK(releases.required("m/a", 2, now + 7s) == 3);
+}
+
 TEST_CASE("the load time estimate rises faster than it falls", "[gateway]")
 {
     load_estimate loads;
