Test joins with seeds of any kind, losses and idle owners at random

30 plays on the virtual clock, with 5% of the heartbeats lost: instances go down, join with seeds that are up, down or themselves, get new seeds, and some owners are idle. No engine accepts orders in turn within a lease, and in the end each has one owner.

--- a/tests/gateway/engine_ownership_test.cpp
+++ b/tests/gateway/engine_ownership_test.cpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 
 using namespace lovagegate;
@@ -91,6 +92,7 @@
     [[nodiscard]] bool took_turns() const { return took_turns_; }
     /// Instances whose callers need no orders.
     std::set<std::string> idle;
+    unsigned lost_percent = 0; ///< of the heartbeats
     engine_ownership& ownership(const std::string& address)
     {
         return nodes_.at(address)->ownership;
@@ -139,7 +141,8 @@
                     c.since_last_order += 4 * step;
             for (const auto& out : n->members.next(now_))
                 for (const auto& to : out.to)
-                    if (cut.contains(address) == cut.contains(to) &&
+                    if (random_() % 100 >= lost_percent &&
+                        cut.contains(address) == cut.contains(to) &&
                         nodes_.contains(to))
                         nodes_.at(to)->members.on_heartbeat(out.message,
                                                             address, now_);
@@ -193,6 +196,7 @@
     bool tokens_grew_ = true;
     bool took_turns_ = false;
     std::uint64_t starts_ = 0;
+    std::mt19937 random_{1};
     time_point now_{100s};
 };
 
@@ -488,3 +492,59 @@
         CHECK(fleet.who(engine).size() == 1);
     CHECK(fleet.shortest_turn() >= lease);
 }
+
+TEST_CASE(
+    "instances that join with seeds of any kind and go down give no orders "
+    "in turn with others",
+    "[gateway]")
+{
+    constexpr unsigned plays = 30;
+    constexpr int events = 12;
+    for (unsigned play = 1; play <= plays; ++play) {
+        CAPTURE(play);
+        std::mt19937 random(play);
+        const auto any_of = [&](const std::vector<std::string>& list) {
+            return list[random() % list.size()];
+        };
+        owners fleet(7);
+        fleet.lost_percent = 5;
+        fleet.run(5s);
+        std::vector<std::string> live;
+        for (int i = 1; i <= 7; ++i)
+            live.push_back("10.0.0." + std::to_string(i));
+        auto ever = live;
+        for (int event = 0; event < events; ++event) {
+            switch (random() % 4) {
+            case 0:
+                if (live.size() > 4) {
+                    const auto lost = any_of(live);
+                    fleet.kill(lost);
+                    std::erase(live, lost);
+                }
+                break;
+            case 1:
+                ever.push_back("10.0.0." + std::to_string(ever.size() + 1));
+                live.push_back(ever.back());
+                fleet.start(ever.back(), owners::start_kind::unfenced,
+                            {any_of(ever), any_of(ever)});
+                break;
+            case 2:
+                fleet.set_seeds(any_of(live), {any_of(live), any_of(live)});
+                break;
+            default:
+                fleet.idle.clear();
+                for (const auto& address : live)
+                    if (random() % 2 == 0)
+                        fleet.idle.insert(address);
+            }
+            fleet.run((1 + random() % 80) * step);
+        }
+        REQUIRE_FALSE(fleet.took_turns());
+        for (const auto& address : live)
+            fleet.set_seeds(address, {live[0], live[1]});
+        fleet.idle.clear();
+        fleet.run(15s);
+        for (const char* engine : {"e1", "e2", "e3", "e4"})
+            REQUIRE(fleet.who(engine).size() == 1);
+    }
+}
