--- a/standins/site/dialect.cpp
+++ b/standins/site/dialect.cpp
@@ -312,13 +312,15 @@
            "\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n";
 }
 
-script report_answer(const std::string& adapters_json)
+script report_answer(const std::string& adapters_json,
+                     std::uint64_t accepted_orders)
 {
     constexpr int ok = 200;
     return at_once(whole_answer(
         ok, {"Content-Type: application/json"},
         R"({"models":[{"name":"m","version":1,"adapters":)" + adapters_json +
-            R"(}],"busy":false,"running":0,"waiting":0})"));
+            R"(}],"busy":false,"running":0,"waiting":0,"sequence":)" +
+            std::to_string(accepted_orders) + "}"));
 }
 
 bool is_signed(const net::message_head& head)
--- a/standins/site/dialect.hpp
+++ b/standins/site/dialect.hpp
@@ -173,7 +173,8 @@
 [[nodiscard]] std::string promising_head(const seen_request& r, int bytes);
 
 /// @return an engine's report
-[[nodiscard]] script report_answer(const std::string& adapters_json);
+[[nodiscard]] script report_answer(const std::string& adapters_json,
+                                   std::uint64_t accepted_orders = 0);
 
 /// @return whether an answer bears a target's signature
 [[nodiscard]] bool is_signed(const net::message_head& head);
--- a/tests/gateway/site_fixture.hpp
+++ b/tests/gateway/site_fixture.hpp
@@ -135,6 +135,7 @@
     /// Returns a port for the gateway, first callers, readiness, control, peers
     /// and metrics. If one is taken, the gateway is started with other ports.
     std::function<std::uint16_t()> next_port = free_port;
+    std::vector<settings::endpoint> seeds{};
     /// Called by the gateway's thread when it reads its settings again.
     std::function<void()> on_reload = [] {};
 };
@@ -284,6 +285,7 @@
         s.failure_domain = "z";
         s.store = {"127.0.0.1", store_port_};
         s.first_start = true;
+        s.seeds = limits_.seeds;
         s.stop_grace = limits_.stop_grace;
         s.retry_ratio = limits_.retry_ratio;
         s.retry_slack = limits_.retry_slack;
