--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -26,6 +26,9 @@
 constexpr duration member_learning_time = 2s;
 /// Interval for checking the time limits of connections.
 constexpr duration connection_check_interval = 250ms;
+/// Interval at which an instance that hasn't found the others reads its
+/// settings again.
+constexpr duration seed_update_interval = 500ms;
 /// After a pause of the process of this length, the leases on its engines may
 /// have expired.
 constexpr duration max_process_pause = 1s;
@@ -40,11 +43,6 @@
 /// this fraction of it if that is shorter.
 constexpr duration exit_margin = 400ms;
 constexpr int exit_divisor = 16;
-/// If this share of a service's entries is deleted within the window, the
-/// entries have expired rather than been removed.
-constexpr duration mass_removal_window = 1s;
-constexpr double mass_removal_share = 0.25;
-constexpr std::size_t min_mass_removals = 2;
 incarnation make_incarnation()
 {
     return static_cast<incarnation>(
@@ -83,7 +81,8 @@
             target_directory(boot.drain_after_notice),
             member_table(boot.address, make_incarnation(),
                          addresses(boot.seeds), random()),
-            engine_ownership(boot.lease, kind_of_start(boot), now),
+            engine_ownership(boot.lease, kind_of_start(boot), now,
+                             boot.engines_check_fencing),
             placement(boot.failure_domain, random()),
             retry_budget(boot.retry_ratio, boot.retry_slack, boot.retry_window,
                          boot.first_start ? now : now + boot.retry_window),
@@ -239,6 +238,7 @@
     run_every(tick_interval, [this] { tick(); });
     run_every(connection_check_interval, [this] { check_connections(); });
     run_every(member_settings{}.interval, [this] { send_heartbeats(); });
+    run_every(seed_update_interval, [this] { update_seeds(); });
 }
 
 gateway_daemon::~gateway_daemon()
@@ -315,6 +315,24 @@
     }
 }
 
+void gateway_daemon::update_seeds()
+{
+    if (state_.stopping || state_.ownership.is_established())
+        return;
+    try {
+        const auto seeds = read_settings_().seeds;
+        if (addresses(seeds) == state_.members.seeds())
+            return;
+        state_.boot.seeds = seeds;
+        state_.members.set_seeds(addresses(seeds));
+        logging::write(logging::level::info, "seeds_changed",
+                       {{"seeds", std::uint64_t{seeds.size()}}});
+    } catch (const std::exception&) {
+        // The file may be in the middle of a change.
+        state_.counts.add("settings_unreadable");
+    }
+}
+
 void gateway_daemon::begin_stop()
 {
     const instant now = net::event_loop::now();
@@ -477,19 +495,6 @@
     adapters_.on_release(*release);
 }
 
-bool gateway_daemon::record_removal(const std::string& service, time_point now)
-{
-    auto& times = removal_times_[service];
-    std::erase_if(times,
-                  [&](time_point t) { return now - t > mass_removal_window; });
-    times.push_back(now);
-    const auto listed = static_cast<double>(state_.targets.listed(service));
-    return times.size() >= min_mass_removals &&
-           static_cast<double>(times.size()) >=
-               mass_removal_share *
-                   (listed + static_cast<double>(times.size()));
-}
-
 void gateway_daemon::on_target_item(const platform_wire::store_item& item,
                                     bool in_doubt)
 {
@@ -502,15 +507,13 @@
             state_.targets.remove(id, in_doubt, now, item.revision.era);
             return;
         }
-        const bool doubt =
-            in_doubt || record_removal(known->entry.service, now);
         logging::write(logging::level::info, "target_unlisted",
                        {{"target", id},
                         {"revision", to_string(item.revision)},
-                        {"in_doubt", doubt ? "yes" : "no"}});
+                        {"in_doubt", in_doubt ? "yes" : "no"}});
         if (!in_doubt)
             record_run_end(*known);
-        state_.targets.remove(id, doubt, now, item.revision.era);
+        state_.targets.remove(id, in_doubt, now, item.revision.era);
         return;
     }
     auto entry = parse_target(item.key, item.value);
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -64,10 +64,6 @@
     /// @return number of live instances that may try blocked prompt parts
     ///         before this one
     [[nodiscard]] std::size_t trial_rank() const;
-    /// @return whether so many entries of the service were deleted within a
-    ///         short time that they have probably expired
-    [[nodiscard]] bool record_removal(const std::string& service,
-                                      time_point now);
     void accept_caller(int fd);
     void on_caller_closed(const connection_summary& facts);
     void close_callers();
@@ -101,6 +97,10 @@
     /// @return the open requests; each removes itself from the map when it ends
     [[nodiscard]] std::vector<forwarding*> open_requests() const;
     void do_reload();
+    /// Takes the seeds of the settings if they have changed. The platform
+    /// rewrites them without a signal, and an instance whose seeds are down
+    /// finds the others only by new ones.
+    void update_seeds();
     void run_every(duration interval, std::function<void()> fn);
     [[nodiscard]] std::unique_ptr<net::http_server>
     make_page_server(const std::string& address, std::uint16_t port);
@@ -133,7 +133,6 @@
     store_mirror store_;
     time_point last_tick_{};
     time_point stop_since_{};
-    std::map<std::string, std::vector<time_point>> removal_times_;
     std::atomic<bool> stop_requested_{false};
     std::atomic<bool> reload_requested_{false};
 };
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -45,11 +45,12 @@
     json claims = json::array();
     for (const auto& c : m.claims)
         claims.push_back(write(c));
-    return json::array(
-        {m.address, m.start, m.beat, m.leaving, m.config_version,
-         m.operator_revision.number, m.target_revision.number, m.store_silent,
-         m.failure_domain, m.members, m.claims_omitted, std::move(claims),
-         m.operator_revision.era, m.target_revision.era, m.cpu_permille});
+    return json::array({m.address, m.start, m.beat, m.leaving, m.config_version,
+                        m.operator_revision.number, m.target_revision.number,
+                        m.store_silent, m.failure_domain, m.members,
+                        m.claims_omitted, std::move(claims),
+                        m.operator_revision.era, m.target_revision.era,
+                        m.established, m.cpu_permille});
 }
 
 json write(const heartbeat& m)
@@ -269,7 +270,10 @@
     m.claims_omitted = j.at(10).get<bool>();
     for (const json& c : j.at(11))
         m.claims.push_back(read_claim(c));
-    constexpr std::size_t cpu_position = 14;
+    constexpr std::size_t established_position = 14;
+    m.established = j.size() <= established_position ||
+                    j.at(established_position).get<bool>();
+    constexpr std::size_t cpu_position = 15;
     if (j.size() > cpu_position) // absent in messages of earlier versions
         m.cpu_permille = j.at(cpu_position).get<std::uint32_t>();
     return m;
