Bound what a gateway process holds for its callers

Cause: bodies, heads of many short fields, pipelined requests and connections of callers were bounded for one connection at most, not for the process.

Change: callers::caller_account counts connections and all bytes held for them, within a third of limits.memoryMb, half of it for holdings above 64 KB. When it is full, requests and answers that have hardly moved for 2 s are ended first (503 with Retry-After while a request is incomplete), then connections that have been idle longest; else the newest demand is refused. Connections are limited to 5/8 of the descriptors, three quarters of that for one address. A chunk over the limit is refused when its size is read, reading stops 64 KB after a refusal, and the next pipelined request waits until the caller has read earlier answers. Deadlines bind trickling callers. Accepting pauses for 100 ms when there is no descriptor, and a connection that can't be watched is closed instead of ending the process. The addresses for readiness, control and metrics take few connections and close the one that has waited longest for a new one. Freed memory goes back to the system at most once a second.

The cost for a sound request was not measured.

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "lovagegate/core/hash.hpp"
 #include "lovagegate/logging/log.hpp"
+#include "lovagegate/net/errors.hpp"
 #include "platform/http_fields.hpp"
 #include "platform/published.hpp"
 #include "platform/words.hpp"
@@ -12,6 +13,7 @@
 #include <array>
 #include <cmath>
 #include <ctime>
+#include <unistd.h>
 #include <utility>
 
 namespace lovagegate::gateway {
@@ -45,6 +47,8 @@
 constexpr duration mass_removal_window = 1s;
 constexpr double mass_removal_share = 0.25;
 constexpr std::size_t min_mass_removals = 2;
+/// The pages for operators, checks and other instances take no bodies.
+constexpr std::size_t max_page_request_bytes = 4096;
 /// Returns a monotonic time that includes the time while the machine is
 /// suspended.
 time_point boottime_now()
@@ -131,6 +135,11 @@
                 [this] { return trial_rank(); }}),
       answer_memory_(limits_for_process(
           state_.boot.memory_mb * bytes_per_megabyte, max_event_bytes)),
+      connection_limits_(callers::limits_for_descriptors(
+          state_.boot.descriptors, callers::system_descriptor_limit())),
+      caller_account_(callers::limits_for_process(state_.boot.memory_mb *
+                                                      bytes_per_megabyte,
+                                                  connection_limits_.callers)),
       forwarding_context_{
           loop_,
           state_,
@@ -166,6 +175,7 @@
           }},
       caller_context_{
           loop_,
+          caller_account_,
           [this](const caller_ptr& c, caller_message m) {
               start_request(c, std::move(m));
           },
@@ -197,6 +207,7 @@
               on_target_item(item, in_doubt);
           })
 {
+    callers::return_large_blocks();
     ready_server_ = make_page_server(state_.boot.readiness.address,
                                      state_.boot.readiness.port);
     control_server_ =
@@ -224,6 +235,9 @@
     net::http_server_settings s;
     s.address = address;
     s.port = port;
+    s.max_connections = connection_limits_.page_server;
+    s.max_body_bytes = max_page_request_bytes;
+    s.closes_waiting_for_new = true;
     return std::make_unique<net::http_server>(
         loop_, s, [this](const net::exchange_ptr& e) { serve_page(e); });
 }
@@ -359,8 +373,20 @@
 
 void gateway_daemon::accept_caller(int fd)
 {
-    const auto c = std::make_shared<caller_connection>(caller_context_, fd);
-    callers_.emplace(c.get(), c);
+    const std::string address = net::peer_address(fd);
+    if (!caller_account_.admit(address, net::event_loop::now().mono)) {
+        state_.counts.add("caller_connections_refused", "reason", "too_many");
+        ::close(fd);
+        return;
+    }
+    try {
+        const auto c =
+            std::make_shared<caller_connection>(caller_context_, fd, address);
+        callers_.emplace(c.get(), c);
+    } catch (const net::net_error&) { // takes no more descriptors
+        state_.counts.add("caller_connections_refused", "reason",
+                          "no_descriptor");
+    }
 }
 
 void gateway_daemon::on_caller_closed(const connection_summary& facts)
@@ -717,6 +743,8 @@
         all.push_back(c);
     for (const auto& c : all)
         c->check_limits(now);
+    if (trimmer_.check(caller_account_.held_bytes(), now))
+        state_.counts.add("memory_returned_to_system");
     pool_.close_expired(now);
     control_pool_.close_expired(now);
     list_confirmed_targets(now);
@@ -771,7 +799,10 @@
     all.add("connections_to_targets_stale", pool_.counts().stale);
     all.add("log_lines_left_out", logging::lines_dropped());
     all.add("answers_of_other_requests", pool_.counts().unexpected_answers);
+    all.add("accept_pauses", listener_ ? listener_->pauses() : 0);
     const std::array gauges{
+        metrics::gauge{"caller_bytes_held",
+                       static_cast<double>(caller_account_.held_bytes())},
         metrics::gauge{"open_requests", static_cast<double>(requests_.size())},
         metrics::gauge{"answer_bytes_held",
                        static_cast<double>(answer_memory_.shared_bytes())},
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -1,6 +1,9 @@
 #ifndef LOVAGEGATE_GATEWAY_GATEWAY_DAEMON_HPP
 #define LOVAGEGATE_GATEWAY_GATEWAY_DAEMON_HPP
 
+#include "lovagegate/callers/caller_account.hpp"
+#include "lovagegate/callers/connection_limits.hpp"
+#include "lovagegate/callers/process_resources.hpp"
 #include "lovagegate/gateway/adapter_coordinator.hpp"
 #include "lovagegate/gateway/caller_connection.hpp"
 #include "lovagegate/gateway/forwarding.hpp"
@@ -117,6 +120,9 @@
     crash_reports crashes_;
     metrics::registry metrics_;
     answer_memory answer_memory_;
+    callers::connection_limits connection_limits_;
+    callers::caller_account caller_account_;
+    callers::memory_trimmer trimmer_;
     forwarding_context forwarding_context_;
     caller_context caller_context_;
     std::map<caller_connection*, caller_ptr> callers_;
--- a/src/lovagegate/net/http_message.cpp
+++ b/src/lovagegate/net/http_message.cpp
@@ -89,6 +89,7 @@
     http_parser_settings_init(&s);
     s.on_url = [](http_parser* p, const char* at, std::size_t n) {
         self(p).head_.target.append(at, n);
+        self(p).head_text_bytes_ += n;
         return 0;
     };
     s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
@@ -104,7 +105,9 @@
         return 0;
     };
     s.on_headers_complete = [](http_parser* p) { return self(p).on_headers(); };
+    s.on_chunk_header = [](http_parser* p) { return self(p).on_chunk_size(); };
     s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+        self(p).body_bytes_ += n;
         self(p).on_body_({at, n});
         return 0;
     };
@@ -124,7 +127,9 @@
     head_ = {};
     name_.clear();
     value_.clear();
-    head_bytes_ = 0;
+    head_bytes_ = head_text_bytes_ = body_bytes_ = 0;
+    max_body_bytes_ = std::numeric_limits<std::size_t>::max();
+    body_too_large_ = false;
     in_value_ = started_ = head_complete_ = complete_ = false;
     ends_with_connection_ = malformed_ = false;
     without_body_ = without_body;
@@ -142,6 +147,7 @@
     // read such a line as a different header, so it is rejected.
     if (!is_valid_value(value_) || name_.find(' ') != std::string::npos)
         malformed_ = true;
+    head_text_bytes_ += name_.size() + value_.size();
     head_.headers.push_back({std::move(name_), std::string(trimmed(value_))});
     name_.clear();
     value_.clear();
@@ -166,6 +172,13 @@
     return without_body_ ? no_body_follows : body_may_follow;
 }
 
+int message_reader::on_chunk_size()
+{
+    body_too_large_ = body_bytes_ > max_body_bytes_ ||
+                      parser_.content_length > max_body_bytes_ - body_bytes_;
+    return body_too_large_ ? 1 : 0;
+}
+
 message_reader::progress message_reader::read_some(std::string_view data)
 {
     static const http_parser_settings callbacks = make_callbacks();
@@ -186,6 +199,8 @@
     }
     if (malformed_)
         p.failure = parse_failure::malformed;
+    else if (body_too_large_)
+        p.failure = parse_failure::body_too_large;
     if (!had_head) {
         head_bytes_ += head_complete_ ? 0 : data.size();
         if (head_bytes_ > max_head_bytes_)
--- a/src/lovagegate/net/http_message.hpp
+++ b/src/lovagegate/net/http_message.hpp
@@ -45,6 +45,7 @@
     none,
     malformed,
     head_too_large,
+    body_too_large, ///< see message_reader::limit_body()
 };
 
 /// Splits a byte stream into HTTP/1.1 messages. Uses http_parser.
@@ -75,6 +76,11 @@
     /// @param without_body set for the response to a HEAD request
     void start(bool without_body = false);
 
+    /// Limits the body of the current message. A chunk that would exceed the
+    /// limit fails as soon as its size is read. To be called from on_head; what
+    /// Content-Length declares is the caller's to check.
+    void limit_body(std::size_t bytes) noexcept { max_body_bytes_ = bytes; }
+
     /// Parses bytes up to the end of the message.
     /// @param data received bytes
     /// @param on_head called once per message, with the complete head
@@ -91,6 +97,20 @@
     /// @return whether that completes the message
     bool end_of_data();
 
+    /// @return bytes of memory that the head takes, which many short fields
+    ///         make a multiple of what was received
+    [[nodiscard]] std::size_t held_bytes() const noexcept
+    {
+        return head_.headers.capacity() * sizeof(message_header) +
+               head_text_bytes_ + name_.capacity() + value_.capacity();
+    }
+
+    /// @return bytes of the body that were read, without transfer coding
+    [[nodiscard]] std::size_t body_bytes() const noexcept
+    {
+        return body_bytes_;
+    }
+
     /// @return whether bytes of a message were read since start()
     [[nodiscard]] bool started() const noexcept { return started_; }
     [[nodiscard]] bool head_complete() const noexcept { return head_complete_; }
@@ -107,6 +127,7 @@
     progress read_some(std::string_view data);
     void finish_header();
     int on_headers();
+    int on_chunk_size();
     static message_reader& self(http_parser* p);
     static http_parser_settings make_callbacks();
 
@@ -114,6 +135,9 @@
     kind kind_;
     std::size_t max_head_bytes_;
     std::size_t head_bytes_ = 0;
+    std::size_t head_text_bytes_ = 0; ///< of names, values and target
+    std::size_t body_bytes_ = 0;
+    std::size_t max_body_bytes_ = 0;
     message_head head_;
     std::string name_;
     std::string value_;
@@ -124,6 +148,7 @@
     bool complete_ = false;
     bool ends_with_connection_ = false;
     bool malformed_ = false;
+    bool body_too_large_ = false;
     std::function<void(message_head&)> on_head_;
     std::function<void(std::string_view)> on_body_;
 };
--- a/src/lovagegate/net/http_server.cpp
+++ b/src/lovagegate/net/http_server.cpp
@@ -75,10 +75,30 @@
 {
     if (connections_.size() < settings_.max_connections)
         return true;
+    // libwebsockets closes connections later, so a few more are open then.
+    const std::size_t most =
+        settings_.max_connections + settings_.max_connections / 4;
+    if (settings_.closes_waiting_for_new && connections_.size() < most &&
+        close_longest_waiting())
+        return true;
     ++counts_.refused_connections;
     return false;
 }
 
+bool http_server::close_longest_waiting() noexcept
+{
+    internal::server_connection* longest = nullptr;
+    for (auto* const c : connections_)
+        if (c->may_be_closed() &&
+            (longest == nullptr || c->waits_since() < longest->waits_since()))
+            longest = c;
+    if (longest == nullptr)
+        return false;
+    ++counts_.closed_for_new;
+    longest->abort();
+    return true;
+}
+
 std::size_t http_server::pending_answers() const noexcept
 {
     return static_cast<std::size_t>(
--- a/src/lovagegate/net/http_server.hpp
+++ b/src/lovagegate/net/http_server.hpp
@@ -26,6 +26,10 @@
     std::uint16_t port = 0;            ///< 0: any free port
     std::size_t max_body_bytes = std::size_t{1} << 20U;
     std::size_t max_connections = 4096;
+    /// At max_connections, whether the connection that has waited longest for a
+    /// request, or for its caller to read, is closed instead of a new one: then
+    /// connections that are held open don't keep others out.
+    bool closes_waiting_for_new = false;
     duration head_timeout = 10s; ///< from accepting to the complete head
     duration body_timeout = 30s; ///< from the head to the complete body
     duration idle_timeout = 60s; ///< idle time between two requests
@@ -47,6 +51,7 @@
 {
     std::uint64_t accepted = 0;
     std::uint64_t refused_connections = 0; ///< over max_connections
+    std::uint64_t closed_for_new = 0;      ///< see closes_waiting_for_new
     std::uint64_t requests = 0;
     std::uint64_t refused_requests = 0; ///< see bad_request
     /// Connections closed before their request was complete.
@@ -105,6 +110,8 @@
     friend class internal::server_connection;
     friend struct internal::server_callbacks;
     [[nodiscard]] bool admit_connection() noexcept;
+    /// @return whether a connection is closed soon
+    bool close_longest_waiting() noexcept;
     void close_disconnected();
     void schedule_disconnect_check();
 
@@ -115,6 +122,7 @@
     std::shared_ptr<internal::server_callbacks> callbacks_;
     std::set<internal::server_connection*> connections_;
     http_server_counts counts_;
+    std::uint64_t wait_count_ = 0; ///< orders the connections that wait
     timer_id disconnect_timer_ = 0;
     std::uint16_t port_ = 0;
 };
--- a/src/lovagegate/net/internal/server_connection.cpp
+++ b/src/lovagegate/net/internal/server_connection.cpp
@@ -58,6 +58,7 @@
 {
     server_.connections_.insert(this);
     ++server_.counts_.accepted;
+    waits_since_ = ++server_.wait_count_;
     receiving_request_ = true;
     set_timer(server_.settings_.head_timeout);
 }
@@ -207,11 +208,13 @@
 void server_connection::end_answer()
 {
     answer_complete_ = true;
+    waits_since_ = ++server_.wait_count_;
     lws_callback_on_writable(wsi_);
 }
 
 void server_connection::abort() noexcept
 {
+    aborted_ = true;
     lws_set_timeout(wsi_, PENDING_TIMEOUT_KILLED_BY_PARENT, LWS_TO_KILL_ASYNC);
 }
 
--- a/src/lovagegate/net/internal/server_connection.hpp
+++ b/src/lovagegate/net/internal/server_connection.hpp
@@ -48,6 +48,16 @@
     {
         return exchange_ != nullptr;
     }
+    /// @return whether nothing but the caller is waited for
+    [[nodiscard]] bool may_be_closed() const noexcept
+    {
+        return !aborted_ && (!is_answering() || answer_complete_);
+    }
+    /// @return number that rises with the time since when it waits
+    [[nodiscard]] std::uint64_t waits_since() const noexcept
+    {
+        return waits_since_;
+    }
     [[nodiscard]] lws* native() const noexcept { return wsi_; }
 
 private:
@@ -68,6 +78,8 @@
     exchange_ptr exchange_;
     std::string write_buffer_;
     std::size_t sent_bytes_ = 0;
+    std::uint64_t waits_since_ = 0;
+    bool aborted_ = false;
     bool receiving_request_ = false; ///< waiting for a complete request
     bool answer_complete_ = false;   ///< the whole response is buffered
     bool request_refused_ = false;
--- a/src/lovagegate/net/tcp_stream.cpp
+++ b/src/lovagegate/net/tcp_stream.cpp
@@ -28,6 +28,9 @@
 /// Limits the connections accepted or datagrams received per readable event, so
 /// that one socket does not starve the others.
 constexpr int max_operations_per_event = 64;
+/// A waiting connection makes the listening socket readable, so without a pause
+/// the event loop would spin while there is no descriptor to accept it.
+constexpr duration accept_pause = 100ms;
 
 sockaddr_in to_sockaddr(const settings::endpoint& e)
 {
@@ -98,6 +101,12 @@
     return std::make_unique<internal::watched_descriptor>(loop, fd, handler);
 }
 
+bool is_out_of_resources(int failure)
+{
+    return failure == EMFILE || failure == ENFILE || failure == ENOBUFS ||
+           failure == ENOMEM;
+}
+
 bool would_block(int failure)
 {
     return failure == EAGAIN || failure == EWOULDBLOCK || failure == EINTR;
@@ -196,16 +205,20 @@
     watch_->watch_readable(on);
 }
 
-std::string tcp_stream::peer_address() const
+std::string peer_address(int fd)
 {
     sockaddr_in a{};
     socklen_t size = sizeof a;
-    if (::getpeername(watch_->fd(), reinterpret_cast<sockaddr*>(&a), &size) !=
-        0)
+    if (::getpeername(fd, reinterpret_cast<sockaddr*>(&a), &size) != 0)
         return {};
     return from_sockaddr(a).address;
 }
 
+std::string tcp_stream::peer_address() const
+{
+    return net::peer_address(watch_->fd());
+}
+
 bool tcp_stream::has_unread_input() const noexcept
 {
     char byte = 0;
@@ -272,7 +285,7 @@
 
 tcp_listener::tcp_listener(event_loop& loop, const settings::endpoint& at,
                            accept_handler on_accept)
-    : on_accept_(std::move(on_accept))
+    : loop_(loop), on_accept_(std::move(on_accept))
 {
     const int fd = open_bound_socket(SOCK_STREAM, at);
     if (::listen(fd, listen_backlog) != 0) {
@@ -282,6 +295,22 @@
     watch_ = watch(loop, fd, *this);
 }
 
+tcp_listener::~tcp_listener()
+{
+    if (resume_timer_ != 0)
+        loop_.cancel(resume_timer_);
+}
+
+void tcp_listener::pause()
+{
+    ++pauses_;
+    watch_->watch_readable(false);
+    resume_timer_ = loop_.call_later(accept_pause, [this] {
+        resume_timer_ = 0;
+        watch_->watch_readable(true);
+    });
+}
+
 std::uint16_t tcp_listener::port() const
 {
     sockaddr_in a{};
@@ -295,8 +324,11 @@
     for (int i = 0; i < max_operations_per_event; ++i) {
         const int fd = ::accept4(watch_->fd(), nullptr, nullptr,
                                  SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd < 0)
+        if (fd < 0) {
+            if (is_out_of_resources(errno) && resume_timer_ == 0)
+                pause();
             return;
+        }
         on_accept_(fd);
     }
 }
--- a/src/lovagegate/net/tcp_stream.hpp
+++ b/src/lovagegate/net/tcp_stream.hpp
@@ -116,7 +116,12 @@
     ~tcp_stream();
 };
 
-/// Accepts TCP connections.
+/// @param fd a connected socket
+/// @return IP address of the peer in dotted-decimal notation, empty if unknown
+[[nodiscard]] std::string peer_address(int fd);
+
+/// Accepts TCP connections. Pauses while the process or the system is out of
+/// descriptors or memory: until then connections wait in the kernel's queue.
 class tcp_listener : private internal::descriptor_handler
 {
 public:
@@ -126,6 +131,12 @@
     /// @throws bind_error if the address cannot be bound
     tcp_listener(event_loop& loop, const settings::endpoint& at,
                  accept_handler on_accept);
+    ~tcp_listener();
+    tcp_listener(const tcp_listener&) = delete;
+    tcp_listener& operator=(const tcp_listener&) = delete;
+
+    /// @return how often accepting was paused
+    [[nodiscard]] std::uint64_t pauses() const noexcept { return pauses_; }
 
     /// @return the bound port
     [[nodiscard]] std::uint16_t port() const;
@@ -134,9 +145,13 @@
     void on_readable() override;
     void on_writable() override {}
     void on_hang_up() override {}
+    void pause();
 
+    event_loop& loop_;
     accept_handler on_accept_;
     std::unique_ptr<internal::watched_descriptor> watch_;
+    timer_id resume_timer_ = 0;
+    std::uint64_t pauses_ = 0;
 };
 
 /// Sends and receives UDP datagrams on one address.
