--- a/src/lovagegate/callers/caller_account.cpp
+++ b/src/lovagegate/callers/caller_account.cpp
@@ -25,6 +25,7 @@
 constexpr duration rate_window = 1s;
 /// Bounds the work for one demand.
 constexpr int max_evictions_at_once = 16;
+constexpr duration report_interval = 5s;
 
 } // namespace
 
@@ -40,6 +41,15 @@
     return out;
 }
 
+bool account_reporter::is_due(const account_counts& counts, time_point now)
+{
+    if (counts == reported_ || now - last_ < report_interval)
+        return false;
+    reported_ = counts;
+    last_ = now;
+    return true;
+}
+
 caller_account::caller_account(const account_limits& limits) : limits_(limits)
 {
 }
@@ -76,6 +86,8 @@
     if (worst == nullptr)
         return false;
     worst->evicted_ = true;
+    ++(why == eviction::memory ? counts_.closed_for_memory
+                               : counts_.closed_for_connections);
     worst->on_evict_(why);
     return true;
 }
@@ -88,9 +100,12 @@
     if (!address_full && members_.size() < limits_.connections)
         return true;
     // The evicted connection ends before the new one is counted.
-    return evict(eviction::connections, now, [&](const member& m) {
-        return !address_full || m.address_ == address;
-    });
+    const bool admitted =
+        evict(eviction::connections, now, [&](const member& m) {
+            return !address_full || m.address_ == address;
+        });
+    counts_.refused_connections += admitted ? 0 : 1;
+    return admitted;
 }
 
 caller_account::member::member(caller_account& account, std::string address,
@@ -147,8 +162,10 @@
                 !account_.evict(eviction::memory, now, [&](const member& m) {
                     return &m != this &&
                            (!wants_large || account_.large_part(m.held_) > 0);
-                }))
+                })) {
+                ++account_.counts_.refused_memory;
                 return false;
+            }
     }
     hold_anyway(bytes);
     return true;
--- a/src/lovagegate/callers/caller_account.hpp
+++ b/src/lovagegate/callers/caller_account.hpp
@@ -46,6 +46,30 @@
     connections, ///< its place is needed
 };
 
+/// How often a limit of the account was met.
+struct account_counts
+{
+    std::uint64_t closed_for_memory = 0;
+    std::uint64_t closed_for_connections = 0;
+    std::uint64_t refused_memory = 0;
+    std::uint64_t refused_connections = 0;
+
+    bool operator==(const account_counts&) const = default;
+};
+
+/// Limits the rate of log lines about the account.
+class account_reporter
+{
+public:
+    /// @return whether to log the counts now: they have changed since the last
+    ///         line, and that was some time ago
+    bool is_due(const account_counts& counts, time_point now);
+
+private:
+    account_counts reported_;
+    time_point last_{};
+};
+
 /// Counts the connections of callers and all bytes that are held for them. When
 /// it is full, it closes the connections that make the least of what they hold:
 /// first those whose request or answer has hardly moved for some time, then
@@ -104,6 +128,10 @@
     /// @return false if the connection must be closed
     [[nodiscard]] bool admit(const std::string& address, time_point now);
 
+    [[nodiscard]] const account_counts& counts() const noexcept
+    {
+        return counts_;
+    }
     [[nodiscard]] std::size_t held_bytes() const noexcept { return total_; }
     [[nodiscard]] std::size_t connections() const noexcept
     {
@@ -119,6 +147,7 @@
                const std::function<bool(const member&)>& fits);
 
     account_limits limits_;
+    account_counts counts_;
     std::size_t total_ = 0;
     std::size_t large_ = 0;
     std::unordered_set<member*> members_;
--- a/src/lovagegate/gateway/caller_connection.cpp
+++ b/src/lovagegate/gateway/caller_connection.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t max_pipelined_bytes = std::size_t{16} * 1024;
 /// The next request is not read while more bytes of earlier answers are unsent.
 constexpr std::size_t max_unsent_before_next_bytes = std::size_t{16} * 1024;
+/// Requests of one caller that are read in one turn of the event loop. What
+/// belongs to a request that was answered at once is kept until the turn ends.
+constexpr int max_requests_per_turn = 4;
 /// What a caller may send on after it was refused. Most callers that are
 /// refused in the middle of a body read the answer if their bytes are taken.
 constexpr std::size_t max_discarded_bytes = std::size_t{64} * 1024;
@@ -101,7 +104,7 @@
 
 void caller_connection::read_pending()
 {
-    if (!unread_.empty())
+    if (!done_ && !busy_ && !is_clogged() && !unread_.empty())
         read_requests(std::exchange(unread_, {}));
 }
 
@@ -110,7 +113,9 @@
     if (parsing_)
         return;
     parsing_ = true;
-    while (!busy_ && !done_ && !lingering_ && !is_clogged() && !data.empty()) {
+    int complete = 0;
+    while (!busy_ && !done_ && !lingering_ && !is_clogged() && !data.empty() &&
+           complete < max_requests_per_turn) {
         if (!reader_.started()) {
             state_since_ = net::event_loop::now().mono;
             account_.set_stage(callers::stage::receiving, state_since_);
@@ -120,6 +125,7 @@
             [this](std::string_view part) { append_body(part); });
         data.remove_prefix(std::min(progress.used, data.size()));
         check_progress(progress);
+        complete += progress.complete ? 1 : 0;
     }
     parsing_ = false;
     if (done_)
@@ -128,6 +134,8 @@
         unread_.append(data);
     update_reading();
     hold_or_end();
+    if (!busy_)
+        schedule_pending();
 }
 
 void caller_connection::check_progress(
@@ -325,12 +333,21 @@
     update_reading();
     if (!parsing_)
         account_.hold_anyway(held_bytes());
-    if (lingering_ || unread_.empty() || parsing_)
+    if (!parsing_)
+        schedule_pending();
+}
+
+void caller_connection::schedule_pending()
+{
+    if (done_ || lingering_ || unread_.empty() ||
+        std::exchange(pending_scheduled_, true))
         return;
     // Deferred, because the answer may have been written from a callback.
     context_.loop.call_later(duration::zero(), [weak = weak_from_this()] {
-        if (const auto self = weak.lock())
+        if (const auto self = weak.lock()) {
+            self->pending_scheduled_ = false;
             self->read_pending();
+        }
     });
 }
 
--- a/src/lovagegate/gateway/caller_connection.hpp
+++ b/src/lovagegate/gateway/caller_connection.hpp
@@ -152,6 +152,8 @@
     void read_requests(std::string_view data);
     /// Reads requests that were sent ahead.
     void read_pending();
+    /// Calls read_pending() in a later turn of the event loop.
+    void schedule_pending();
     void on_head(const net::message_head& head);
     void append_body(std::string_view part);
     /// Refuses the request if it can't be read any further.
@@ -205,6 +207,7 @@
     bool too_large_ = false;
     bool done_ = false;
     bool parsing_ = false;
+    bool pending_scheduled_ = false;
     bool reading_ = true;
 };
 
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -743,6 +743,8 @@
         all.push_back(c);
     for (const auto& c : all)
         c->check_limits(now);
+    if (account_reporter_.is_due(caller_account_.counts(), now))
+        log_account();
     if (trimmer_.check(caller_account_.held_bytes(), now))
         state_.counts.add("memory_returned_to_system");
     pool_.close_expired(now);
@@ -753,6 +755,19 @@
     state_.allowance.expire(net::event_loop::now());
 }
 
+void gateway_daemon::log_account() const
+{
+    const auto& counts = caller_account_.counts();
+    logging::write(
+        logging::level::warning, "callers_limited",
+        {{"bytes_held", std::uint64_t{caller_account_.held_bytes()}},
+         {"connections", std::uint64_t{caller_account_.connections()}},
+         {"closed_for_memory", counts.closed_for_memory},
+         {"closed_for_connections", counts.closed_for_connections},
+         {"refused_memory", counts.refused_memory},
+         {"refused_connections", counts.refused_connections}});
+}
+
 void gateway_daemon::stop_accepting()
 {
     listener_.reset();
@@ -799,6 +814,13 @@
     all.add("connections_to_targets_stale", pool_.counts().stale);
     all.add("log_lines_left_out", logging::lines_dropped());
     all.add("answers_of_other_requests", pool_.counts().unexpected_answers);
+    for (const auto* const server :
+         {ready_server_.get(), control_server_.get(), metrics_server_.get()}) {
+        all.add("page_connections_closed_for_new",
+                server->counts().closed_for_new);
+        all.add("page_connections_refused",
+                server->counts().refused_connections);
+    }
     all.add("accept_pauses", listener_ ? listener_->pauses() : 0);
     const std::array gauges{
         metrics::gauge{"caller_bytes_held",
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -81,6 +81,7 @@
     void send_heartbeats();
     void tick();
     void check_connections();
+    void log_account() const;
     /// Stops listening and closes idle connections; the platform routes callers
     /// to other instances by then.
     void stop_accepting();
@@ -122,6 +123,7 @@
     answer_memory answer_memory_;
     callers::connection_limits connection_limits_;
     callers::caller_account caller_account_;
+    callers::account_reporter account_reporter_;
     callers::memory_trimmer trimmer_;
     forwarding_context forwarding_context_;
     caller_context caller_context_;
--- a/tests/callers/misbehaving_callers_test.cpp
+++ b/tests/callers/misbehaving_callers_test.cpp
@@ -283,3 +283,14 @@
     }
     check_process(gateway, p, "full table of descriptors");
 }
+
+// Guards against connections that are held open and keep all others out.
+TEST_CASE("Requests are answered while others hold all connections",
+          "[callers]")
+{
+    const place p = any_place();
+    gateway_process gateway({.descriptors = 400});
+    crowd all(gateway.at(p), {many_callers, {{"G"}}});
+    all.play(play_time, [&] { gateway.sample_descriptors(); });
+    check_process(gateway, p, "all connections held");
+}
--- a/tests/net/http_message_test.cpp
+++ b/tests/net/http_message_test.cpp
@@ -105,3 +105,25 @@
         }
     }));
 }
+
+// Guards against a chunk over the limit whose bytes are taken in before it is
+// refused.
+TEST_CASE("a chunk over the limit fails when its size is read", "[net]")
+{
+    const auto failure_of = [](const std::string& chunks) {
+        message_reader reader(message_reader::kind::requests, 4096);
+        const std::string text = "POST / HTTP/1.1\r\nHost: h\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n" +
+                                 chunks;
+        return reader
+            .read(
+                text, [&](message_head&) { reader.limit_body(8); },
+                [](std::string_view) {})
+            .failure;
+    };
+    CHECK(failure_of("8\r\n") == parse_failure::none);
+    CHECK(failure_of("9\r\n") == parse_failure::body_too_large);
+    CHECK(failure_of("5\r\nhello\r\n3\r\n") == parse_failure::none);
+    CHECK(failure_of("5\r\nhello\r\n4\r\n") == parse_failure::body_too_large);
+    CHECK(failure_of("7fffffff\r\n") == parse_failure::body_too_large);
+}
