--- a/tests/callers/gateway_process.hpp
+++ b/tests/callers/gateway_process.hpp
@@ -31,6 +31,30 @@
 /// Longer than a start or one request takes on a busy machine.
 inline constexpr auto max_wait = 20s;
 
+/// @return a loopback address that no other process and no earlier start uses
+inline std::string own_address()
+{
+    static unsigned starts = 0;
+    const auto pid = static_cast<unsigned>(::getpid());
+    constexpr unsigned range = 200;
+    return "127." + std::to_string(16 + pid / range % range) + "." +
+           std::to_string(1 + pid % range) + "." +
+           std::to_string(1 + starts++ % range);
+}
+
+/// @return the largest resident size of the process so far
+inline std::size_t peak_resident_kb(pid_t process)
+{
+    std::ifstream in("/proc/" + std::to_string(process) + "/status");
+    std::size_t kb = 0;
+    for (std::string word; in >> word;)
+        if (word == "VmHWM:") {
+            in >> kb;
+            break;
+        }
+    return kb;
+}
+
 /// Where callers send to.
 enum class place : std::uint8_t
 {
@@ -123,14 +147,7 @@
     /// @return the largest resident size so far
     [[nodiscard]] std::size_t peak_resident_kb() const
     {
-        std::ifstream in("/proc/" + std::to_string(process_->id()) + "/status");
-        std::size_t kb = 0;
-        for (std::string word; in >> word;)
-            if (word == "VmHWM:") {
-                in >> kb;
-                break;
-            }
-        return kb;
+        return callers_test::peak_resident_kb(process_->id());
     }
 
     [[nodiscard]] std::size_t resident_bound_kb() const
@@ -157,15 +174,9 @@
 private:
     void start(std::uint16_t store_port)
     {
-        // Processes that run at the same time differ in their loopback address.
-        static int starts = 0;
-        const auto pid = static_cast<unsigned>(::getpid());
-        constexpr unsigned range = 200;
-        address_ = "127." + std::to_string(16 + pid / range % range) + "." +
-                   std::to_string(1 + pid % range) + "." +
-                   std::to_string(1 + starts++ % range);
+        address_ = own_address();
         folder_ = std::filesystem::temp_directory_path() /
-                  ("lovagegate-callers-" + std::to_string(pid));
+                  ("lovagegate-callers-" + std::to_string(::getpid()));
         std::filesystem::create_directories(folder_);
         const std::string file = folder_ / "n0.conf";
         std::ofstream(file)
