--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -3,6 +3,7 @@
 #include "lovagegate/core/boottime.hpp"
 #include "lovagegate/core/hash.hpp"
 #include "lovagegate/logging/log.hpp"
+#include "lovagegate/net/errors.hpp"
 #include "lovagegate/quota/configured_limits.hpp"
 #include "platform/http_fields.hpp"
 #include "platform/published.hpp"
@@ -12,6 +13,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <unistd.h>
 #include <utility>
 
 namespace lovagegate::gateway {
@@ -43,6 +45,8 @@
 /// this fraction of it if that is shorter.
 constexpr duration exit_margin = 400ms;
 constexpr int exit_divisor = 16;
+/// The pages for operators, checks and other instances take no bodies.
+constexpr std::size_t max_page_request_bytes = 4096;
 incarnation make_incarnation()
 {
     return static_cast<incarnation>(
@@ -152,6 +156,11 @@
                  [this](const std::string& to, const peer_message& m) {
                      send_to_peer(to, m);
                  }),
+      connection_limits_(callers::limits_for_descriptors(
+          state_.boot.descriptors, callers::system_descriptor_limit())),
+      caller_account_(callers::limits_for_process(state_.boot.memory_mb *
+                                                      bytes_per_megabyte,
+                                                  connection_limits_.callers)),
       forwarding_context_{
           loop_,
           state_,
@@ -190,6 +199,7 @@
           }},
       caller_context_{
           loop_,
+          caller_account_,
           [this](const caller_ptr& c, caller_message m) {
               start_request(c, std::move(m));
           },
@@ -224,6 +234,7 @@
 {
     adapters_.set_open_requests(
         [this](const std::string& engine) { return admission_.open(engine); });
+    callers::return_large_blocks();
     ready_server_ = make_page_server(state_.boot.readiness.address,
                                      state_.boot.readiness.port);
     control_server_ =
@@ -253,6 +264,9 @@
     net::http_server_settings s;
     s.address = address;
     s.port = port;
+    s.max_connections = connection_limits_.page_server;
+    s.max_body_bytes = max_page_request_bytes;
+    s.closes_waiting_for_new = true;
     return std::make_unique<net::http_server>(
         loop_, s, [this](const net::exchange_ptr& e) { serve_page(e); });
 }
@@ -406,8 +420,20 @@
 
 void gateway_daemon::accept_caller(int fd)
 {
-    const auto c = std::make_shared<caller_connection>(caller_context_, fd);
-    callers_.emplace(c.get(), c);
+    const std::string address = net::peer_address(fd);
+    if (!caller_account_.admit(address, net::event_loop::now().mono)) {
+        state_.counts.add("caller_connections_refused", "reason", "too_many");
+        ::close(fd);
+        return;
+    }
+    try {
+        const auto c =
+            std::make_shared<caller_connection>(caller_context_, fd, address);
+        callers_.emplace(c.get(), c);
+    } catch (const net::net_error&) { // takes no more descriptors
+        state_.counts.add("caller_connections_refused", "reason",
+                          "no_descriptor");
+    }
 }
 
 void gateway_daemon::on_caller_closed(const connection_summary& facts)
@@ -771,6 +797,10 @@
         all.push_back(c);
     for (const auto& c : all)
         c->check_limits(now);
+    if (account_reporter_.is_due(caller_account_.counts(), now))
+        log_account();
+    if (trimmer_.check(caller_account_.held_bytes(), now))
+        state_.counts.add("memory_returned_to_system");
     pool_.close_expired(now);
     control_pool_.close_expired(now);
     list_confirmed_targets(now);
@@ -779,6 +809,19 @@
     state_.allowance.expire(net::event_loop::now());
 }
 
+void gateway_daemon::log_account() const
+{
+    const auto& counts = caller_account_.counts();
+    logging::write(
+        logging::level::warning, "callers_limited",
+        {{"bytes_held", std::uint64_t{caller_account_.held_bytes()}},
+         {"connections", std::uint64_t{caller_account_.connections()}},
+         {"closed_for_memory", counts.closed_for_memory},
+         {"closed_for_connections", counts.closed_for_connections},
+         {"refused_memory", counts.refused_memory},
+         {"refused_connections", counts.refused_connections}});
+}
+
 void gateway_daemon::stop_accepting()
 {
     listener_.reset();
@@ -825,7 +868,17 @@
     all.add("connections_to_targets_stale", pool_.counts().stale);
     all.add("log_lines_left_out", logging::lines_dropped());
     all.add("answers_of_other_requests", pool_.counts().unexpected_answers);
+    for (const auto* const server :
+         {ready_server_.get(), control_server_.get(), metrics_server_.get()}) {
+        all.add("page_connections_closed_for_new",
+                server->counts().closed_for_new);
+        all.add("page_connections_refused",
+                server->counts().refused_connections);
+    }
+    all.add("accept_pauses", listener_ ? listener_->pauses() : 0);
     std::vector gauges{
+        metrics::gauge{"caller_bytes_held",
+                       static_cast<double>(caller_account_.held_bytes())},
         metrics::gauge{"open_requests", static_cast<double>(requests_.size())},
         metrics::gauge{"answer_bytes_held",
                        static_cast<double>(answer_memory_.shared_bytes())},
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -1,6 +1,9 @@
 #ifndef LOVAGEGATE_GATEWAY_GATEWAY_DAEMON_HPP
 #define LOVAGEGATE_GATEWAY_GATEWAY_DAEMON_HPP
 
+#include "lovagegate/callers/caller_account.hpp"
+#include "lovagegate/callers/connection_limits.hpp"
+#include "lovagegate/callers/process_resources.hpp"
 #include "lovagegate/gateway/adapter_coordinator.hpp"
 #include "lovagegate/gateway/caller_connection.hpp"
 #include "lovagegate/gateway/forwarding.hpp"
@@ -74,6 +77,7 @@
     void send_heartbeats();
     void tick();
     void check_connections();
+    void log_account() const;
     /// Stops listening and closes idle connections; the platform routes callers
     /// to other instances by then.
     void stop_accepting();
@@ -120,6 +124,10 @@
     quota::fleet_quota quota_;
     capacity::service_permits permits_;
     pace::engine_admission admission_;
+    callers::connection_limits connection_limits_;
+    callers::caller_account caller_account_;
+    callers::account_reporter account_reporter_;
+    callers::memory_trimmer trimmer_;
     forwarding_context forwarding_context_;
     caller_context caller_context_;
     std::map<caller_connection*, caller_ptr> callers_;
