Take no answer with an unusable status for an answer

Cause: an answer with a status over 599 reached the caller as it was; one with a status below 100 or 101, or another 1xx with the marks of a final answer, was skipped as interim, so that its request waited for the deadline (504). Orders, reports, probes and calls to the store read statuses in the same way, and the OpenAI interface took any status. Change: target_pool fails a call with such a status as not_an_answer; the target may have run the request, so that an at-most-once request gets 502. 1xx without body, signature or X-Not-Executed is still skipped. net::http_call fails with not_a_response, which the OpenAI interface treats like an answer to another request.

--- a/src/lovagegate/gateway/target_pool.cpp
+++ b/src/lovagegate/gateway/target_pool.cpp
@@ -42,6 +42,30 @@
 /// again, which bounds the list of refused attempts.
 constexpr std::size_t max_refused_attempts = 32;
 
+constexpr int first_interim_status = 100;
+constexpr int switching_protocols = 101;
+constexpr int first_final_status = 200;
+constexpr int last_final_status = 599;
+
+/// @return whether another head follows that is the answer. An interim answer
+///         has neither a body nor the marks of a target's answer.
+bool is_interim(const net::message_head& head)
+{
+    const bool is_final = head.has("Content-Length") ||
+                          head.has("Transfer-Encoding") ||
+                          platform_wire::read_answer(head).signed_by_target ||
+                          platform_wire::read_answer(head).not_run;
+    return head.status >= first_interim_status &&
+           head.status < first_final_status &&
+           head.status != switching_protocols && !is_final;
+}
+
+/// @return whether HTTP allows a caller to take the status for a final one
+bool is_final_status(int status)
+{
+    return status >= first_final_status && status <= last_final_status;
+}
+
 /// @return the value of "timeout=N" in a Keep-Alive header
 std::optional<duration> parse_keep_alive_timeout(std::string_view value)
 {
@@ -163,7 +187,7 @@
             });
         if (is_idle()) // the call was destroyed in a callback
             return false;
-        if (progress.failure != net::parse_failure::none) {
+        if (progress.failure != net::parse_failure::none || is_unusable_) {
             fail(call_failure::not_an_answer);
             return false;
         }
@@ -193,11 +217,12 @@
 
     void on_head(net::message_head& head)
     {
-        constexpr int first_final_status = 200;
         const auto id = platform_wire::answer_attempt_id(head);
         const bool other =
             !attempt_id_.empty() && !id.empty() && id != attempt_id_;
-        if (head.status < first_final_status || other) {
+        const bool interim = is_interim(head);
+        is_unusable_ = !other && !interim && !is_final_status(head.status);
+        if (other || interim || is_unusable_) {
             skipping_ = true;
             if (other) {
                 ++pool_.counts_.unexpected_answers;
@@ -312,6 +337,7 @@
     bool head_received_ = false;
     bool skipping_ =
         false; ///< the current answer belongs to another request or is interim
+    bool is_unusable_ = false;  ///< the answer's status isn't a final one
     bool not_reusable_ = false; ///< an answer to another request was received
     bool is_head_request_ = false;
     bool is_discarded_ = false;
--- a/src/lovagegate/net/http_call.cpp
+++ b/src/lovagegate/net/http_call.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::size_t io_chunk_bytes = std::size_t{16} * 1024;
+constexpr int first_final_status = 200;
+constexpr int last_final_status = 599;
 
 bool has_body(const client_request& request)
 {
@@ -46,6 +48,8 @@
         return "broken_in_body";
     case call_failure::body_timeout:
         return "body_timeout";
+    case call_failure::not_a_response:
+        return "not_a_response";
     }
     return "invalid";
 }
@@ -129,6 +133,11 @@
     head_received_ = true;
     response_head head;
     head.status = static_cast<int>(lws_http_client_http_response(wsi_));
+    if (head.status < first_final_status || head.status > last_final_status) {
+        const auto guard = shared_from_this();
+        fail(call_failure::not_a_response);
+        return -1;
+    }
     head.headers = internal::read_headers(wsi_);
     chunked_ = !head.header("transfer-encoding").empty();
     last_data_time_ = event_loop::now().mono;
--- a/src/lovagegate/net/http_call.hpp
+++ b/src/lovagegate/net/http_call.hpp
@@ -46,6 +46,7 @@
     response_timeout,       ///< no response head in time
     broken_in_body,         ///< closed before the end of the response body
     body_timeout,           ///< no further part of the response body in time
+    not_a_response,         ///< its status isn't one of a final response
 };
 
 /// @return the name used in metrics and logs
--- a/src/lovagegate/node/inputs.hpp
+++ b/src/lovagegate/node/inputs.hpp
@@ -56,7 +56,8 @@
     adapter_missing, ///< the engine does not hold the adapter
     broken,          ///< the connection broke after data was sent
     timed_out,       ///< no answer in time after data was sent
-    mismatched,      ///< the answer names another adapter or request
+    mismatched,      ///< the answer names another adapter or request, or has
+                     ///< a status that no answer has
     cancelled,       ///< by cancel_attempt
     error_answer,    ///< a whole error answer, not yet forwarded
 };
--- a/src/lovagegate/serve/attempt.cpp
+++ b/src/lovagegate/serve/attempt.cpp
@@ -249,6 +249,8 @@
     else if (failure == net::call_failure::response_timeout ||
              failure == net::call_failure::body_timeout)
         end(attempt_end::timed_out);
+    else if (failure == net::call_failure::not_a_response)
+        end(attempt_end::mismatched);
     else
         end(attempt_end::broken);
 }
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -204,6 +204,26 @@
     CHECK(call->may_have_been_sent());
 }
 
+TEST_CASE_METHOD(loop_fixture,
+                 "A response whose status isn't one of a final response is "
+                 "reported as such",
+                 "[net]")
+{
+    const std::string status =
+        GENERATE("000", "099", "600", "999", "100", "101", "199");
+    CAPTURE(status);
+    const raw_server server("HTTP/1.1 " + status +
+                            " X\r\nContent-Length: 4\r\n\r\nbody");
+    http_client client(loop);
+    call_record r;
+    const auto call = client.send(to(server.port()), r.events());
+    REQUIRE(run_until([&] { return r.ended(); }));
+    CHECK_FALSE(r.head);
+    CHECK(r.body.empty());
+    CHECK(r.failure == call_failure::not_a_response);
+    CHECK(call->may_have_been_sent());
+}
+
 TEST_CASE_METHOD(loop_fixture,
                  "A truncated response body is reported as broken", "[net]")
 {
