Bound the bodies that the OpenAI interface holds

Cause: 1,024 callers may each have a body of 1 MB reserved as soon as its head has arrived; with huge pages the reserved memory is resident. Bodies of refused requests were kept until their connections ended, since assigning an empty string keeps the buffer; the gateway's refusals had the same fault.

Change: net::http_server bounds all bodies together (max_held_bytes), each without its first 64 KB. When it is full, a body of which nothing has arrived for 1 s is refused with 429 and Retry-After, or else the new one; neither has run. Bodies grow as they arrive. The interface closes the connection that has waited longest at its limit of connections. Refused bodies are freed at once.

The cost for a sound request was not measured.

--- a/src/lovagegate/gateway/caller_connection.cpp
+++ b/src/lovagegate/gateway/caller_connection.cpp
@@ -208,8 +208,9 @@
 
 void caller_connection::release_request()
 {
-    body_ = {};
-    unread_ = {};
+    // Assigning an empty string would keep the buffers.
+    std::string().swap(body_);
+    std::string().swap(unread_);
     reader_.start();
 }
 
--- a/src/lovagegate/net/http_server.cpp
+++ b/src/lovagegate/net/http_server.cpp
@@ -99,6 +99,25 @@
     return true;
 }
 
+bool http_server::make_room(const internal::server_connection& c,
+                            std::size_t bytes)
+{
+    while (held_bytes_ - c.charged() + bytes > settings_.max_held_bytes) {
+        const time_point before =
+            event_loop::now().mono - settings_.stalled_body_time;
+        internal::server_connection* longest = nullptr;
+        for (auto* const other : connections_)
+            if (other != &c && other->charged() > 0 &&
+                other->is_receiving_body() && other->body_at() < before &&
+                (longest == nullptr || other->body_at() < longest->body_at()))
+                longest = other;
+        if (longest == nullptr)
+            return false;
+        longest->refuse(bad_request::too_much_held);
+    }
+    return true;
+}
+
 std::size_t http_server::pending_answers() const noexcept
 {
     return static_cast<std::size_t>(
--- a/src/lovagegate/net/http_server.hpp
+++ b/src/lovagegate/net/http_server.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <set>
 #include <string>
@@ -25,6 +26,13 @@
     std::string address = "127.0.0.1"; ///< IP address to bind
     std::uint16_t port = 0;            ///< 0: any free port
     std::size_t max_body_bytes = std::size_t{1} << 20U;
+    /// Limit for the bodies of all requests that are received or served, each
+    /// without its first free_body_bytes. When it is full, a body of which
+    /// nothing has arrived for stalled_body_time is refused, or else the new
+    /// one.
+    std::size_t max_held_bytes = std::numeric_limits<std::size_t>::max();
+    std::size_t free_body_bytes = std::size_t{64} * 1024;
+    duration stalled_body_time = 1s;
     std::size_t max_connections = 4096;
     /// At max_connections, whether the connection that has waited longest for a
     /// request, or for its caller to read, is closed instead of a new one: then
@@ -43,6 +51,7 @@
     body_too_large,    ///< Content-Length exceeds max_body_bytes
     length_required,   ///< a body without Content-Length
     malformed_length,  ///< Content-Length is not a number
+    too_much_held,     ///< see http_server_settings::max_held_bytes
     unsupported_method ///< not in the method table, or no body allowed
 };
 
@@ -96,6 +105,12 @@
         return connections_.size();
     }
 
+    /// @return bytes of bodies that count towards max_held_bytes
+    [[nodiscard]] std::size_t held_bytes() const noexcept
+    {
+        return held_bytes_;
+    }
+
     /// @return number of requests whose response was not yet accepted by the
     /// socket in full
     [[nodiscard]] std::size_t pending_answers() const noexcept;
@@ -112,6 +127,9 @@
     [[nodiscard]] bool admit_connection() noexcept;
     /// @return whether a connection is closed soon
     bool close_longest_waiting() noexcept;
+    /// Refuses stalled bodies if that is needed.
+    /// @return whether the connection may hold this much of max_held_bytes
+    bool make_room(const internal::server_connection& c, std::size_t bytes);
     void close_disconnected();
     void schedule_disconnect_check();
 
@@ -122,6 +140,7 @@
     std::shared_ptr<internal::server_callbacks> callbacks_;
     std::set<internal::server_connection*> connections_;
     http_server_counts counts_;
+    std::size_t held_bytes_ = 0;   ///< of max_held_bytes
     std::uint64_t wait_count_ = 0; ///< orders the connections that wait
     timer_id disconnect_timer_ = 0;
     std::uint16_t port_ = 0;
--- a/src/lovagegate/net/internal/server_connection.cpp
+++ b/src/lovagegate/net/internal/server_connection.cpp
@@ -66,6 +66,7 @@
 server_connection::~server_connection()
 {
     on_disconnected();
+    charge(0);
     server_.connections_.erase(this);
 }
 
@@ -123,7 +124,7 @@
         return dispatch();
     if (!method_allows_body(request_.method))
         return refuse(bad_request::unsupported_method);
-    request_.body.reserve(length.bytes);
+    declared_bytes_ = static_cast<std::size_t>(length.bytes);
     set_timer(server_.settings_.body_timeout);
     if (!request_.header("expect").empty())
         append("HTTP/1.1 100 Continue\r\n\r\n");
@@ -136,7 +137,22 @@
         return 0;
     if (request_.body.size() + part.size() > server_.settings_.max_body_bytes)
         return -1;
-    request_.body.append(part);
+    // The body grows as it arrives: what is reserved at once may be resident
+    // although nothing was written to it, with huge pages.
+    std::string& body = request_.body;
+    const std::size_t size = body.size() + part.size();
+    const std::size_t grown =
+        size <= body.capacity()
+            ? body.capacity()
+            : std::max(size, std::min(declared_bytes_, 2 * body.capacity()));
+    const std::size_t free = server_.settings_.free_body_bytes;
+    const std::size_t charged = grown > free ? grown - free : 0;
+    if (!server_.make_room(*this, charged))
+        return refuse(bad_request::too_much_held);
+    charge(charged);
+    body.reserve(grown);
+    body_at_ = event_loop::now().mono;
+    body.append(part);
     return 0;
 }
 
@@ -152,6 +168,12 @@
     return dispatch();
 }
 
+void server_connection::charge(std::size_t bytes) noexcept
+{
+    server_.held_bytes_ += bytes - charged_;
+    charged_ = bytes;
+}
+
 int server_connection::dispatch()
 {
     clear_timer();
@@ -169,6 +191,9 @@
     ++server_.counts_.refused_requests;
     request_refused_ = true;
     receiving_request_ = false;
+    // Assigning an empty string would keep the buffer.
+    std::string().swap(request_.body);
+    charge(0);
     http_answer answer;
     if (server_.on_refusal_)
         answer = server_.on_refusal_(reason);
@@ -271,6 +296,7 @@
     exchange_->on_drained_ = nullptr;
     exchange_ = nullptr;
     answer_complete_ = false;
+    charge(0);
     if (close_after_answer_)
         return -1;
     if (lws_http_transaction_completed(wsi_) != 0)
--- a/src/lovagegate/net/internal/server_connection.hpp
+++ b/src/lovagegate/net/internal/server_connection.hpp
@@ -27,6 +27,9 @@
     int on_writeable();
     int on_timer();
 
+    /// Answers a request that isn't complete and closes the connection.
+    int refuse(bad_request reason);
+
     /// Notifies the exchange that the caller disconnected.
     void on_disconnected();
 
@@ -58,12 +61,20 @@
     {
         return waits_since_;
     }
+    /// @return bytes that count towards max_held_bytes
+    [[nodiscard]] std::size_t charged() const noexcept { return charged_; }
+    [[nodiscard]] bool is_receiving_body() const noexcept
+    {
+        return receiving_request_ && !is_answering();
+    }
+    /// @return when the last bytes of the body arrived
+    [[nodiscard]] time_point body_at() const noexcept { return body_at_; }
     [[nodiscard]] lws* native() const noexcept { return wsi_; }
 
 private:
     void read_head();
     int dispatch();
-    int refuse(bad_request reason);
+    void charge(std::size_t bytes) noexcept;
     int write_buffered();
     /// @return whether this object or libwebsockets holds bytes that the socket
     ///         has not accepted
@@ -78,6 +89,9 @@
     exchange_ptr exchange_;
     std::string write_buffer_;
     std::size_t sent_bytes_ = 0;
+    std::size_t charged_ = 0;
+    std::size_t declared_bytes_ = 0; ///< by Content-Length
+    time_point body_at_{};
     std::uint64_t waits_since_ = 0;
     bool aborted_ = false;
     bool receiving_request_ = false; ///< waiting for a complete request
--- a/src/lovagegate/serve/caller_frontend.cpp
+++ b/src/lovagegate/serve/caller_frontend.cpp
@@ -3,6 +3,7 @@
 #include "lovagegate/openai/pages.hpp"
 #include "lovagegate/serve/refusal_page.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -10,12 +11,21 @@
 
 namespace {
 
+/// Bodies that are received or served may take this much beyond 64 KB each:
+/// hundreds of ordinary prompts, or 24 bodies of the default limit.
+constexpr std::size_t max_body_memory = std::size_t{24} * 1024 * 1024;
+/// Room for a few of the largest requests, whatever their limit is.
+constexpr std::size_t min_largest_bodies = 4;
+
 net::http_server_settings server_settings(const settings::settings& checked)
 {
     net::http_server_settings s;
     s.address = checked.instance.listen.address;
     s.port = checked.instance.listen.port;
     s.max_body_bytes = checked.limits.body_bytes;
+    s.max_held_bytes =
+        std::max(max_body_memory, min_largest_bodies * s.max_body_bytes);
+    s.closes_waiting_for_new = true;
     s.max_connections = checked.limits.connections;
     s.head_timeout = checked.limits.request_timeout;
     s.body_timeout = checked.limits.request_timeout;
@@ -39,7 +49,9 @@
           loop, server_settings(checked),
           [this](const net::exchange_ptr& e) { on_request(e); },
           [this](net::bad_request reason) {
-              counts_.add("requests_unreadable");
+              counts_.add(reason == net::bad_request::too_much_held
+                              ? "bodies_refused_for_memory"
+                              : "requests_unreadable");
               return bad_request_page(reason);
           })
 {
--- a/src/lovagegate/serve/daemon.cpp
+++ b/src/lovagegate/serve/daemon.cpp
@@ -1,5 +1,6 @@
 #include "lovagegate/serve/daemon.hpp"
 
+#include "lovagegate/callers/process_resources.hpp"
 #include "lovagegate/logging/log.hpp"
 #include "lovagegate/node/from_settings.hpp"
 #include "lovagegate/serve/status_page.hpp"
@@ -66,6 +67,7 @@
              settings_.instance.peer_listen, make_core_input(), peer_counts_),
       drain_(loop_, core_, frontend_, settings_.limits.drain_deadline)
 {
+    callers::return_large_blocks();
     core_.set_output_handler([this](const node::output& o) { execute(o); });
 }
 
@@ -165,6 +167,7 @@
     const net::http_server_counts& server = frontend_.server().counts();
     all.add("connections_accepted", server.accepted);
     all.add("connections_refused", server.refused_connections);
+    all.add("connections_closed_for_new", server.closed_for_new);
     all.add("connections_closed_unread", server.closed_before_request);
     all.add("connections_timed_out", server.timed_out);
     all.add("http_requests", server.requests);
--- a/src/lovagegate/serve/refusal_page.cpp
+++ b/src/lovagegate/serve/refusal_page.cpp
@@ -119,6 +119,11 @@
     case net::bad_request::malformed_length:
         refused.message = "Content-Length is not a number";
         break;
+    case net::bad_request::too_much_held:
+        refused.reason = refusal::queue_full;
+        refused.message = "too much is held for callers";
+        refused.retry_after = 1s;
+        break;
     case net::bad_request::unsupported_method:
         refused.message = "the method is not supported here";
         break;
