Format the summary of a caller's connection

Result: whitespace only; the lookup at the end of the head was checked by taking it at dispatch instead, which its test noticed (401 instead of 200).

--- a/src/lovagegate/gateway/caller_connection.hpp
+++ b/src/lovagegate/gateway/caller_connection.hpp
@@ -49,7 +49,7 @@
     close_reason reason;
     /// Of the last request; empty while its head is incomplete.
     std::string_view attempt_id;
-    bool answering = false;      ///< the answer to the request is incomplete
+    bool answering = false; ///< the answer to the request is incomplete
     std::size_t partial_request_bytes =
         0;                        ///< received bytes of an incomplete request
     std::size_t unsent_bytes = 0; ///< bytes of answers that were not sent
