Don't take a target out of use for a single failed request

With a coordinator of permits, callers of a plain service got 190 to 270 answers a second from targets that do 300: each failure of a request halved the limit of its target and kept the target unused for 300 ms, though it answered the others. Now three failures in a row do that, as three expired leases do. Test: a target that answers each third request keeps its limit.

--- a/src/lovagegate/capacity/concurrency_limit.cpp
+++ b/src/lovagegate/capacity/concurrency_limit.cpp
@@ -22,6 +22,9 @@
 constexpr double slow_factor = 2;
 constexpr double rejection_factor = 0.8;
 constexpr double failure_factor = 0.5;
+/// A target that fails a few of its requests still does the others; one that
+/// fails so many in a row does none.
+constexpr std::uint32_t max_failures_in_a_row = 3;
 /// All rejections of one burst lower the limit once.
 constexpr duration min_reduction_interval = 50ms;
 constexpr duration rejection_backoff = 100ms;
@@ -99,6 +102,7 @@
     if (in_use <= slots_)
         add_to_average(unqueued_run_time_, run_time);
     failure_backoff_ = {};
+    failures_in_a_row_ = 0;
     const bool is_below_slots = limit_ < slots_;
     if (is_below_slots || !unqueued_run_time_ ||
         run_time <= quick_factor * *unqueued_run_time_) {
@@ -128,6 +132,13 @@
 
 void concurrency_limit::on_failure(time_point now)
 {
+    if (++failures_in_a_row_ >= max_failures_in_a_row)
+        on_stopped(now);
+}
+
+void concurrency_limit::on_stopped(time_point now)
+{
+    failures_in_a_row_ = 0;
     reduce(failure_factor, now);
     failure_backoff_ = std::clamp<duration>(
         2 * failure_backoff_, initial_failure_backoff, max_failure_backoff);
--- a/src/lovagegate/capacity/concurrency_limit.hpp
+++ b/src/lovagegate/capacity/concurrency_limit.hpp
@@ -24,7 +24,10 @@
     /// @param in_use permits in use when the request got its own, with it
     void on_answer(duration run_time, duration held, std::uint32_t in_use);
     void on_rejection(time_point now);
+    /// Called when the target failed a request.
     void on_failure(time_point now);
+    /// Called when the target seems to do nothing any more.
+    void on_stopped(time_point now);
 
     /// @return permits that may be in use, at least one
     [[nodiscard]] std::uint32_t value() const noexcept;
@@ -63,6 +66,7 @@
     std::optional<duration> low_run_time_;
     duration mean_transit_{}; ///< time in which a permit serves nobody
     duration failure_backoff_{};
+    std::uint32_t failures_in_a_row_ = 0;
     time_point reduced_at_{};
     time_point avoided_until_{};
 };
--- a/src/lovagegate/capacity/permit_coordinator.cpp
+++ b/src/lovagegate/capacity/permit_coordinator.cpp
@@ -356,7 +356,7 @@
     if (++t->second.expired < max_expired_leases)
         return;
     t->second.expired = 0;
-    t->second.limit.on_failure(now);
+    t->second.limit.on_stopped(now);
 }
 
 bool permit_coordinator::has_weak_target(time_point now) const
--- a/tests/capacity/permit_failures_test.cpp
+++ b/tests/capacity/permit_failures_test.cpp
@@ -162,8 +162,25 @@
     for (int i = 0; i < 60; ++i)
         limit.on_answer(200ms, 210ms, 8);
     CHECK(limit.value() == 6); // slow answers end the queue at the target
-    limit.on_failure(now);
+    for (int i = 0; i < 3; ++i)
+        limit.on_failure(now);
     CHECK(limit.value() == 3);
+    CHECK(limit.is_avoided(now));
+}
+
+// Guards against a target that fails a few of its requests and is taken out of
+// use for each, with a third of the service's capacity.
+TEST_CASE("single failures leave the limit of a target as it is", "[capacity]")
+{
+    concurrency_limit limit(6);
+    const time_point now(10s);
+    for (int i = 0; i < 30; ++i) {
+        limit.on_failure(now);
+        limit.on_failure(now);
+        limit.on_answer(60ms, 71ms, limit.value());
+        CHECK(limit.value() == 8);
+        CHECK_FALSE(limit.is_avoided(now));
+    }
 }
 
 // Guards against callers that all come back at the same moment, and against
