--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -140,7 +140,10 @@
                         // Silence is not checked while reading is paused.
                         arm_timer();
                     }),
-      admission_(context.admission)
+      admission_(context.admission, excluded_,
+                 [this](pace::admission_step step, const placement_choice& c) {
+                     on_admission(step, c);
+                 })
 {
 }
 
@@ -372,14 +375,14 @@
     }
     admission_.reset();
     placement_request wanted = make_placement_request(now);
-    wanted.chosen_again = !admission_.refusals().empty();
+    wanted.chosen_again = admission_.was_refused();
     const auto allowed = candidates(now);
     const auto choice =
         s.placements.choose(wanted, allowed, s.members.count(now), now);
     const bool waits_too_long =
         choice && choice->expected_wait > deadline_ - now;
     if (wanted.chosen_again && (!choice || waits_too_long)) {
-        go_to_least_loaded();
+        admission_.settle();
         return;
     }
     if (!choice && allowed.empty()) {
@@ -395,47 +398,31 @@
         return;
     }
     if (context_.admission.applies_to(service_, now))
-        ask_owner(*choice, head_sent_);
+        ask_owner(*choice);
     else
         go_to(*choice);
 }
 
-void forwarding::ask_owner(const placement_choice& choice, bool must_run)
-{
-    const target_state* const t = context_.state.targets.find(choice.target);
-    run_request ask{0,
-                    choice.target,
-                    route_->rank,
-                    facts_.prompt_tokens,
-                    facts_.prompt_tokens + facts_.output_tokens,
-                    is_stream() ? route_->latency_objective : duration::zero(),
-                    must_run};
-    admission_.ask(choice, std::move(ask), t != nullptr ? t->entry.slots : 1,
-                   [this, choice, alive = alive_](bool may_send) {
-                       if (!*alive || done_)
-                           return;
-                       if (may_send) {
-                           admission_.refusals().take_least_loaded(excluded_);
-                           go_to(choice);
-                           return;
-                       }
-                       excluded_.push_back(choice.target);
-                       if (admission_.refusals().is_complete())
-                           go_to_least_loaded();
-                       else
-                           try_next_target();
-                   });
-}
-
-void forwarding::go_to_least_loaded()
-{
-    const auto choice = admission_.refusals().take_least_loaded(excluded_);
-    if (!choice) {
-        refuse(engines_are_full);
+void forwarding::ask_owner(const placement_choice& choice)
+{
+    admission_.seek(choice,
+                    {0, choice.target, route_->rank, facts_.prompt_tokens,
+                     facts_.prompt_tokens + facts_.output_tokens,
+                     is_stream() ? route_->latency_objective : duration::zero(),
+                     head_sent_, false});
+}
+
+void forwarding::on_admission(pace::admission_step step,
+                              const placement_choice& choice)
+{
+    if (done_)
         return;
-    }
-    context_.state.counts.add("engine_admissions_overridden");
-    ask_owner(*choice, true);
+    if (step == pace::admission_step::go)
+        go_to(choice);
+    else if (step == pace::admission_step::choose_again)
+        try_next_target();
+    else
+        refuse(engines_are_full);
 }
 
 void forwarding::go_to(const placement_choice& choice)
--- a/src/lovagegate/gateway/forwarding.hpp
+++ b/src/lovagegate/gateway/forwarding.hpp
@@ -99,12 +99,10 @@
     void on_answer_begun();
     [[nodiscard]] const std::string& choose_service() const;
     void try_next_target();
-    /// Asks the owner of the chosen engine, if it must admit the request, and
-    /// then goes there or chooses again.
-    /// @param must_run the owner only counts the request
-    void ask_owner(const placement_choice& choice, bool must_run);
-    /// Goes to the least loaded of the engines whose owners refused.
-    void go_to_least_loaded();
+    /// Asks the owner of the chosen engine to admit the request.
+    void ask_owner(const placement_choice& choice);
+    void on_admission(pace::admission_step step,
+                      const placement_choice& choice);
     void go_to(const placement_choice& choice);
     /// @param was_missing the target rejected an earlier send because the
     ///         adapter was not loaded yet
--- a/src/lovagegate/pace/engine_admission.cpp
+++ b/src/lovagegate/pace/engine_admission.cpp
@@ -143,6 +143,12 @@
     return std::max(client_.open(engine), state_.placements.open(engine));
 }
 
+std::uint32_t engine_admission::slots(const std::string& engine) const
+{
+    const gateway::target_state* const t = state_.targets.find(engine);
+    return t == nullptr ? 1 : t->entry.slots;
+}
+
 void engine_admission::list_engines(time_point now)
 {
     last_listing_ = now;
--- a/src/lovagegate/pace/engine_admission.hpp
+++ b/src/lovagegate/pace/engine_admission.hpp
@@ -57,6 +57,12 @@
     ///         sent there
     [[nodiscard]] std::uint32_t open(const std::string& engine) const;
 
+    /// @return slots of a listed engine, else 1
+    [[nodiscard]] std::uint32_t slots(const std::string& engine) const;
+
+    /// Counts a request that is sent though owners have refused it.
+    void count_override() { state_.counts.add("engine_admissions_overridden"); }
+
     /// @return number of owned engines in slow start
     [[nodiscard]] std::size_t engines_in_slow_start() const
     {
--- a/src/lovagegate/pace/request_admission.cpp
+++ b/src/lovagegate/pace/request_admission.cpp
@@ -38,35 +38,59 @@
     return least->choice;
 }
 
-void request_admission::ask(const gateway::placement_choice& choice,
-                            gateway::run_request request, std::uint32_t slots,
-                            std::function<void(bool may_send)> go_on)
+void request_admission::seek(const gateway::placement_choice& choice,
+                             gateway::run_request request)
 {
     reset();
+    request.engine = choice.target;
     request.waits_for_adapter = waits_for_adapter_ = !choice.resident;
+    request_ = request;
     question_ = std::make_shared<int>();
     const std::weak_ptr<int> open_question = question_;
-    const auto number = shared_.ask(
-        std::move(request),
-        [this, open_question, choice, slots,
-         go_on = std::move(go_on)](const admission_answer& a) {
-            if (open_question.expired())
-                return;
-            number_ = 0;
-            question_.reset();
-            if (a.result == admission_answer::kind::refused) {
-                refusals_.add(choice, a.open_requests, a.usable_slots, slots);
-                go_on(false);
-                return;
-            }
-            if (a.result == admission_answer::kind::admitted)
-                permit_ = shared_.make_permit(a.number);
-            go_on(true);
-        });
+    const auto number =
+        shared_.ask(std::move(request),
+                    [this, open_question, choice](const admission_answer& a) {
+                        if (!open_question.expired())
+                            on_answer(choice, a);
+                    });
     if (!open_question.expired())
         number_ = number;
 }
 
+void request_admission::on_answer(const gateway::placement_choice& choice,
+                                  const admission_answer& a)
+{
+    number_ = 0;
+    question_.reset();
+    if (a.result == admission_answer::kind::admitted)
+        permit_ = shared_.make_permit(a.number);
+    if (a.result != admission_answer::kind::refused) {
+        refusals_.take_least_loaded(excluded_);
+        on_step_(admission_step::go, choice);
+        return;
+    }
+    refusals_.add(choice, a.open_requests, a.usable_slots,
+                  shared_.slots(choice.target));
+    excluded_.push_back(choice.target);
+    if (refusals_.is_complete())
+        settle();
+    else
+        on_step_(admission_step::choose_again, choice);
+}
+
+void request_admission::settle()
+{
+    const auto least = refusals_.take_least_loaded(excluded_);
+    if (!least) {
+        on_step_(admission_step::full, {});
+        return;
+    }
+    shared_.count_override();
+    gateway::run_request request = request_;
+    request.must_run = true;
+    seek(*least, std::move(request));
+}
+
 void request_admission::reset()
 {
     if (number_ != 0)
--- a/src/lovagegate/pace/request_admission.hpp
+++ b/src/lovagegate/pace/request_admission.hpp
@@ -52,26 +52,48 @@
     std::vector<refused> refused_;
 };
 
+/// What a request does after an owner was asked.
+enum class admission_step : std::uint8_t
+{
+    go,           ///< to the engine
+    choose_again, ///< among the engines that are not excluded
+    full          ///< no asked engine has room
+};
+
 /// The admission of one caller's request, which may ask several engines and run
 /// at several in turn.
 class request_admission
 {
 public:
-    explicit request_admission(engine_admission& shared) : shared_(shared) {}
+    using step_handler = std::function<void(
+        admission_step step, const gateway::placement_choice& choice)>;
+
+    /// @param excluded engines that the request isn't sent to; those that
+    ///        refuse are added until the choice has ended
+    /// @param on_step called once for each call of seek() or settle() unless
+    ///        reset, possibly before it returns
+    request_admission(engine_admission& shared,
+                      std::vector<std::string>& excluded, step_handler on_step)
+        : shared_(shared), excluded_(excluded), on_step_(std::move(on_step))
+    {
+    }
     ~request_admission() { reset(); }
     request_admission(const request_admission&) = delete;
     request_admission& operator=(const request_admission&) = delete;
 
-    /// Asks for the chosen engine.
-    /// @param slots of the engine
-    /// @param go_on called once unless reset, possibly before this function
-    ///        returns. Its argument says whether the request may be sent there;
-    ///        otherwise the engine is to be excluded.
-    void ask(const gateway::placement_choice& choice,
-             gateway::run_request request, std::uint32_t slots,
-             std::function<void(bool may_send)> go_on);
+    /// Asks the owner of the chosen engine.
+    void seek(const gateway::placement_choice& choice,
+              gateway::run_request request);
 
-    [[nodiscard]] refused_choices& refusals() noexcept { return refusals_; }
+    /// Goes to the least loaded of the engines that refused, since no other one
+    /// can be chosen.
+    void settle();
+
+    /// @return whether an engine has refused in the current choice
+    [[nodiscard]] bool was_refused() const noexcept
+    {
+        return !refusals_.empty();
+    }
 
     /// Called when the request has been sent.
     void on_sent()
@@ -94,7 +116,13 @@
     void reset();
 
 private:
+    void on_answer(const gateway::placement_choice& choice,
+                   const admission_answer& a);
+
     engine_admission& shared_;
+    std::vector<std::string>& excluded_;
+    step_handler on_step_;
+    gateway::run_request request_; ///< as last asked
     refused_choices refusals_;
     run_permit permit_;
     bool waits_for_adapter_ = false;
