--- a/tests/callers/crowd.hpp
+++ b/tests/callers/crowd.hpp
@@ -7,6 +7,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
+#include <charconv>
 #include <chrono>
 #include <functional>
 #include <poll.h>
@@ -70,7 +71,12 @@
     const auto n = ::recv(fd, line.data(), line.size() - 1, MSG_WAITALL);
     ::close(fd);
     constexpr std::size_t status_at = 9;
-    return n == 12 ? std::atoi(line.data() + status_at) : 0;
+    constexpr std::size_t line_end = 12;
+    int status = 0;
+    if (n == line_end)
+        std::from_chars(line.data() + status_at, line.data() + line_end,
+                        status);
+    return status;
 }
 
 /// Callers that never read an answer and stay connected as long as they can.
--- a/tests/callers/decisions_test.cpp
+++ b/tests/callers/decisions_test.cpp
@@ -12,7 +12,8 @@
 using namespace lovagegate;
 using namespace lovagegate::callers;
 
-constexpr std::size_t mb = std::size_t{1024} * 1024;
+constexpr std::size_t kb = 1024;
+constexpr std::size_t mb = 1024 * kb;
 constexpr time_point start{std::chrono::hours(1)};
 
 /// One connection that releases what it holds when it is closed.
@@ -43,7 +44,7 @@
         CHECK(all.back()->member.hold(4 * mb, start) == (i < 5));
     }
     connection small(account, "a");
-    CHECK(small.member.hold(16 * 1024, start));
+    CHECK(small.member.hold(16 * kb, start));
 }
 
 // Guards against bodies that stop short and keep others out, and against
@@ -60,7 +61,7 @@
     }
     answering.member.set_stage(stage::answering, start);
     for (duration t = 0s; t <= 5s; t += 100ms) {
-        slow.member.on_progress(8 * 1024, start + t);
+        slow.member.on_progress(8 * kb, start + t);
         trickling.member.on_progress(1, start + t);
     }
     connection next(account, "b");
@@ -111,5 +112,5 @@
     CHECK(overdue_part({16s, true, 100, false}, head) == overdue::body);
     CHECK(overdue_part({40s, true, 4 * mb, false}, head) == overdue::nothing);
     CHECK(overdue_part({90s, true, 4 * mb, false}, head) == overdue::body);
-    CHECK(delivery_timeout(15s, 16 * 1024) == 16s);
+    CHECK(delivery_timeout(15s, 16 * kb) == 16s);
 }
