Keep limits when answers fail right after a jump in demand

Cause: the coordinator's answer let reported demand go on for 1.5 s without regard to the room left, so that a coordinator that was lost 0.1 to 0.6 s after a jump let the fleet exceed the bound (test "the loss of a coordinator during a jump", seen failing with 5.12 M of 5.01 M tokens). A steady overload made the fraction swing with each peak that left the window. Change: an answer carries for how long reported demand may go on (horizon); what an instance may admit beyond it is its part of what is left. The equal part without answers ends when the own part of the window is used up. Lasting demand approaches its steady state within 5 s.

--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -701,8 +701,11 @@
         for (const auto& address : out.to)
             send_datagram(address, datagram);
     }
-    quota_.set_members(state_.members.alive(now.mono), state_.members.leaving(),
-                       boottime_now());
+    auto alive = state_.members.alive(now.mono);
+    // The others no longer choose an instance that leaves as a coordinator.
+    if (state_.stopping && alive.size() > 1)
+        std::erase(alive, state_.boot.address);
+    quota_.set_members(alive, state_.members.leaving(), boottime_now());
     store_.pull_missing(now.mono);
     repeat_crash_reports();
 }
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -123,6 +123,7 @@
         entries.push_back(e.workspace);
         entries.push_back(e.fraction);
         entries.push_back(e.room);
+        entries.push_back(e.horizon_ms);
     }
     return json::array({tag::quota_share, m.start, m.sequence, m.coordinators,
                         m.report_start, m.report_sequence, m.reporters,
@@ -282,7 +283,8 @@
 }
 
 /// Number of elements that an entry of a quota message takes.
-constexpr std::size_t quota_entry_size = 3;
+constexpr std::size_t quota_report_entry_size = 3;
+constexpr std::size_t quota_share_entry_size = 4;
 
 quota_report read_quota_report(const json& j)
 {
@@ -294,7 +296,7 @@
                    j.at(6).get<std::uint32_t>(),
                    {}};
     const json& e = j.at(7);
-    for (std::size_t i = 0; i < e.size(); i += quota_entry_size)
+    for (std::size_t i = 0; i < e.size(); i += quota_report_entry_size)
         m.entries.push_back({e.at(i).get<std::uint64_t>(),
                              e.at(i + 1).get<std::int64_t>(),
                              e.at(i + 2).get<std::int64_t>()});
@@ -309,10 +311,11 @@
                   j.at(7).get<std::uint32_t>(), j.at(8).get<std::uint32_t>(),
                   j.at(9).get<std::uint32_t>(), {}};
     const json& e = j.at(10);
-    for (std::size_t i = 0; i < e.size(); i += quota_entry_size)
+    for (std::size_t i = 0; i < e.size(); i += quota_share_entry_size)
         m.entries.push_back({e.at(i).get<std::uint64_t>(),
                              e.at(i + 1).get<std::uint32_t>(),
-                             e.at(i + 2).get<std::int64_t>()});
+                             e.at(i + 2).get<std::int64_t>(),
+                             e.at(i + 3).get<std::uint32_t>()});
     return m;
 }
 
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -216,6 +216,8 @@
         std::uint64_t workspace = 0;
         std::uint32_t fraction = 0; ///< of demand, in units of 1/10,000
         std::int64_t room = 0; ///< tokens left for all reporters, may be < 0
+        /// For how long demand may go on as reported without a new answer.
+        std::uint32_t horizon_ms = 0;
     };
     incarnation start = 0; ///< of the sender
     std::uint64_t sequence = 0;
@@ -227,8 +229,8 @@
     std::uint32_t instances = 0; ///< between which it divides limits
     std::uint32_t part = 0;
     std::uint32_t part_count = 1;
-    /// Workspaces that have used half of their limit or more; all others may
-    /// admit what is asked for.
+    /// Workspaces that have used half of their limit or more, or will soon; all
+    /// others may admit what is asked for.
     std::vector<entry> entries;
 };
 
--- a/src/lovagegate/quota/fleet_quota.cpp
+++ b/src/lovagegate/quota/fleet_quota.cpp
@@ -26,7 +26,10 @@
 constexpr double max_unreported_share = 0.5;
 /// Time for which the reported demand may continue without a new answer even if
 /// the lease is younger: the longest time between two answers, with one lost.
-constexpr double min_covered_demand_s = 0.5;
+constexpr duration min_covered_demand_time = 500ms;
+/// Age of an answer up to which more than the reported demand is admitted: that
+/// of answers between two reports, with one or two lost.
+constexpr duration new_demand_time = 1s;
 /// After a change of the coordinators, instances report to the old and the new
 /// ones for this long, and use the answers of the old ones for the time below:
 /// not all learn of the change at the same time.
@@ -52,6 +55,8 @@
 constexpr double max_retry_spread_s = 2.5;
 /// Workspaces with metrics of their own; the others share one.
 constexpr std::size_t max_named_workspaces = 64;
+constexpr std::string_view unnamed_workspaces =
+    "workspace=\"other workspaces\"";
 constexpr double whole_fraction = 10'000;
 constexpr double max_request_tokens = 1e9;
 
@@ -102,7 +107,7 @@
     });
     return static_cast<std::size_t>(named) < max_named_workspaces
                ? own
-               : "workspace=\"other workspaces\"";
+               : std::string(unnamed_workspaces);
 }
 
 fleet_quota::workspace& fleet_quota::use_of(workspace_id id,
@@ -200,22 +205,38 @@
 {
     const auto terms = channel.terms_of(limit, settings_, now);
     w.fraction = terms.fraction;
-    // What the coordinator doesn't know yet may go on as reported. Beyond that,
-    // each instance has its part of the room and of the bound's margin, so that
-    // all together don't exceed the bound even if no report arrives any more.
+    // Until the next answer, demand may go on as reported while there is room
+    // for that of all instances. What would be left of the room at the end of
+    // the lease, and what the bound permits beyond the target, is divided
+    // equally. The bound thus holds even if no report arrives any more.
     const std::int64_t unknown =
         terms.reported ? w.total_admitted - terms.reported->total_admitted
                        : w.admitted.sum(now);
     const double demand =
         terms.reported ? static_cast<double>(terms.reported->demand_per_s) : 0;
-    const double extra =
-        std::max(terms.room + limit.allowed(settings_) -
-                     limit.target(settings_) + limit.margin(settings_),
+    const double left = terms.horizon > lease_time
+                            ? terms.room * (1 - to_seconds(lease_time) /
+                                                    to_seconds(terms.horizon))
+                            : std::min(terms.room, 0.0);
+    const double part =
+        std::max(left + limit.allowed(settings_) - limit.target(settings_) +
+                     limit.margin(settings_),
                  0.0) /
         static_cast<double>(std::max(terms.instances, fleet_.largest()));
+    // A part below one request would refuse the third of several requests that
+    // come between a report and its answer.
+    constexpr double covered_requests = 2;
+    double extra =
+        terms.fraction < 1
+            ? part
+            : std::max(part, covered_requests * limit.request_size());
+    if (terms.age > new_demand_time)
+        extra = 0;
     const double allowed =
-        extra + terms.fraction * demand *
-                    std::max(to_seconds(terms.age), min_covered_demand_s);
+        extra +
+        terms.fraction * demand *
+            to_seconds(std::min(std::max(terms.age, min_covered_demand_time),
+                                terms.horizon));
     const auto used = static_cast<double>(unknown);
     const auto room_in =
         from_seconds(std::min(std::max(-terms.room, 0.0) / limit.rate_per_s,
@@ -241,7 +262,11 @@
 {
     const double part =
         limit.rate_per_s / static_cast<double>(fleet_.largest());
-    if (w.fallback.take(tokens, part, random_, now))
+    // What was admitted before the coordinator was lost is in the window.
+    const double window_part =
+        limit.allowed(settings_) / static_cast<double>(fleet_.largest());
+    const auto admitted = static_cast<double>(w.admitted.sum(now));
+    if (admitted <= window_part && w.fallback.take(tokens, part, random_, now))
         return std::nullopt;
     return retry_after(w.fallback.wait(part), 0);
 }
@@ -437,11 +462,13 @@
             continue;
         const auto verdict = c.reports.evaluate(limit->second, fleet);
         const double allowed = limit->second.target(settings_) * part;
-        if (verdict.fraction >= 1 && verdict.room > busy_share * allowed)
+        if (verdict.fraction >= 1 && verdict.room > busy_share * allowed &&
+            verdict.horizon > unlisted_horizon)
             continue;
         out.push_back(
             {id, static_cast<std::uint32_t>(verdict.fraction * whole_fraction),
-             std::llround(verdict.room)});
+             std::llround(verdict.room),
+             static_cast<std::uint32_t>(verdict.horizon / 1ms)});
     }
     return out;
 }
@@ -519,7 +546,7 @@
 {
     std::vector<fraction_gauge> out;
     for (const auto& [id, w] : workspaces_)
-        if (out.size() < max_named_workspaces)
+        if (w.label != unnamed_workspaces && out.size() < max_named_workspaces)
             out.push_back({w.label, w.fraction});
     return out;
 }
--- a/src/lovagegate/quota/lease_channel.cpp
+++ b/src/lovagegate/quota/lease_channel.cpp
@@ -6,10 +6,8 @@
 
 namespace {
 
-/// Validity of an answer, from the time at which its report was sent.
-constexpr duration lease_time = 1500ms;
 /// A report without an answer for this long, or its answer, was lost.
-constexpr duration answer_timeout = 200ms;
+constexpr duration answer_timeout = 100ms;
 constexpr double whole_fraction = 10'000;
 
 } // namespace
@@ -71,6 +69,7 @@
     if (const auto share = shares_.find(id); share != shares_.end()) {
         t.fraction = std::min(share->second.fraction / whole_fraction, 1.0);
         t.room = static_cast<double>(share->second.room);
+        t.horizon = std::chrono::milliseconds(share->second.horizon_ms);
         t.is_busy = true;
     }
     if (const auto it = report.reported.find(id); it != report.reported.end())
--- a/src/lovagegate/quota/lease_channel.hpp
+++ b/src/lovagegate/quota/lease_channel.hpp
@@ -12,6 +12,11 @@
 
 namespace lovagegate::quota {
 
+/// Validity of an answer, from the time at which its report was sent.
+inline constexpr duration lease_time = 1500ms;
+/// Workspaces whose demand uses up their room sooner are listed in answers.
+inline constexpr duration unlisted_horizon = 2 * lease_time;
+
 /// The exchange of an instance with one coordinator: the reports sent and the
 /// last answer. The answer is a lease that runs from the time at which the
 /// acknowledged report was sent, so that neither late answers nor clocks of
@@ -42,6 +47,8 @@
         double fraction = 1;
         double room = 0; ///< tokens that are surely left for all reporters
         duration age{};
+        /// For how long demand may go on as reported until it uses up the room.
+        duration horizon = unlisted_horizon;
         std::size_t reporters = 0;
         std::size_t instances = 1;
         /// The workspace has used half of its limit or more.
--- a/src/lovagegate/quota/message_parts.hpp
+++ b/src/lovagegate/quota/message_parts.hpp
@@ -21,7 +21,7 @@
     m.entries;
 };
 
-/// Entries in one datagram, of at most 27 bytes each.
+/// Entries in one datagram, of at most 28 bytes each.
 inline constexpr std::size_t max_entries_per_part = 40;
 inline constexpr std::uint32_t max_parts = 512;
 
--- a/src/lovagegate/quota/report_group.cpp
+++ b/src/lovagegate/quota/report_group.cpp
@@ -17,14 +17,21 @@
 /// Demand that lasts for about this long and exceeds the limit is slowed down
 /// early. A short excess may use up the window.
 constexpr duration demand_averaging_time = 4s;
-/// Ratio of lasting demand and limit from which it is slowed down fully.
+/// Ratio of lasting demand and limit from which it is slowed down fully; the
+/// demand for a limit of few requests varies more.
 constexpr double full_excess = 1.25;
+constexpr double full_excess_of_few = 2.5;
 /// Time over which room is spread as long as lasting demand is below the limit:
 /// that between two reports of an instance.
 constexpr double brief_spread_s = 0.25;
 /// Time in which lasting demand approaches the steady state. If it did so
 /// quickly, each peak of admissions would return when it leaves the window.
-constexpr double catch_up_s = 3;
+constexpr double catch_up_s = 5;
+/// The same for limits of few requests, which a single one may exceed.
+constexpr double catch_up_of_few_s = 0.7;
+/// Requests in a window below which a limit is one of few.
+constexpr double few_requests = 20;
+constexpr duration longest_horizon = 60s;
 
 std::int64_t bounded(std::int64_t tokens)
 {
@@ -137,7 +144,7 @@
     const double part =
         static_cast<double>(std::max<std::size_t>(heard_, 1)) /
         static_cast<double>(std::max({instances, heard_, std::size_t{1}}));
-    verdict v{1, limit.target(settings_) * part};
+    verdict v{1, limit.target(settings_) * part, longest_horizon};
     const auto it = totals_.find(id_of(limit.name));
     const total use = it == totals_.end() ? total{} : it->second;
     const auto admitted = static_cast<double>(use.admitted);
@@ -146,10 +153,14 @@
     const double window = to_seconds(settings_.window);
     // Under lasting excess, this much is in the window.
     const double steady = target * window / (window + limit.reserve_s());
-    const double slowed = steady / window + (steady - admitted) / catch_up_s;
+    const bool is_of_few =
+        limit.target(settings_) < few_requests * limit.request_size();
+    const double slowed =
+        steady / window +
+        (steady - admitted) / (is_of_few ? catch_up_of_few_s : catch_up_s);
     const double excess =
         std::clamp((use.lasting_demand_per_s / (limit.rate_per_s * part) - 1) /
-                       (full_excess - 1),
+                       ((is_of_few ? full_excess_of_few : full_excess) - 1),
                    0.0, 1.0);
     const double at_once = v.room / brief_spread_s;
     const double per_s = std::max(
@@ -158,6 +169,11 @@
     if (per_s < demand || v.room <= 0)
         v.fraction = demand > 0 && v.room > 0 ? per_s / demand : 0;
     v.fraction = std::min(v.fraction, limit.largest_fraction(v.room, part));
+    const double admitted_per_s = v.fraction * demand;
+    if (v.room <= 0)
+        v.horizon = duration::zero();
+    else if (admitted_per_s * to_seconds(longest_horizon) > v.room)
+        v.horizon = from_seconds(v.room / admitted_per_s);
     return v;
 }
 
--- a/src/lovagegate/quota/report_group.hpp
+++ b/src/lovagegate/quota/report_group.hpp
@@ -37,6 +37,9 @@
     {
         double fraction = 1; ///< of demand that may be admitted
         double room = 0;     ///< tokens left in the window, may be negative
+        /// Time in which the demand admitted uses up the room if nothing leaves
+        /// the window.
+        duration horizon{};
     };
 
     /// @param instances largest number of instances known to the coordinator
--- a/src/lovagegate/quota/workspace_limit.hpp
+++ b/src/lovagegate/quota/workspace_limit.hpp
@@ -54,7 +54,7 @@
     [[nodiscard]] double target(const quota_settings& s) const noexcept
     {
         constexpr double used_overage = 0.4;
-        constexpr double largest_distance = 0.1;
+        constexpr double largest_distance = 0.05;
         const double whole = allowed(s);
         return whole +
                std::max(used_overage * s.overage * whole - request_size() / 2,
@@ -72,7 +72,7 @@
     [[nodiscard]] double largest_fraction(double room,
                                           double part) const noexcept
     {
-        constexpr double excess = 0.4; // requests, so that small room is used
+        constexpr double excess = 0.6; // requests, so that small room is used
         return std::clamp(room / request_size() + excess * part, 0.0, 1.0);
     }
 
--- a/tests/quota/fake_fleet.hpp
+++ b/tests/quota/fake_fleet.hpp
@@ -102,6 +102,9 @@
     std::vector<traffic> take_traffic();
 
     network net;
+    /// Links that lose all datagrams, while the members still know of each
+    /// other through others.
+    std::function<bool(std::size_t from, std::size_t to)> is_broken;
 
 private:
     struct node
