--- a/src/lovagegate/quota/fleet_quota.cpp
+++ b/src/lovagegate/quota/fleet_quota.cpp
@@ -156,18 +156,26 @@
         w.total_admitted += size;
         count("quota_tokens_admitted", w, size);
     }
-    // A report that can't wait is sent by the caller's request, or else by the
-    // next tick.
-    if (channel != nullptr && channel->is_urgent &&
-        now - channel->last_sent().value_or(now) >= min_report_spacing)
-        for (auto* a : {&current_, &previous_})
-            if (*a)
-                for (auto& [address, c] : (*a)->channels)
-                    if (&c == channel)
-                        send_report(**a, address, c, now);
+    if (channel != nullptr && channel->is_urgent)
+        send_urgent_report(*channel, now);
     return refusal;
 }
 
+void fleet_quota::send_urgent_report(const lease_channel& channel,
+                                     time_point now)
+{
+    // What can't be sent yet is left to the next tick.
+    const bool may_send =
+        now - channel.last_sent().value_or(now) >= min_report_spacing;
+    for (auto* a : {&current_, &previous_}) {
+        if (!*a)
+            continue;
+        for (auto& [address, c] : (*a)->channels)
+            if (&c == &channel && (may_send || address == self_.address))
+                send_report(**a, address, c, now);
+    }
+}
+
 bool fleet_quota::is_usable(lease_channel* channel,
                             const workspace_limit& limit, time_point now) const
 {
@@ -516,8 +524,9 @@
         if (!*a || (*a)->coordinators.digest() != share.coordinators)
             continue;
         const auto it = (*a)->channels.find(from);
-        if (it != (*a)->channels.end())
-            it->second.on_share(share, self_.start);
+        if (it != (*a)->channels.end() &&
+            it->second.on_share(share, self_.start))
+            counts_.add("quota_reports_answered");
         return;
     }
 }
