Leave more room free under overload of small limits

Cause: with demand of 7 times a limit of 4,200 tokens/s, the fleet of fake instances came within 200 tokens of the bound (64,050 of 64,250): two requests of nearly 20,000 tokens were admitted within one round trip. Change: limits of fewer than 20 requests in a window keep 1.5 s of the limit free under lasting excess, instead of 1 s.

--- a/src/lovagegate/quota/fleet_quota.cpp
+++ b/src/lovagegate/quota/fleet_quota.cpp
@@ -97,7 +97,7 @@
             value += '\\';
         value += c;
     }
-    const std::string own = "workspace=\"" + value + "\"";
+    std::string own = "workspace=\"" + value + "\"";
     // Names of workspaces that came and went keep their counters.
     const std::string counter = "quota_tokens_admitted{" + own + "}";
     if (counts_.all().contains(counter))
--- a/src/lovagegate/quota/report_group.cpp
+++ b/src/lovagegate/quota/report_group.cpp
@@ -29,6 +29,9 @@
 constexpr double catch_up_s = 5;
 /// The same for limits of few requests, which a single one may exceed.
 constexpr double catch_up_of_few_s = 0.7;
+/// Factor of the reserve of such limits: two large requests may be admitted at
+/// the same time.
+constexpr double reserve_of_few = 1.5;
 /// Requests in a window below which a limit is one of few.
 constexpr double few_requests = 20;
 constexpr duration longest_horizon = 60s;
@@ -151,10 +154,12 @@
     const double target = v.room;
     v.room -= admitted;
     const double window = to_seconds(settings_.window);
-    // Under lasting excess, this much is in the window.
-    const double steady = target * window / (window + limit.reserve_s());
     const bool is_of_few =
         limit.target(settings_) < few_requests * limit.request_size();
+    // Under lasting excess, this much is in the window.
+    const double steady =
+        target * window /
+        (window + (is_of_few ? reserve_of_few : 1) * limit.reserve_s());
     const double slowed =
         steady / window +
         (steady - admitted) / (is_of_few ? catch_up_of_few_s : catch_up_s);
