--- a/src/lovagegate/quota/fleet_quota.hpp
+++ b/src/lovagegate/quota/fleet_quota.hpp
@@ -141,6 +141,9 @@
     void update_coordinators(std::span<const std::string> alive,
                              time_point now);
     void send_reports(assignment& a, time_point now);
+    /// Sends a report that should not wait, if that is allowed by now. There is
+    /// no limit for reports to this instance itself, which cost no datagram.
+    void send_urgent_report(const lease_channel& channel, time_point now);
     [[nodiscard]] bool is_report_due(const assignment& a,
                                      const std::string& coordinator,
                                      const lease_channel& channel,
--- a/standins/site/dialect.cpp
+++ b/standins/site/dialect.cpp
@@ -73,6 +73,8 @@
         json workspace{{"name", w.name}, {"apiKeys", json::array({w.key})}};
         if (w.priority)
             workspace["priority"] = *w.priority;
+        if (w.rate_per_s > 0)
+            workspace["ratePerS"] = workspace["burst"] = w.rate_per_s;
         config["tenants"].push_back(std::move(workspace));
     }
     return config.dump();
--- a/standins/site/dialect.hpp
+++ b/standins/site/dialect.hpp
@@ -21,6 +21,7 @@
     std::string name;
     std::string key;
     std::optional<int> priority{};
+    double rate_per_s = 0; ///< requests; 0: no limit
 };
 
 /// One route to one service "s" with all targets.
