Order requests by their workspace's priority everywhere

Permits of plain services and admission to engines used the route's rank, and permits did not know the workspace, so that a workspace's own priority had no effect there and its excess was shared by all. Both now get the rank and the hash of the workspace's name. Socket tests of permits and workspaces pass.

--- a/src/lovagegate/capacity/request_permit.cpp
+++ b/src/lovagegate/capacity/request_permit.cpp
@@ -44,7 +44,7 @@
                           kind, std::min(*r.time_left, r.route.timeout), now)
                     : duration::zero();
     const permit_question q{r.service,
-                            r.route.rank,
+                            r.priority,
                             r.workspace,
                             kind,
                             r.route.latency_objective - age - waited,
--- a/src/lovagegate/capacity/request_permit.hpp
+++ b/src/lovagegate/capacity/request_permit.hpp
@@ -28,6 +28,7 @@
     {
         const std::string& service;
         const gateway::route& route;
+        std::uint32_t priority = 0;  ///< 0 is the most urgent
         std::uint64_t workspace = 0; ///< hash; 0: none
         time_point arrived{};
         std::optional<duration> time_left; ///< that the caller stated
--- a/src/lovagegate/gateway/forwarding.cpp
+++ b/src/lovagegate/gateway/forwarding.cpp
@@ -462,7 +462,7 @@
 void forwarding::ask_owner(const placement_choice& choice)
 {
     admission_.seek(choice,
-                    {0, choice.target, route_->rank, facts_.prompt_tokens,
+                    {0, choice.target, identity_.rank, facts_.prompt_tokens,
                      facts_.prompt_tokens + facts_.output_tokens,
                      is_stream() ? route_->latency_objective : duration::zero(),
                      head_sent_, false});
@@ -504,8 +504,11 @@
     // A request that may have run already can't be refused any more.
     if (runs_ > 0 || head_sent_)
         return false;
+    const std::uint64_t workspace =
+        identity_.workspace ? stable_hash(identity_.name()) : 0;
     return permit_.ask(
-        {service_, *route_, 0, message_.arrived, facts_.time_left, deadline_},
+        {service_, *route_, identity_.rank, workspace, message_.arrived,
+         facts_.time_left, deadline_},
         [this] { on_permit_decided(); }, now);
 }
 
