Switch admission to engines on by the settings

It took effect in every large fleet. Now the settings' list of contracts must name health, so that a deployment that doesn't ask for it is served as before.

--- a/src/lovagegate/gateway/boot_settings.hpp
+++ b/src/lovagegate/gateway/boot_settings.hpp
@@ -47,6 +47,9 @@
     bool engines_check_fencing = true;
     /// Engines are not sent more tokens than their memory holds.
     bool engines_bound_memory = false;
+    /// The owner of an engine admits the requests of all instances to it; only
+    /// in large fleets.
+    bool owners_admit_requests = false;
     bool first_start =
         false; ///< whether the whole system starts for the first time
 };
--- a/src/lovagegate/pace/engine_admission.cpp
+++ b/src/lovagegate/pace/engine_admission.cpp
@@ -45,7 +45,7 @@
     constexpr std::size_t max_direct_fleet =
         gateway::member_settings{}.max_small_fleet_peers + 1;
     const gateway::service_spec* const s = state_.routes.service(service);
-    return s != nullptr && s->engine &&
+    return state_.boot.owners_admit_requests && s != nullptr && s->engine &&
            state_.members.count(now) > max_direct_fleet;
 }
 
--- a/tests/gateway/site_fixture.hpp
+++ b/tests/gateway/site_fixture.hpp
@@ -287,6 +287,7 @@
         s.failure_domain = "z";
         s.store = {"127.0.0.1", store_port_};
         s.first_start = true;
+        s.owners_admit_requests = true;
         s.seeds = limits_.seeds;
         s.stop_grace = limits_.stop_grace;
         s.retry_ratio = limits_.retry_ratio;
--- a/tests/platform_wire/boot_settings_test.cpp
+++ b/tests/platform_wire/boot_settings_test.cpp
@@ -72,6 +72,19 @@
     CHECK(bounds("contracts=pressure"));
 }
 
+// Guards against a change for deployments that don't ask for it.
+TEST_CASE("owners admit requests to engines where the contracts name health",
+          "[platform_wire]")
+{
+    const auto admits = [](const std::string& line) {
+        return parse_settings("boot.conf", with_line(line))
+            .owners_admit_requests;
+    };
+    CHECK_FALSE(admits(""));
+    CHECK_FALSE(admits("contracts=base,engine"));
+    CHECK(admits("contracts=base,health,engine"));
+}
+
 TEST_CASE("the share of a core is read", "[platform_wire]")
 {
     CHECK(parse_settings("boot.conf", valid_settings).cpu_cores == 0);
