--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -233,7 +233,11 @@
     h.self.address = "10.0.0.1";
     auto message = nlohmann::json::from_cbor(encode(h));
     auto& record = message.at(1);
-    record.erase(record.size() - 1);
+    // Earlier versions end with the revisions' eras.
+    constexpr std::size_t earlier_size = 14;
+    REQUIRE(record.size() > earlier_size);
+    while (record.size() > earlier_size)
+        record.erase(record.size() - 1);
     std::string datagram;
     nlohmann::json::to_cbor(message, datagram);
     const auto back = decode(datagram);
