--- a/review/standin-2/http.cpp
+++ b/review/standin-2/http.cpp
@@ -67,6 +67,32 @@
     return !out.first_line.empty();
 }
 
+/// Reads a chunked body without trailers.
+/// @return whether it is whole
+bool read_chunks(message& out, std::string& rest,
+                 const std::function<bool()>& read_more)
+{
+    constexpr int hexadecimal = 16;
+    for (;;) {
+        auto end = rest.find("\r\n");
+        while (end == std::string::npos) {
+            if (!read_more())
+                return false;
+            end = rest.find("\r\n");
+        }
+        const std::size_t size =
+            std::strtoul(rest.c_str(), nullptr, hexadecimal);
+        const std::size_t whole = end + 2 + size + 2;
+        while (rest.size() < whole)
+            if (!read_more())
+                return false;
+        out.body += rest.substr(end + 2, size);
+        rest.erase(0, whole);
+        if (size == 0)
+            return true;
+    }
+}
+
 } // namespace
 
 std::int64_t now_ms()
@@ -120,6 +146,9 @@
     if (!parse_head(std::string_view(rest).substr(0, end + 2), out))
         return std::nullopt;
     rest.erase(0, end + 4);
+    if (!out.header("transfer-encoding").empty())
+        return read_chunks(out, rest, read_more) ? std::optional(out)
+                                                 : std::nullopt;
     const auto length = out.header("content-length");
     const std::size_t size =
         length.empty() ? 0 : std::strtoul(length.c_str(), nullptr, 10);
--- a/review/standin-2/machines.cpp
+++ b/review/standin-2/machines.cpp
@@ -9,6 +9,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -152,6 +153,8 @@
         directory_ + "/gateway-" + std::to_string(machine) + ".log";
     const pid_t p = ::fork();
     if (p == 0) {
+        // The process must not outlive a script that is ended early.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int out =
             ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(out, STDOUT_FILENO);
@@ -214,8 +217,8 @@
 }
 
 caller_answer machines::ask(std::size_t machine, const std::string& method,
-                            const std::string& path,
-                            std::int64_t deadline_ms) const
+                            const std::string& path, std::int64_t deadline_ms,
+                            const std::string& headers) const
 {
     caller_answer out;
     out.attempt = in_hex(next_attempt_++);
@@ -230,7 +233,7 @@
                            " HTTP/1.1\r\nHost: review.example"
                            "\r\nX-Attempt-Id: " +
                            out.attempt + "\r\nX-Request-Deadline: " +
-                           std::to_string(deadline_ms) + "\r\n";
+                           std::to_string(deadline_ms) + "\r\n" + headers;
         if (!body.empty())
             head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
         out.sent = now_ms();
--- a/review/standin-2/machines.hpp
+++ b/review/standin-2/machines.hpp
@@ -79,8 +79,10 @@
     [[nodiscard]] bool is_ready(std::size_t machine) const;
 
     /// Sends a request on a new connection and waits for its answer.
+    /// @param headers further ones, each with its end of line
     caller_answer ask(std::size_t machine, const std::string& method,
-                      const std::string& path, std::int64_t deadline_ms) const;
+                      const std::string& path, std::int64_t deadline_ms,
+                      const std::string& headers = {}) const;
 
 private:
     void write_settings(std::size_t machine, bool first_start) const;
