Review: a caller gets an engine's answer to an order

Order of events: an engine loads a base model and answers an order with 409. It is faulty and sends a second copy of this answer late, where the answer to the next request on the channel is due, which is a caller's draft. The caller gets 409 without an id or a signature; the engine runs the draft, and its answer is thrown away.

--- a/review/standin-2/model_engine.cpp
+++ b/review/standin-2/model_engine.cpp
@@ -86,23 +86,36 @@
 
 std::string model_engine::describe() const
 {
-    std::string resident;
+    std::map<std::string, std::string> resident{{settings_.model, ""}};
+    if (second_model_from_ <= now_ms())
+        resident[settings_.second_model] = "";
     std::string coming;
     for (const auto& [name, a] : held_) {
+        const auto slash = name.find('/');
+        std::string& list = resident[name.substr(0, slash)];
         if (a.ready_at <= now_ms())
-            resident += (resident.empty() ? "\"" : ",\"") + name + "@1\"";
+            list +=
+                (list.empty() ? "\"" : ",\"") + name.substr(slash + 1) + "@1\"";
         else
-            coming += (coming.empty() ? "\"" : ",\"") + settings_.model + "/" +
-                      name + "@1\"";
+            coming += (coming.empty() ? "\"" : ",\"") + name + "@1\"";
     }
-    return R"({"stage":"unified","models":[{"name":")" + settings_.model +
-           R"(","version":1,"adapters":[)" + resident +
-           R"(]}],"busy":false,"sequence":)" + std::to_string(sequence_) +
+    std::string models;
+    for (const auto& [model, list] : resident)
+        models += (models.empty() ? "" : ",") + std::string(R"({"name":")") +
+                  model + R"(","version":1,"adapters":[)" + list + "]}";
+    return R"({"stage":"unified","models":[)" + models + R"(],"busy":)" +
+           (loads_model() ? "true" : "false") + R"(,"sequence":)" +
+           std::to_string(sequence_) +
            R"(,"waiting":0,"running":4,"kvCacheUsed":1000,)"
            R"("kvCacheTotal":150000,"handles":0,"coming":[)" +
            coming + "]}";
 }
 
+bool model_engine::loads_model() const
+{
+    return second_model_from_ != never && now_ms() < second_model_from_;
+}
+
 void model_engine::change()
 {
     const std::int64_t now = now_ms();
@@ -134,6 +147,7 @@
                 std::to_string(settings_.adapter_slots) +
                 " places, it crashes");
     held_.clear();
+    second_model_from_ = never;
     highest_token_ = 0;
     sequence_ = 1;
     ++life_;
@@ -143,9 +157,23 @@
     change();
 }
 
+std::string model_engine::model_order(const std::string& body)
+{
+    if (member(body, "operation") != "load")
+        return plain("400 Bad Request", "");
+    if (member(body, "model") != settings_.second_model ||
+        second_model_from_ != never)
+        return plain("200 OK", "");
+    ++sequence_;
+    second_model_from_ = now_ms() + settings_.model_load_ms;
+    change();
+    return plain("202 Accepted", "");
+}
+
 std::string model_engine::order(const std::string& body)
 {
-    const std::string name = member(body, "adapter");
+    const std::string name =
+        member(body, "model") + "/" + member(body, "adapter");
     const auto token =
         std::strtoull(member(body, "fencingToken").c_str(), nullptr, 10);
     const std::string expect = member(body, "expect");
@@ -155,6 +183,10 @@
     if (!expect.empty() &&
         std::strtoull(expect.c_str(), nullptr, 10) != sequence_)
         return plain(conflict, "");
+    if (loads_model())
+        return plain(conflict, "");
+    if (member(body, "adapter").empty())
+        return model_order(body);
     const auto held = held_.find(name);
     const auto coming = std::ranges::count_if(
         held_, [](const auto& h) { return h.second.ready_at > now_ms(); });
@@ -203,7 +235,7 @@
     if (request.word(1) == "/-/order")
         return order(request.body);
     const std::string model = request.header("x-model-name");
-    const auto held = held_.find(model.substr(model.find('/') + 1));
+    const auto held = held_.find(model);
     if (held == held_.end() || held->second.leaving)
         return plain("421 Misdirected Request",
                      id_line + "X-Not-Executed: 1\r\n");
@@ -274,21 +306,25 @@
                 return;
         }
         if (!second.empty()) {
-            // The channel is at its end: what has just arrived isn't handled.
+            const bool of_stream = second.starts_with("HTTP/1.1 200");
             record_.add(self_.id + " sends a second copy of '" +
-                        second.substr(0, second.find("\r\nX-Server")) +
-                        "' and closes the channel, on which has come " +
-                        request->first_line + " " +
-                        (request->word(1) == "/-/order" ? request->body : ""));
-            send_all(fd, second);
-            return;
+                        second.substr(0, second.find("\r\n")) + "' (" +
+                        (of_stream ? "a stream" : "an order") +
+                        ") where the answer is due to " + request->first_line +
+                        " " +
+                        (request->word(1) == "/-/order"
+                             ? request->body
+                             : request->header("x-attempt-id")));
+            const bool sent = send_all(fd, std::exchange(second, {}));
+            // The channel is at its end: what has just arrived isn't handled.
+            if (!sent || of_stream)
+                return;
         }
         std::int64_t life = 0;
         const std::string model = request->header("x-model-name");
         std::string answer = answer_to(*request, life);
         if (life != 0) {
-            if (!stream(fd, *request, life, model.substr(model.find('/') + 1),
-                        answer))
+            if (!stream(fd, *request, life, model, answer))
                 return;
             if (may_copy(fault::copies_streams))
                 second = answer;
--- a/review/standin-2/model_engine.hpp
+++ b/review/standin-2/model_engine.hpp
@@ -5,6 +5,7 @@
 #include "service.hpp"
 
 #include <deque>
+#include <limits>
 
 namespace review {
 
@@ -12,6 +13,10 @@
 struct model_settings
 {
     std::string model = "m0";
+    /// Another model, which the engine loads when it is ordered to; empty if
+    /// there is none.
+    std::string second_model;
+    std::int64_t model_load_ms = 600;
     std::size_t adapter_slots = 12;
     std::int64_t load_ms = 250;
     std::size_t loads_at_once = 4;
@@ -31,8 +36,9 @@
     copies_streams,       ///< whole streams
 };
 
-/// A model engine with one base model: loads and unloads adapters as ordered
-/// and streams answers. It crashes if it is ordered to hold more adapters than
+/// A model engine that holds a base model from the start: loads and unloads
+/// adapters as ordered and streams answers. It takes no other order while it
+/// loads a base model. It crashes if it is ordered to hold more adapters than
 /// it has places for, and starts again empty.
 class model_engine
 {
@@ -45,8 +51,9 @@
     [[nodiscard]] std::string entry() const;
 
     /// While it is faulty, the engine sends a second copy of some answers,
-    /// late: where the answer to the next request on the connection is due. It
-    /// then closes the connection and doesn't handle that request.
+    /// late: where the answer to the next request on the connection is due.
+    /// After the copy of a stream, it closes the connection and doesn't handle
+    /// that request.
     void set_fault(fault f);
 
     /// @return whether the engine has started again since the last call that
@@ -61,6 +68,9 @@
     [[nodiscard]] std::size_t lost_streams() const { return lost_streams_; }
 
 private:
+    static constexpr std::int64_t never =
+        std::numeric_limits<std::int64_t>::max();
+
     struct held_adapter
     {
         std::int64_t ready_at = 0;
@@ -77,6 +87,8 @@
     void serve(int fd);
     std::string answer_to(const message& request, std::int64_t& life);
     std::string order(const std::string& body);
+    std::string model_order(const std::string& body);
+    [[nodiscard]] bool loads_model() const;
     std::string report();
     /// @param sent set to the bytes of the answer
     /// @return whether the whole answer was sent
@@ -92,7 +104,8 @@
     model_settings settings_;
     record& record_;
     mutable std::mutex mutex_;
-    std::map<std::string, held_adapter> held_;
+    std::map<std::string, held_adapter> held_; ///< by MODEL/NAME
+    std::int64_t second_model_from_ = never;
     std::deque<past_report> reports_;
     std::set<std::string> runs_;
     std::uint64_t sequence_ = 1;
