--- a/review/standin-2/machines.cpp
+++ b/review/standin-2/machines.cpp
@@ -177,16 +177,14 @@
     record_.add("machine " + std::to_string(machine + 1) + " loses power");
 }
 
-void machines::freeze(std::size_t machine)
+void machines::terminate(std::size_t machine)
 {
-    ::kill(processes_.at(machine), SIGSTOP);
-    record_.add("machine " + std::to_string(machine + 1) + " freezes");
-}
-
-void machines::thaw(std::size_t machine)
-{
-    ::kill(processes_.at(machine), SIGCONT);
-    record_.add("machine " + std::to_string(machine + 1) + " wakes");
+    record_.add("machine " + std::to_string(machine + 1) + " gets SIGTERM");
+    pid_t& p = processes_.at(machine);
+    ::kill(p, SIGTERM);
+    ::waitpid(p, nullptr, 0);
+    p = 0;
+    record_.add("machine " + std::to_string(machine + 1) + " has ended");
 }
 
 bool machines::is_ready(std::size_t machine) const
--- a/review/standin-2/machines.hpp
+++ b/review/standin-2/machines.hpp
@@ -71,8 +71,8 @@
     void start(std::size_t machine, bool first_start);
     /// Ends a process as a loss of power does.
     void kill(std::size_t machine);
-    void freeze(std::size_t machine);
-    void thaw(std::size_t machine);
+    /// Ends a process by SIGTERM and waits for its end.
+    void terminate(std::size_t machine);
 
     /// @return whether every machine says that it is ready within the time
     bool wait_until_ready(std::int64_t timeout_ms) const;
