--- a/review/standin-2/model_engine.cpp
+++ b/review/standin-2/model_engine.cpp
@@ -54,10 +54,12 @@
            self_.at.address + ":" + std::to_string(self_.at.port) +
            R"(","zone":")" + self_.zone +
            R"(","version":"v1","slots":64,"state":"ready",)"
-           R"("coldRemainingMs":0,"stage":"unified","models":[{"name":")" +
-           settings_.model +
-           R"(","version":1,"adapters":[]}],"sequence":1,"born":)" +
-           std::to_string(1765000000000 + life_) + "}";
+           R"("coldRemainingMs":0,"stage":"unified","models":[)" +
+           (model_from_ == 0 ? R"({"name":")" + settings_.model +
+                                   R"(","version":1,"adapters":[]})"
+                             : std::string()) +
+           R"(],"sequence":1,"born":)" + std::to_string(1765000000000 + life_) +
+           "}";
 }
 
 void model_engine::set_fault(fault f)
@@ -86,9 +88,10 @@
 
 std::string model_engine::describe() const
 {
-    std::map<std::string, std::string> resident{{settings_.model, ""}};
-    if (second_model_from_ <= now_ms())
-        resident[settings_.second_model] = "";
+    std::map<std::string, std::string> resident;
+    for (const auto& model : {settings_.model, settings_.second_model})
+        if (holds_model(model))
+            resident[model] = "";
     std::string coming;
     for (const auto& [name, a] : held_) {
         const auto slash = name.find('/');
@@ -113,7 +116,16 @@
 
 bool model_engine::loads_model() const
 {
-    return second_model_from_ != never && now_ms() < second_model_from_;
+    for (const auto from : {model_from_, second_model_from_})
+        if (from != never && now_ms() < from)
+            return true;
+    return false;
+}
+
+bool model_engine::holds_model(const std::string& model) const
+{
+    return (model == settings_.model && model_from_ <= now_ms()) ||
+           (model == settings_.second_model && second_model_from_ <= now_ms());
 }
 
 void model_engine::change()
@@ -147,7 +159,7 @@
                 std::to_string(settings_.adapter_slots) +
                 " places, it crashes");
     held_.clear();
-    second_model_from_ = never;
+    model_from_ = second_model_from_ = never;
     highest_token_ = 0;
     sequence_ = 1;
     ++life_;
@@ -161,11 +173,15 @@
 {
     if (member(body, "operation") != "load")
         return plain("400 Bad Request", "");
-    if (member(body, "model") != settings_.second_model ||
-        second_model_from_ != never)
+    const std::string model = member(body, "model");
+    std::int64_t& from =
+        model == settings_.model ? model_from_ : second_model_from_;
+    if (model != settings_.model && model != settings_.second_model)
+        return plain("400 Bad Request", "");
+    if (from != never)
         return plain("200 OK", "");
     ++sequence_;
-    second_model_from_ = now_ms() + settings_.model_load_ms;
+    from = now_ms() + settings_.model_load_ms;
     change();
     return plain("202 Accepted", "");
 }
@@ -187,6 +203,8 @@
         return plain(conflict, "");
     if (member(body, "adapter").empty())
         return model_order(body);
+    if (!holds_model(member(body, "model")))
+        return plain("400 Bad Request", "");
     const auto held = held_.find(name);
     const auto coming = std::ranges::count_if(
         held_, [](const auto& h) { return h.second.ready_at > now_ms(); });
--- a/review/standin-2/model_engine.hpp
+++ b/review/standin-2/model_engine.hpp
@@ -88,6 +88,7 @@
     std::string answer_to(const message& request, std::int64_t& life);
     std::string order(const std::string& body);
     std::string model_order(const std::string& body);
+    [[nodiscard]] bool holds_model(const std::string& model) const;
     [[nodiscard]] bool loads_model() const;
     std::string report();
     /// @param sent set to the bytes of the answer
@@ -105,6 +106,7 @@
     record& record_;
     mutable std::mutex mutex_;
     std::map<std::string, held_adapter> held_; ///< by MODEL/NAME
+    std::int64_t model_from_ = 0;
     std::int64_t second_model_from_ = never;
     std::deque<past_report> reports_;
     std::set<std::string> runs_;
