End the doubt of a deletion by the return of the store

Cause: a deletion learnt within 4 s of the last failed call was in doubt, and each such deletion began a new grace of 1.9 s from its own news on. Entries that expired in an outage are back 2 s after the return of the store, so both the choice and the end of the grace counted from the wrong moment, and the time of the news came on top.

Change: draining::expiry_doubt keeps one moment, 2 s after the first answer that follows failed calls and at most 2.9 s after the last of these was sent. News and pulled states carry the time that is left of it. The same cause elsewhere: receivers of relayed deletions, states pulled by an instance that was cut off alone, history lost without a failed call, a restored store. A store that is away is asked with short calls, so that its return is seen earlier.

"a deletion after the entries of an outage must be back is not in doubt" fails with the former 4 s.

Tests that passed a flag for doubt now pass the time that is left of it.

--- a/src/lovagegate/draining/drain_rules.cpp
+++ b/src/lovagegate/draining/drain_rules.cpp
@@ -13,9 +13,6 @@
 constexpr duration max_request_time = 100ms;
 /// Part of the limit in which a leaving target is used at most.
 constexpr int use_divisor = 2;
-/// Entries that expired while the store was unreachable return within two
-/// seconds.
-constexpr duration expired_entry_grace = 1900ms;
 
 } // namespace
 
@@ -32,9 +29,14 @@
 
 removal_terms drain_rules::on_removed(const removal_facts& facts) const
 {
-    if (facts.store_was_away && !facts.was_leaving)
-        return {expired_entry_grace, expired_entry_grace};
-    return {duration::zero(), use_after_news()};
+    const duration as_last_resort = use_after_news();
+    if (facts.was_leaving)
+        return {duration::zero(), as_last_resort};
+    // A request on its way must arrive within the limit in any case.
+    const duration in_doubt =
+        std::clamp(facts.doubt_left, duration::zero(),
+                   std::max(duration::zero(), limit_ - max_request_time));
+    return {in_doubt, std::max(in_doubt, as_last_resort)};
 }
 
 } // namespace lovagegate::draining
--- a/src/lovagegate/draining/drain_rules.hpp
+++ b/src/lovagegate/draining/drain_rules.hpp
@@ -8,11 +8,10 @@
 /// What is known when the entry of a target is gone from the store.
 struct removal_facts
 {
-    /// The instance that read the deletion had lost contact with the store
-    /// within the last seconds, as told with the news. Only then may the entry
-    /// have expired: a target that reaches the store renews it. The number of
+    /// For how much longer the entry may merely have expired while the store
+    /// was away, as told with the news; see expiry_doubt. The number of
     /// removals is no evidence, since targets may leave together.
-    bool store_was_away = false;
+    duration doubt_left{};
     bool was_leaving = false; ///< the target had said that it leaves
 };
 
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -225,11 +225,11 @@
           [this](const std::string& to, std::string_view datagram) {
               send_datagram(to, datagram);
           },
-          [this](const platform_wire::store_item& item, bool) {
+          [this](const platform_wire::store_item& item, duration) {
               on_operator_item(item);
           },
-          [this](const platform_wire::store_item& item, bool in_doubt) {
-              on_target_item(item, in_doubt);
+          [this](const platform_wire::store_item& item, duration doubt_left) {
+              on_target_item(item, doubt_left);
           })
 {
     adapters_.set_open_requests(
@@ -522,7 +522,7 @@
 }
 
 void gateway_daemon::on_target_item(const platform_wire::store_item& item,
-                                    bool in_doubt)
+                                    duration doubt_left)
 {
     using namespace platform_wire;
     const time_point now = net::event_loop::now().mono;
@@ -530,16 +530,17 @@
     const target_state* known = state_.targets.find(id);
     if (item.deleted) {
         if (known == nullptr || !known->listed) {
-            state_.targets.remove(id, in_doubt, now, item.revision.era);
+            state_.targets.remove(id, doubt_left, now, item.revision.era);
             return;
         }
-        logging::write(logging::level::info, "target_unlisted",
-                       {{"target", id},
-                        {"revision", to_string(item.revision)},
-                        {"in_doubt", in_doubt ? "yes" : "no"}});
-        if (!in_doubt)
+        logging::write(
+            logging::level::info, "target_unlisted",
+            {{"target", id},
+             {"revision", to_string(item.revision)},
+             {"doubt_left_ms", static_cast<std::uint64_t>(to_ms(doubt_left))}});
+        if (doubt_left == duration::zero())
             record_run_end(*known);
-        state_.targets.remove(id, in_doubt, now, item.revision.era);
+        state_.targets.remove(id, doubt_left, now, item.revision.era);
         return;
     }
     auto entry = parse_target(item.key, item.value);
@@ -554,7 +555,8 @@
 {
     // While the store is away, entries of ended targets don't expire, or
     // nothing tells that they have.
-    if (store_.targets().doubt_left(now) > duration::zero())
+    if (store_.targets().is_failing() ||
+        store_.targets().doubt_left(now) > duration::zero())
         return;
     for (const auto& entry : state_.targets.take_confirmed_entries(now))
         list_target(entry, store_.targets().newest());
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -52,7 +52,8 @@
     void list_confirmed_targets(time_point now);
     /// @param revision of the entry, or a later one of the same era
     void list_target(const target_entry& entry, store_revision revision);
-    void on_target_item(const platform_wire::store_item& item, bool in_doubt);
+    void on_target_item(const platform_wire::store_item& item,
+                        duration doubt_left);
     /// Counts the broken connections to this run of the target as crashes.
     void record_run_end(const target_state& t);
     /// Tells other instances of broken connections to targets, all at once.
--- a/src/lovagegate/gateway/news_codec.cpp
+++ b/src/lovagegate/gateway/news_codec.cpp
@@ -65,10 +65,11 @@
 }
 
 store_changes pack(bool of_targets, const store_reader::batch& news,
-                   store_revision after, store_revision revision,
-                   std::span<const store_item> items)
+                   time_point now, store_revision after,
+                   store_revision revision, std::span<const store_item> items)
 {
-    store_changes out{of_targets, after, revision, news.in_doubt};
+    store_changes out{of_targets, after, revision,
+                      std::max(duration::zero(), news.doubt_until - now)};
     std::string dictionary;
     json content = json::array();
     for (const auto& item : items) {
@@ -85,8 +86,8 @@
 
 } // namespace
 
-std::vector<store_changes> pack_changes(bool of_targets,
-                                        const store_reader::batch& news)
+std::vector<store_changes>
+pack_changes(bool of_targets, const store_reader::batch& news, time_point now)
 {
     auto items = news.items;
     std::ranges::sort(items, {}, &store_item::revision);
@@ -103,7 +104,7 @@
         const store_revision revision =
             last ? news.revision
                  : std::min(items[to - 1].revision, news.revision);
-        append_parts(out, pack(of_targets, news, after, revision,
+        append_parts(out, pack(of_targets, news, now, after, revision,
                                std::span(items).subspan(from, to - from)));
         after = revision;
         from = to;
@@ -113,7 +114,8 @@
 
 std::optional<store_reader::batch>
 unpack_changes(const store_changes& message,
-               const store_reader::item_map& known, store_revision newest)
+               const store_reader::item_map& known, time_point now,
+               store_revision newest)
 {
     if (message.packed.empty())
         return std::nullopt;
@@ -128,7 +130,7 @@
     store_reader::batch out;
     out.after = in_era(message.after, newest);
     out.revision = in_era(message.revision, newest);
-    out.in_doubt = message.in_doubt;
+    out.doubt_until = now + message.doubt_left;
     try {
         const json content = read_cbor(
             decompress(message.packed, max_content_bytes, dictionary));
--- a/src/lovagegate/gateway/news_codec.hpp
+++ b/src/lovagegate/gateway/news_codec.hpp
@@ -23,21 +23,24 @@
 
 /// Packs changes into messages of bounded size.
 /// @param of_targets whether the changes are of the targets' entries
+/// @param now when they are sent
 /// @return the messages in order. Changes that don't fit into one message are
 ///         divided into parts, see news_assembler; if they don't fit into the
 ///         largest number of parts, `packed` is empty, and receivers must pull
 ///         the changes.
 [[nodiscard]] std::vector<store_changes>
-pack_changes(bool of_targets, const store_reader::batch& news);
+pack_changes(bool of_targets, const store_reader::batch& news, time_point now);
 
 /// @param message a whole message
 /// @param known values known to this instance
+/// @param now when the message was received
 /// @param newest revision up to which they are complete
 /// @return nothing if the changes were too large to be sent, or are compressed
 ///         with values that this instance doesn't have
 [[nodiscard]] std::optional<store_reader::batch>
 unpack_changes(const store_changes& message,
-               const store_reader::item_map& known, store_revision newest = {});
+               const store_reader::item_map& known, time_point now,
+               store_revision newest = {});
 
 /// Newest revisions that an instance knows.
 struct known_revisions
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -206,9 +206,10 @@
         bases.push_back(
             json::array({b.key, b.revision.number, b.revision.era}));
     return json::array({tag::store_changes, m.of_targets, m.after.number,
-                        m.revision.number, m.in_doubt, std::move(bases),
-                        m.packed, m.relay_to, m.part, m.part_count, m.content,
-                        m.after.era, m.revision.era});
+                        m.revision.number, m.doubt_left > duration::zero(),
+                        std::move(bases), m.packed, m.relay_to, m.part,
+                        m.part_count, m.content, m.after.era, m.revision.era,
+                        m.doubt_left.count()});
 }
 
 /// @param number_position position of the revision's number in the array
@@ -221,13 +222,25 @@
                                     : 0};
 }
 
+/// Doubt in news of earlier versions, which say only that there is some.
+constexpr duration unspecified_doubt = 1s;
+
+duration read_doubt(const json& news)
+{
+    constexpr std::size_t time_position = 13;
+    if (news.size() > time_position)
+        return duration(news.at(time_position).get<duration::rep>());
+    const bool in_doubt = news.at(4).get<bool>();
+    return in_doubt ? unspecified_doubt : duration::zero();
+}
+
 store_changes read_news(const json& j)
 {
     store_changes n;
     n.of_targets = j.at(1).get<bool>();
     n.after = read_revision(j, 2, 11);
     n.revision = read_revision(j, 3, 12);
-    n.in_doubt = j.at(4).get<bool>();
+    n.doubt_left = read_doubt(j);
     for (const json& b : j.at(5))
         n.bases.push_back({b.at(0).get<std::string>(), read_revision(b, 1, 2)});
     n.packed = j.at(6).get<std::string>();
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -182,7 +182,8 @@
         false; ///< of the targets' entries; otherwise of the operators' keys
     store_revision after;    ///< changes up to this revision were sent before
     store_revision revision; ///< of the last change in this message
-    bool in_doubt = false;   ///< deleted entries may merely have expired
+    /// For how much longer deleted entries may merely have expired.
+    duration doubt_left{};
     std::vector<base> bases{};
     std::string
         packed{}; ///< compressed changes; empty if they are too large to send
--- a/src/lovagegate/gateway/store_mirror.cpp
+++ b/src/lovagegate/gateway/store_mirror.cpp
@@ -171,7 +171,7 @@
     const time_point now = net::event_loop::now().mono;
     // All messages take the same ways, so that they arrive in order.
     const auto groups = make_relay_groups(state_.members, now, random_);
-    for (auto& message : pack_changes(of_targets, news))
+    for (auto& message : pack_changes(of_targets, news, now))
         for (const auto& group : groups) {
             message.relay_to = group.others;
             send_to(group.relay, message);
@@ -196,12 +196,14 @@
     store_revision& told =
         news.of_targets ? told_.targets : told_.operator_keys;
     told = std::max(told, in_era(news.revision, reader.newest()));
-    const auto whole = assembler_.add(news, net::event_loop::now().mono);
+    const time_point now = net::event_loop::now().mono;
+    const auto whole = assembler_.add(news, now);
     // If a part is lost, the changes are pulled once a heartbeat shows that
     // they are missing.
     if (!whole)
         return;
-    const auto batch = unpack_changes(*whole, reader.items(), reader.newest());
+    const auto batch =
+        unpack_changes(*whole, reader.items(), now, reader.newest());
     if (!batch)
         state_.counts.add("news_to_be_pulled");
     const bool complete = batch && reader.apply_peer_changes(*batch);
--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -57,21 +57,6 @@
     return failing_ ? now - failing_since_ : duration::zero();
 }
 
-duration store_reader::doubt_left(time_point now) const
-{
-    return std::max(duration::zero(), doubt_until_ - now);
-}
-
-bool store_reader::in_doubt(time_point now) const
-{
-    return doubt_left(now) > duration::zero();
-}
-
-void store_reader::extend_doubt(duration from_now, time_point now)
-{
-    doubt_until_ = std::max(doubt_until_, now + from_now);
-}
-
 void store_reader::call(const std::string& path, duration answer_due,
                         duration limit,
                         void (store_reader::*done)(const short_call::result&))
@@ -81,6 +66,7 @@
     request.address = store_;
     request.head = platform_wire::write_get_head(to_string(store_), path);
     counts_.add("store_calls");
+    call_sent_ = net::event_loop::now().mono;
     expect_answer(answer_due);
     calling_ = true;
     auto finished = [this, done](const short_call::result& r) {
@@ -111,8 +97,12 @@
 {
     const std::string after =
         partial_items_.empty() ? "" : partial_items_.rbegin()->first;
+    // A store that was away is asked often, so that its return is noticed
+    // early.
+    const duration limit =
+        loaded_ && failing_ ? settings_.page_silence_margin : read_timeout;
     call(platform_wire::range_path(prefix_, after),
-         settings_.page_silence_margin, read_timeout, &store_reader::on_page);
+         settings_.page_silence_margin, limit, &store_reader::on_page);
 }
 
 void store_reader::on_page(const short_call::result& r)
@@ -153,8 +143,8 @@
     partial_items_.clear();
     if (loaded_ && first_page_revision_.era > newest_.era)
         on_restored(first_page_revision_.era);
-    const bool doubt = in_doubt(net::event_loop::now().mono) || loaded_;
-    auto news = apply_all(all, first_page_revision_, doubt);
+    doubt_.on_answer(net::event_loop::now().mono);
+    auto news = apply_all(all, first_page_revision_, doubt_.until());
     revision_ = std::max(revision_, first_page_revision_);
     on_answered();
     // Items of later pages may be newer than the state is known to be complete,
@@ -166,11 +156,11 @@
 
 store_reader::batch store_reader::apply_all(const item_map& all,
                                             store_revision revision,
-                                            bool in_doubt)
+                                            time_point doubt_until)
 {
     batch news;
     news.after = newest_;
-    news.in_doubt = in_doubt;
+    news.doubt_until = doubt_until;
     std::vector<platform_wire::store_item> changes;
     for (const auto& [key, item] : items_)
         if (!all.contains(key))
@@ -197,8 +187,9 @@
 {
     if (newest <= newest_ && loaded_)
         return true;
-    const time_point now = net::event_loop::now().mono;
-    extend_doubt(doubt_left, now);
+    // The sender's doubt counts: this instance may have been cut off alone.
+    const time_point doubt_until = net::event_loop::now().mono + doubt_left;
+    doubt_.on_told(doubt_until);
     item_map all;
     for (const auto& item : items)
         if (item.key.starts_with(prefix_))
@@ -212,7 +203,7 @@
         else if (!deletion_ahead(key))
             return false;
     }
-    apply_all(all, newest, in_doubt(now));
+    apply_all(all, newest, doubt_until);
     revision_ = std::max(revision_, newest);
     return true;
 }
@@ -229,12 +220,10 @@
     if (!follows && deletions_ahead_.size() + news.items.size() >
                         settings_.max_deletions_ahead)
         return false;
-    if (news.in_doubt)
-        extend_doubt(settings_.relayed_doubt_period,
-                     net::event_loop::now().mono);
+    doubt_.on_told(news.doubt_until);
     for (const auto& item : news.items)
         if (!was_deleted_since(item))
-            apply(item, news.in_doubt);
+            apply(item, news.doubt_until);
     if (!follows)
         return false;
     advance_to(news.revision);
@@ -271,7 +260,7 @@
     std::optional<platform_wire::store_item> before;
     if (known != items_.end())
         before = known->second;
-    const bool changed = apply(item, news.in_doubt);
+    const bool changed = apply(item, news.doubt_until);
     // What this instance already has by news after a gap, receivers may lack.
     if (!changed && item.revision <= news.after)
         return;
@@ -282,7 +271,8 @@
         news.previous_values.emplace(item.key, std::move(*before));
 }
 
-bool store_reader::apply(const platform_wire::store_item& item, bool in_doubt)
+bool store_reader::apply(const platform_wire::store_item& item,
+                         time_point doubt_until)
 {
     if (!item.key.starts_with(prefix_))
         return false;
@@ -302,7 +292,8 @@
         items_.erase(item.key);
     else
         items_.insert_or_assign(item.key, item);
-    on_item_(item, in_doubt);
+    on_item_(item, std::max(duration::zero(),
+                            doubt_until - net::event_loop::now().mono));
     return true;
 }
 
@@ -333,9 +324,10 @@
 void store_reader::watch()
 {
     watched_from_ = revision_;
-    const duration wait = interrupted_ || contact_uncertain_ || !active_
-                              ? settings_.probe_watch_timeout
-                              : settings_.watch_timeout;
+    const duration wait =
+        interrupted_ || failing_ || contact_uncertain_ || !active_
+            ? settings_.probe_watch_timeout
+            : settings_.watch_timeout;
     call(platform_wire::watch_path(prefix_, revision_.number, wait),
          wait + settings_.silence_margin, wait + settings_.response_margin,
          &store_reader::on_watch);
@@ -344,7 +336,7 @@
 void store_reader::on_watch(const short_call::result& r)
 {
     if (r.status == gone_status) {
-        extend_doubt(settings_.in_doubt_period, net::event_loop::now().mono);
+        doubt_.on_answer(net::event_loop::now().mono);
         counts_.add("store_history_lost");
         schedule_next(settings_.watch_interval, true);
         return;
@@ -365,7 +357,8 @@
         }
         batch news;
         news.after = newest_;
-        news.in_doubt = in_doubt(net::event_loop::now().mono);
+        doubt_.on_answer(net::event_loop::now().mono);
+        news.doubt_until = doubt_.until();
         // News of other instances may have overtaken the answer.
         for (const auto& item : reply.items)
             if (!was_deleted_since(item))
@@ -392,7 +385,7 @@
 
 void store_reader::on_restored(std::uint64_t era)
 {
-    extend_doubt(settings_.in_doubt_period, net::event_loop::now().mono);
+    doubt_.on_restored(net::event_loop::now().mono);
     counts_.add("store_restorations");
     logging::write(
         logging::level::warning, "store_restored",
@@ -434,7 +427,6 @@
 
 void store_reader::on_failure(const short_call::result& r)
 {
-    const time_point now = net::event_loop::now().mono;
     counts_.add("store_failures", "status", std::to_string(r.status));
     backoff_ = std::clamp<duration>(2 * backoff_, settings_.initial_backoff,
                                     settings_.max_backoff);
@@ -445,7 +437,7 @@
         pool_.close_idle_connections(store_target);
         return;
     }
-    extend_doubt(settings_.in_doubt_period, now);
+    doubt_.on_call_failed(call_sent_);
     lose_contact(r.status);
 }
 
--- a/src/lovagegate/gateway/store_reader.hpp
+++ b/src/lovagegate/gateway/store_reader.hpp
@@ -2,6 +2,7 @@
 #define LOVAGEGATE_GATEWAY_STORE_READER_HPP
 
 #include "lovagegate/core/counters.hpp"
+#include "lovagegate/draining/expiry_doubt.hpp"
 #include "lovagegate/gateway/short_call.hpp"
 #include "lovagegate/gateway/store_revision.hpp"
 #include "lovagegate/net/event_loop.hpp"
@@ -45,12 +46,6 @@
     duration recheck_interval = 3s;
     duration initial_backoff = 150ms;
     duration max_backoff = 600ms;
-    /// An entry that is deleted within this time after a failed call may merely
-    /// have expired. A call that was cut doesn't count if the next one
-    /// succeeds.
-    duration in_doubt_period = 4s;
-    /// The same for an instance that has received such a deletion from another.
-    duration relayed_doubt_period = 1s;
     /// Deletions that are remembered while changes before them are missing.
     std::size_t max_deletions_ahead = 4096;
 };
@@ -60,10 +55,10 @@
 {
 public:
     /// @param item current state of the item, or its deletion
-    /// @param in_doubt whether a deletion may only be a consequence of the
-    ///         store's outage
+    /// @param doubt_left for how much longer a deleted entry may merely have
+    ///         expired while the store was away; zero if it was deleted
     using item_handler = std::function<void(
-        const platform_wire::store_item& item, bool in_doubt)>;
+        const platform_wire::store_item& item, duration doubt_left)>;
 
     using item_map = std::map<std::string, platform_wire::store_item>;
 
@@ -72,7 +67,8 @@
     {
         store_revision after;    ///< newest revision before these changes
         store_revision revision; ///< newest revision among these changes
-        bool in_doubt = false;
+        /// Until when deleted entries may merely have expired.
+        time_point doubt_until{};
         std::vector<platform_wire::store_item> items;
         item_map previous_values; ///< values before the changes, where there
                                   ///< were any
@@ -136,7 +132,10 @@
     /// @return for how much longer a deleted entry may merely have expired
     ///         while the store didn't answer, as this instance or the one that
     ///         it has its news from has found; zero if deletions are certain
-    [[nodiscard]] duration doubt_left(time_point now) const;
+    [[nodiscard]] duration doubt_left(time_point now) const
+    {
+        return doubt_.left(now);
+    }
 
     [[nodiscard]] const item_map& items() const noexcept { return items_; }
 
@@ -184,16 +183,14 @@
     deletion_ahead(const std::string& key) const;
     /// Called when the state has become complete up to a revision.
     void advance_to(store_revision revision);
-    bool apply(const platform_wire::store_item& item, bool in_doubt);
+    bool apply(const platform_wire::store_item& item, time_point doubt_until);
     /// Applies an item that was read from the store, and adds it to the news
     /// unless receivers of that news must have it.
     void apply_to(batch& news, const platform_wire::store_item& item);
     void publish_changes(batch news);
     /// @param all complete state as of the revision; single items may be newer
     batch apply_all(const item_map& all, store_revision revision,
-                    bool in_doubt);
-    void extend_doubt(duration from_now, time_point now);
-    [[nodiscard]] bool in_doubt(time_point now) const;
+                    time_point doubt_until);
 
     net::event_loop& loop_;
     target_pool& pool_;
@@ -210,12 +207,13 @@
     /// Deleted keys, by changes after a gap. A change that fills the gap later
     /// must not bring such a key back.
     std::map<std::string, store_revision> deletions_ahead_;
+    draining::expiry_doubt doubt_;
     store_revision first_page_revision_;
     store_revision revision_;     ///< watches continue from here
     store_revision watched_from_; ///< position of the current watch
     time_point failing_since_{};
-    time_point doubt_until_{};
     time_point started_{};
+    time_point call_sent_{};
     duration backoff_{};
     net::timer_id timer_ = 0;
     net::timer_id silence_timer_ = 0;
--- a/src/lovagegate/gateway/target_directory.cpp
+++ b/src/lovagegate/gateway/target_directory.cpp
@@ -123,7 +123,7 @@
     return out;
 }
 
-void target_directory::remove(std::string_view id, bool in_doubt,
+void target_directory::remove(std::string_view id, duration doubt_left,
                               time_point now, std::uint64_t store_era)
 {
     const auto it = targets_.find(id);
@@ -134,9 +134,9 @@
     if (!t.listed)
         return;
     t.listed = false;
-    t.removed_in_doubt = in_doubt;
+    t.removed_in_doubt = doubt_left > duration::zero();
     t.store_era = store_era;
-    const auto terms = drain_rules_.on_removed({in_doubt, t.entry.leaving});
+    const auto terms = drain_rules_.on_removed({doubt_left, t.entry.leaving});
     t.not_preferred_from =
         std::min(t.not_preferred_from, now + terms.preferred_for);
     t.unusable_from = std::min(t.unusable_from, now + terms.usable_for);
--- a/src/lovagegate/gateway/target_directory.hpp
+++ b/src/lovagegate/gateway/target_directory.hpp
@@ -84,11 +84,11 @@
     take_confirmed_entries(time_point now);
 
     /// Called when the entry of a target was removed.
-    /// @param in_doubt the store was away, as told with the news, so that the
-    ///        entry may have expired: the target stays fully usable until
+    /// @param doubt_left for how much longer the entry may merely have expired
+    ///        while the store was away: the target stays fully usable until
     ///        entries should have returned
     /// @param store_era in which the store no longer had the entry
-    void remove(std::string_view id, bool in_doubt, time_point now,
+    void remove(std::string_view id, duration doubt_left, time_point now,
                 std::uint64_t store_era = 0);
 
     /// Called when an answer of a target said that it leaves. This holds for
--- a/tests/draining/drain_rules_test.cpp
+++ b/tests/draining/drain_rules_test.cpp
@@ -32,12 +32,14 @@
 {
     // Targets that leave a sound store together were taken for expired entries.
     const drain_rules rules(2s);
-    CHECK(rules.on_removed({false, false}).preferred_for == 0ms);
-    CHECK(rules.on_removed({false, false}).usable_for == 700ms);
+    CHECK(rules.on_removed({0s, false}).preferred_for == 0ms);
+    CHECK(rules.on_removed({0s, false}).usable_for == 700ms);
     // An entry that expired in an outage returns.
-    CHECK(rules.on_removed({true, false}).preferred_for == 1900ms);
-    CHECK(rules.on_removed({true, false}).usable_for == 1900ms);
+    CHECK(rules.on_removed({2s, false}).preferred_for == 1900ms);
+    CHECK(rules.on_removed({2s, false}).usable_for == 1900ms);
+    CHECK(rules.on_removed({1s, false}).preferred_for == 1s);
+    CHECK(rules.on_removed({1s, false}).usable_for == 1s);
     // A target that leaves doesn't write its entry again.
-    CHECK(rules.on_removed({true, true}).preferred_for == 0ms);
-    CHECK(rules.on_removed({true, true}).usable_for == 700ms);
+    CHECK(rules.on_removed({2s, true}).preferred_for == 0ms);
+    CHECK(rules.on_removed({2s, true}).usable_for == 700ms);
 }
--- a/tests/gateway/decisions_test.cpp
+++ b/tests/gateway/decisions_test.cpp
@@ -116,7 +116,7 @@
     target_directory targets(2s);
     const time_point now{10s};
     targets.put(entry_of("t"), now);
-    targets.remove("t", true, now);
+    targets.remove("t", 2s, now);
     CHECK(targets.find("t")->use(now + 1s) == target_use::normal);
     CHECK(targets.find("t")->use(now + 2s) == target_use::none);
     targets.put(entry_of("t"), now + 1500ms);
@@ -129,13 +129,13 @@
     target_directory targets(2s);
     const time_point now{10s};
     targets.put(entry_of("t"), now);
-    targets.remove("t", false, now);
+    targets.remove("t", 0s, now);
     CHECK(targets.find("t")->use(now) == target_use::last_resort);
     // The news may have taken 1.2 s and a request takes 0.1 s, of 2 s in all.
     CHECK(targets.find("t")->use(now + 700ms) == target_use::none);
     // The removal of a leaving target does not extend its time.
     targets.put(entry_of("u", true), now);
-    targets.remove("u", true, now + 900ms);
+    targets.remove("u", 2s, now + 900ms);
     CHECK(targets.find("u")->use(now + 1100ms) == target_use::none);
     targets.expire(now + 60s);
     CHECK(targets.find("t") == nullptr);
--- a/tests/gateway/news_codec_test.cpp
+++ b/tests/gateway/news_codec_test.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr time_point now{10s};
+
 std::string entry_value(int sequence)
 {
     return R"({"service":"llm","address":"10.1.64.9:8007","zone":"rijeka-a",)"
@@ -64,10 +66,10 @@
     const writes w;
     std::vector<store_item> got;
     store_revision told = w.news.after;
-    for (const auto& message : pack_changes(true, w.news)) {
+    for (const auto& message : pack_changes(true, w.news, now)) {
         CHECK(message.after == told);
         told = message.revision;
-        const auto batch = unpack_changes(message, w.known);
+        const auto batch = unpack_changes(message, w.known, now);
         REQUIRE(batch);
         got.insert(got.end(), batch->items.begin(), batch->items.end());
     }
@@ -81,7 +83,7 @@
 {
     const writes w;
     std::size_t bytes = 0;
-    for (const auto& message : pack_changes(true, w.news))
+    for (const auto& message : pack_changes(true, w.news, now))
         bytes += encode(message).size();
     // 95 engines that each write every 1.2 s may use a third of the 15 KB/s
     // that control messages may cost a node.
@@ -91,11 +93,11 @@
 TEST_CASE("changes compressed with an unknown value are rejected", "[gateway]")
 {
     writes w;
-    const auto messages = pack_changes(true, w.news);
+    const auto messages = pack_changes(true, w.news, now);
     ++w.known.begin()->second.revision.number;
-    CHECK_FALSE(unpack_changes(messages.front(), w.known));
+    CHECK_FALSE(unpack_changes(messages.front(), w.known, now));
     w.known.clear();
-    CHECK_FALSE(unpack_changes(messages.front(), w.known));
+    CHECK_FALSE(unpack_changes(messages.front(), w.known, now));
 }
 
 TEST_CASE("a large change is sent in parts, so that instances need not pull it "
@@ -109,7 +111,7 @@
     news.items = {large};
     news_assembler assembler;
     std::optional<store_changes> whole;
-    for (const auto& message : pack_changes(false, news)) {
+    for (const auto& message : pack_changes(false, news, now)) {
         REQUIRE_FALSE(message.packed.empty());
         CHECK(encode(message).size() < 13000);
         CHECK_FALSE(whole);
@@ -117,7 +119,7 @@
                               {});
     }
     REQUIRE(whole);
-    const auto batch = unpack_changes(*whole, {});
+    const auto batch = unpack_changes(*whole, {}, now);
     REQUIRE(batch);
     CHECK(batch->after == 2);
     CHECK(batch->revision == 3);
@@ -133,12 +135,12 @@
     news.revision = 3;
     news.items = {{"op/a", "small", 2, false},
                   {"op/b", noise(400000), 3, false}};
-    const auto messages = pack_changes(false, news);
+    const auto messages = pack_changes(false, news, now);
     REQUIRE(messages.size() == 2);
-    CHECK(unpack_changes(messages.front(), {}));
+    CHECK(unpack_changes(messages.front(), {}, now));
     CHECK(messages.back().packed.empty());
     CHECK(messages.back().revision == 3);
-    CHECK_FALSE(unpack_changes(messages.back(), {}));
+    CHECK_FALSE(unpack_changes(messages.back(), {}, now));
 }
 
 TEST_CASE("the deletion of an entry can be unpacked without its previous "
@@ -150,15 +152,36 @@
     const auto old = entry(1, 7, 5);
     news.previous_values.emplace(old.key, old);
     news.items = {{old.key, {}, 9, true}};
-    const auto batch = unpack_changes(pack_changes(true, news).front(), {});
+    const auto batch =
+        unpack_changes(pack_changes(true, news, now).front(), {}, now);
     REQUIRE(batch);
     CHECK(batch->items.front().deleted);
 }
 
+TEST_CASE("the doubt of a deletion ends at the receiver when it ends at the "
+          "sender",
+          "[gateway]")
+{
+    // With a grace of the receiver's own, a target that had left got requests
+    // for longer the later the news came.
+    store_reader::batch news;
+    news.revision = 9;
+    news.doubt_until = now + 2s;
+    news.items = {{"servers/t", {}, 9, true}};
+    const duration late = 600ms;
+    const auto message = pack_changes(true, news, now + late).front();
+    const auto received = std::get<store_changes>(*decode(encode(message)));
+    const auto batch = unpack_changes(received, {}, now + late);
+    REQUIRE(batch);
+    CHECK(batch->doubt_until == news.doubt_until);
+    const auto certain = pack_changes(true, news, now + 3s).front();
+    CHECK(certain.doubt_left == 0s);
+}
+
 TEST_CASE("arbitrary bytes can be unpacked or are rejected", "[gateway]")
 {
     CHECK(rc::check([](const std::string& bytes) {
-        (void)unpack_changes({true, 1, 2, false, {}, bytes}, {});
+        (void)unpack_changes({true, 1, 2, {}, {}, bytes}, {}, now);
         try {
             (void)unpack_state(bytes);
         } catch (const std::exception&) {
@@ -186,8 +209,8 @@
     auto known = w.known;
     for (auto& [key, item] : known)
         item.revision.era = 3;
-    for (const auto& message : pack_changes(true, w.news)) {
-        const auto batch = unpack_changes(message, known, newest);
+    for (const auto& message : pack_changes(true, w.news, now)) {
+        const auto batch = unpack_changes(message, known, now, newest);
         REQUIRE(batch);
         CHECK(batch->revision.era == 3);
         CHECK(batch->items.front().revision.era == 3);
--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -63,8 +63,9 @@
     CHECK(std::get<adapter_usage>(*use).open_requests == 4);
     const std::string bytes("\0\xff\x80", 3);
     const auto news = decode(encode(store_changes{
-        true, 1, 2, true, {{"servers/x", 1}}, bytes, {"10.0.0.2"}}));
+        true, 1, 2, 1500ms, {{"servers/x", 1}}, bytes, {"10.0.0.2"}}));
     REQUIRE(news);
+    CHECK(std::get<store_changes>(*news).doubt_left == 1500ms);
     CHECK(std::get<store_changes>(*news).packed == bytes);
     CHECK(std::get<store_changes>(*news).bases.front().key == "servers/x");
 }
--- a/tests/gateway/store_mirror_test.cpp
+++ b/tests/gateway/store_mirror_test.cpp
@@ -149,10 +149,10 @@
                   [&all, index](const std::string& to, std::string_view data) {
                       all.deliver(index, index_of(to), std::string(data));
                   },
-                  [this](const platform_wire::store_item& item, bool) {
+                  [this](const platform_wire::store_item& item, duration) {
                       config = item.value;
                   },
-                  [](const platform_wire::store_item&, bool) {}, settings)
+                  [](const platform_wire::store_item&, duration) {}, settings)
         {
         }
 
--- a/tests/gateway/store_reader_test.cpp
+++ b/tests/gateway/store_reader_test.cpp
@@ -36,9 +36,9 @@
         reader = std::make_unique<store_reader>(
             loop, pool, settings::endpoint{"127.0.0.1", store.port()}, "op/",
             counts,
-            [this](const platform_wire::store_item& item, bool doubt) {
+            [this](const platform_wire::store_item& item, duration doubt) {
                 seen.push_back(item.value);
-                in_doubt = doubt;
+                in_doubt = doubt > 0s;
             },
             [this](const store_reader::batch& b) { told.push_back(b); },
             [this] { ++losses; }, settings);
@@ -204,6 +204,66 @@
     CHECK((r.reader->doubt_left(net::event_loop::now().mono) > 0s) == doubted);
 }
 
+TEST_CASE("a deletion after the entries of an outage must be back is not in "
+          "doubt",
+          "[gateway]")
+{
+    // Targets that left a store which had been sound for three seconds got
+    // requests until two seconds after the news.
+    reading r;
+    r.store.set_down(true);
+    REQUIRE(r.run_until([&] { return r.failed; }));
+    r.store.set_down(false);
+    REQUIRE(r.run_until([&] { return !r.reader->is_failing(); }));
+    bool entries_are_back = false;
+    r.loop.call_later(2100ms, [&] { entries_are_back = true; });
+    REQUIRE(r.run_until([&] { return entries_are_back; }));
+    r.store.remove("op/config");
+    REQUIRE(r.run_until([&] { return r.reader->items().empty(); }));
+    CHECK_FALSE(r.in_doubt);
+}
+
+TEST_CASE("a deletion that is learnt at the end of an outage is in doubt",
+          "[gateway]")
+{
+    // The store turned the calls away while the entry expired.
+    reading r;
+    r.store.set_down(true);
+    REQUIRE(r.run_until([&] { return r.failed; }));
+    r.store.remove("op/config");
+    r.store.set_down(false);
+    REQUIRE(r.run_until([&] { return r.reader->items().empty(); }));
+    CHECK(r.in_doubt);
+    REQUIRE_FALSE(r.told.empty());
+    CHECK(r.told.back().doubt_until > net::event_loop::now().mono);
+}
+
+TEST_CASE("a deletion that another instance is certain of is not in doubt at "
+          "one that was cut off",
+          "[gateway]")
+{
+    reading r;
+    r.store.set_down(true);
+    REQUIRE(r.run_until([&] { return r.failed; }));
+    const auto newest = r.reader->newest();
+    CHECK(r.reader->apply_peer_snapshot({newest.number + 1, newest.era}, {}, {},
+                                        0s));
+    CHECK(r.reader->items().empty());
+    CHECK_FALSE(r.in_doubt);
+}
+
+TEST_CASE("lost history alone leaves no doubt of a deletion", "[gateway]")
+{
+    // Entries expire only while their targets can't reach the store.
+    reading r;
+    r.store.remove("op/config");
+    r.store.put("op/x", "next");
+    r.store.compact();
+    REQUIRE(r.run_until([&] { return r.reader->items().contains("op/x"); }));
+    CHECK_FALSE(r.reader->items().contains("op/config"));
+    CHECK_FALSE(r.in_doubt);
+}
+
 TEST_CASE("a state that was read in pages is not newer than its first page",
           "[gateway]")
 {
@@ -226,7 +286,7 @@
     });
     store_reader reader(
         loop, pool, settings::endpoint{"127.0.0.1", store.port()}, "servers/",
-        counts, [](const platform_wire::store_item&, bool) {},
+        counts, [](const platform_wire::store_item&, duration) {},
         [&](const store_reader::batch& b) {
             told.push_back(b);
             complete = std::max(complete, b.revision);
@@ -309,7 +369,7 @@
     });
     store_reader reader(
         loop, pool, settings::endpoint{"127.0.0.1", store.port()}, "servers/",
-        counts, [](const platform_wire::store_item&, bool) {},
+        counts, [](const platform_wire::store_item&, duration) {},
         [](const store_reader::batch&) {}, [] {});
     reader.start();
     const time_point until = net::event_loop::now().mono + max_wait;
@@ -395,7 +455,7 @@
     store_reader::batch news; // of an instance that read the copy before these
     news.after = known;
     news.revision = {known.number - 3, known.era + 1};
-    news.in_doubt = true;
+    news.doubt_until = net::event_loop::now().mono + 1s;
     news.items = {{"op/config", "first", news.revision, false}};
     REQUIRE(r.reader->apply_peer_changes(news));
     REQUIRE(
--- a/tests/gateway/target_directory_test.cpp
+++ b/tests/gateway/target_directory_test.cpp
@@ -82,7 +82,7 @@
 {
     auto targets = directory_of({"t"});
     targets.on_leaving_notice("t", 5, now);
-    targets.remove("t", true, now + 1s);
+    targets.remove("t", 2s, now + 1s);
     targets.expire(now + 5min);
     targets.put(entry_of("t"), now + 5min);
     CHECK(use_of(targets, "t", now + 5min) == target_use::none);
@@ -93,7 +93,7 @@
           "[gateway]")
 {
     auto targets = directory_of({"t"});
-    targets.remove("t", false, now);
+    targets.remove("t", 0s, now);
     targets.on_leaving_notice("t", 5, now + 900ms);
     CHECK(use_of(targets, "t", now + 1s) == target_use::none);
 }
@@ -253,7 +253,7 @@
     }
     SECTION("that it has left")
     {
-        targets.remove("t", false, now, 1);
+        targets.remove("t", 0s, now, 1);
         CHECK_FALSE(targets.put(entry, now, 2));
         CHECK(use_of(targets, "t", now + drain_limit) == target_use::none);
     }
@@ -275,7 +275,7 @@
     entry.sequence = 7;
     target_directory targets(drain_limit);
     REQUIRE(targets.put(entry, now, 1));
-    targets.remove("t", true, now, 2);
+    targets.remove("t", 2s, now, 2);
     CHECK(use_of(targets, "t", now) == target_use::normal);
     SECTION("with a newer entry")
     {
@@ -300,19 +300,19 @@
     REQUIRE(targets.put(entry, now, 1));
     SECTION("at once if its entry had expired in an outage")
     {
-        targets.remove("t", true, now + 1s, 1);
+        targets.remove("t", 2s, now + 1s, 1);
         CHECK(targets.put(entry, now + 8s, 2));
         CHECK(use_of(targets, "t", now + 10s) == target_use::normal);
     }
     SECTION("once its entry would have expired if it had ended")
     {
-        targets.remove("t", false, now + 1s, 1);
+        targets.remove("t", 0s, now + 1s, 1);
         REQUIRE_FALSE(targets.put(entry, now + 8s, 2));
         CHECK(targets.take_confirmed_entries(now + 12s).empty());
         CHECK(targets.usable("s", now + 12s).empty());
         SECTION("and not if it has expired")
         {
-            targets.remove("t", false, now + 12s, 2);
+            targets.remove("t", 0s, now + 12s, 2);
             CHECK(targets.take_confirmed_entries(now + 15s).empty());
         }
         SECTION("because the store still has it")
