--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -124,16 +124,17 @@
              [this](const settings::endpoint& from, std::string_view data) {
                  on_datagram(from, data);
              }),
+      sender_(peers_, state_, random_),
       adapters_(loop_, state_, pool_,
                 [this](const std::string& to, const peer_message& m) {
-                    send_to_peer(to, m);
+                    sender_.send(to, m);
                 }),
       crashes_(state_.counts,
-               {[this](const peer_message& m) { send_to_others(m); },
+               {[this](const peer_message& m) { sender_.send_to_others(m); },
                 [this](const std::string& to, const peer_message& m) {
-                    send_to_peer(to, m);
+                    sender_.send(to, m);
                 },
-                [this](const peer_message& m) { send_to_some(m); },
+                [this](const peer_message& m) { sender_.send_to_some(m); },
                 [this] {
                     // Deferred, because a request may be the caller.
                     loop_.call_later(duration::zero(),
@@ -146,16 +147,16 @@
       quota_(
           identity_of(state_), state_.boot.quota, random_(),
           [this](const std::string& to, const peer_message& m) {
-              send_to_peer(to, m);
+              sender_.send(to, m);
           },
           state_.counts),
       permits_(loop_, state_, random_,
                [this](const std::string& to, const peer_message& m) {
-                   send_to_peer(to, m);
+                   sender_.send(to, m);
                }),
       admission_(loop_, state_, adapters_, random_(),
                  [this](const std::string& to, const peer_message& m) {
-                     send_to_peer(to, m);
+                     sender_.send(to, m);
                  }),
       connection_limits_(callers::limits_for_descriptors(
           state_.boot.descriptors, callers::system_descriptor_limit())),
@@ -180,7 +181,7 @@
                       engine_run(t->entry.id, t->entry.started_ms),
                       net::event_loop::now().mono);
           },
-          [this](const limit_notice& m) { send_to_others(m); },
+          [this](const limit_notice& m) { sender_.send_to_others(m); },
           [this](forwarding& f) {
               const auto it = requests_.find(&f);
               if (it == requests_.end())
@@ -224,7 +225,7 @@
       store_(
           loop_, control_pool_, state_, random_,
           [this](const std::string& to, std::string_view datagram) {
-              send_datagram(to, datagram);
+              sender_.send_datagram(to, datagram);
           },
           [this](const platform_wire::store_item& item, duration) {
               on_operator_item(item);
@@ -366,7 +367,7 @@
     last.self = state_.members.self();
     for (const auto& address : all)
         if (address != state_.boot.address)
-            send_to_peer(address, last);
+            sender_.send(address, last);
 }
 
 bool gateway_daemon::is_past_rotation(time_point now) const
@@ -611,42 +612,15 @@
     loop_.call_later(duration::zero(), [this] { crashes_.send_notices(); });
 }
 
-void gateway_daemon::send_to_others(const peer_message& message)
-{
-    const std::string datagram = encode(message);
-    for (const auto& address :
-         state_.members.alive(net::event_loop::now().mono))
-        if (address != state_.boot.address)
-            send_datagram(address, datagram);
-}
-
-std::vector<std::string> gateway_daemon::random_others(std::size_t count)
-{
-    auto others = state_.members.alive(net::event_loop::now().mono);
-    std::erase(others, state_.boot.address);
-    std::ranges::shuffle(others, random_);
-    others.resize(std::min(others.size(), count));
-    return others;
-}
-
-void gateway_daemon::send_to_some(const peer_message& message)
-{
-    // Each receiver that learns something passes it on, so that all have it
-    // after a few steps.
-    constexpr std::size_t receivers = 4;
-    for (const auto& address : random_others(receivers))
-        send_to_peer(address, message);
-}
-
 void gateway_daemon::repeat_crash_reports()
 {
     const time_point now = net::event_loop::now().mono;
-    for (const auto& address : random_others(1))
+    for (const auto& address : sender_.random_others(1))
         crashes_.repeat(address, now);
     if (!missed_.must_ask())
         return;
     constexpr std::size_t asked = 3;
-    auto others = random_others(asked);
+    auto others = sender_.random_others(asked);
     if (others.empty())
         others = addresses(state_.boot.seeds);
     for (const auto& address : others)
@@ -670,20 +644,6 @@
         [&](const std::string& a) { return stable_hash(a) > own; }));
 }
 
-void gateway_daemon::send_to_peer(const std::string& address,
-                                  const peer_message& message)
-{
-    send_datagram(address, encode(message));
-}
-
-void gateway_daemon::send_datagram(const std::string& address,
-                                   std::string_view datagram)
-{
-    state_.counts.add("peer_datagrams_sent");
-    state_.counts.add("peer_bytes_sent", datagram.size());
-    peers_.send({address, state_.boot.peer_port}, datagram);
-}
-
 void gateway_daemon::on_datagram(const settings::endpoint& from,
                                  std::string_view data)
 {
@@ -786,7 +746,7 @@
         store_.describe(out.message, now.mono);
         const std::string datagram = encode(out.message);
         for (const auto& address : out.to)
-            send_datagram(address, datagram);
+            sender_.send_datagram(address, datagram);
     }
     auto alive = state_.members.alive(now.mono);
     // The others no longer choose an instance that leaves as a coordinator.
--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -9,6 +9,7 @@
 #include "lovagegate/gateway/caller_connection.hpp"
 #include "lovagegate/gateway/forwarding.hpp"
 #include "lovagegate/gateway/gateway_state.hpp"
+#include "lovagegate/gateway/peer_sender.hpp"
 #include "lovagegate/gateway/store_mirror.hpp"
 #include "lovagegate/metrics/registry.hpp"
 #include "lovagegate/net/http_server.hpp"
@@ -59,10 +60,6 @@
     void record_run_end(const target_state& t);
     /// Tells other instances of broken connections to targets, all at once.
     void schedule_crash_notices();
-    void send_to_some(const peer_message& message);
-    /// @return addresses of other live instances, at most `count`
-    [[nodiscard]] std::vector<std::string> random_others(std::size_t count);
-    void send_to_others(const peer_message& message);
     void on_limit_notice(const limit_notice& notice, time_point now);
     void on_crash_digest(const std::string& from, const crash_digest& digest,
                          time_point now);
@@ -77,8 +74,6 @@
     void close_callers();
     void start_request(const caller_ptr& caller, caller_message message);
     void on_datagram(const settings::endpoint& from, std::string_view data);
-    void send_to_peer(const std::string& address, const peer_message& message);
-    void send_datagram(const std::string& address, std::string_view datagram);
     void send_heartbeats();
     void tick();
     void check_connections();
@@ -122,6 +117,7 @@
     target_pool
         control_pool_; ///< for calls to the store and to other instances
     net::datagram_socket peers_;
+    peer_sender sender_;
     adapter_coordinator adapters_;
     crash_reports crashes_;
     crashes::missed_notices missed_;
