--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -696,8 +696,9 @@
         on_limit_notice(*limit, now);
     } else if (const auto* news = std::get_if<store_changes>(&*message)) {
         store_.on_changes(from, *news);
-    } else if (const auto* sign = std::get_if<reader_sign>(&*message)) {
-        store_.on_sign(*sign, now);
+    } else if (const auto* keepalive =
+                   std::get_if<reader_keepalive>(&*message)) {
+        store_.on_keepalive(*keepalive, now);
     } else if (const auto* report = std::get_if<quota_report>(&*message)) {
         quota_.on_message(from.address, *report, boottime_now());
     } else if (const auto* share = std::get_if<quota_share>(&*message)) {
--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -25,7 +25,7 @@
     quota_report = 11,
     quota_share = 12,
     crash_digest = 13,
-    reader_sign = 14,
+    reader_keepalive = 14,
     place_request = 21,
     place_grant = 22,
     place_refusal = 23,
@@ -119,9 +119,9 @@
     return json::array({tag::blocked_prompt_parts, std::move(parts)});
 }
 
-json write(const reader_sign& m)
+json write(const reader_keepalive& m)
 {
-    return json::array({tag::reader_sign, m.reader, m.relay_to});
+    return json::array({tag::reader_keepalive, m.reader, m.relay_to});
 }
 
 json write(const limit_notice& m)
@@ -564,9 +564,9 @@
         return read_blocked_parts(j);
     case tag::crash_digest:
         return read_crash_digest(j);
-    case tag::reader_sign:
-        return reader_sign{j.at(1).get<std::string>(),
-                           j.at(2).get<std::vector<std::string>>()};
+    case tag::reader_keepalive:
+        return reader_keepalive{j.at(1).get<std::string>(),
+                                j.at(2).get<std::vector<std::string>>()};
     case tag::limit_notice:
         return read_limit_notice(j);
     case tag::quota_report:
--- a/src/lovagegate/gateway/peer_messages.hpp
+++ b/src/lovagegate/gateway/peer_messages.hpp
@@ -218,7 +218,7 @@
 
 /// Says that its sender reads the store for the others, or tries to; see
 /// reading::reader_watch.
-struct reader_sign
+struct reader_keepalive
 {
     std::string reader; ///< address of the first sender
     /// Addresses to which the receiver passes the message on, without these.
@@ -409,10 +409,10 @@
 using peer_message =
     std::variant<heartbeat, adapter_request, adapter_reply, adapter_usage,
                  crash_notice, store_changes, answered_prompt_parts,
-                 blocked_prompt_parts, crash_digest, reader_sign, limit_notice,
-                 quota_report, quota_share, place_request, place_grant,
-                 place_refusal, place_release, run_request, run_reply,
-                 run_update>;
+                 blocked_prompt_parts, crash_digest, reader_keepalive,
+                 limit_notice, quota_report, quota_share, place_request,
+                 place_grant, place_refusal, place_release, run_request,
+                 run_reply, run_update>;
 
 /// @return the encoded datagram
 [[nodiscard]] std::string encode(const peer_message& message);
--- a/src/lovagegate/gateway/store_mirror.cpp
+++ b/src/lovagegate/gateway/store_mirror.cpp
@@ -131,56 +131,57 @@
 
 bool store_mirror::has_duty(time_point now) const
 {
-    return stands_in_ || is_store_reader(state_.members, now);
+    return acts_as_reader_ || is_store_reader(state_.members, now);
 }
 
 void store_mirror::tick(time_point now)
 {
     if (state_.members.self().leaving)
         return;
-    if (readers_.is_sign_due(0, now) && has_duty(now)) {
+    if (readers_.is_keepalive_due(0, now) && has_duty(now)) {
         const std::size_t before =
-            stands_in_ ? 0 : instances_before(state_.members, now);
-        if (readers_.is_sign_due(before, now))
-            send_sign(now);
+            acts_as_reader_ ? 0 : instances_before(state_.members, now);
+        if (readers_.is_keepalive_due(before, now))
+            send_keepalive(now);
     } else if (readers_.is_silent(now) && !state_.members.self().store_silent &&
                readers_.is_take_over_due(instances_before(state_.members, now),
                                          now)) {
-        stand_in(true, now);
+        act_as_reader(true, now);
     }
 }
 
-void store_mirror::stand_in(bool active, time_point now)
+void store_mirror::act_as_reader(bool active, time_point now)
 {
-    stands_in_ = active;
+    acts_as_reader_ = active;
     logging::write(logging::level::warning,
                    active ? "store_readers_lost" : "store_readers_back",
                    {{"live", std::uint64_t{state_.members.count(now)}}});
     update_duty(now);
     if (active) {
         state_.counts.add("store_readers_lost");
-        send_sign(now);
+        send_keepalive(now);
     }
 }
 
-void store_mirror::send_sign(time_point now)
+void store_mirror::send_keepalive(time_point now)
 {
-    readers_.on_sign(now);
+    readers_.on_keepalive(now);
     for (auto& group : make_relay_groups(state_.members, now, random_))
-        send_(group.relay, encode(reader_sign{state_.boot.address,
-                                              std::move(group.others)}));
+        send_(group.relay, encode(reader_keepalive{state_.boot.address,
+                                                   std::move(group.others)}));
 }
 
-void store_mirror::on_sign(const reader_sign& sign, time_point now)
+void store_mirror::on_keepalive(const reader_keepalive& keepalive,
+                                time_point now)
 {
-    if (sign.reader == state_.boot.address)
+    if (keepalive.reader == state_.boot.address)
         return;
-    readers_.on_sign(now);
-    for (const auto& address : sign.relay_to)
+    readers_.on_keepalive(now);
+    for (const auto& address : keepalive.relay_to)
         if (address != state_.boot.address)
-            send_(address, encode(reader_sign{sign.reader}));
-    if (stands_in_ && comes_before(state_.members, sign.reader))
-        stand_in(false, now);
+            send_(address, encode(reader_keepalive{keepalive.reader}));
+    if (acts_as_reader_ && comes_before(state_.members, keepalive.reader))
+        act_as_reader(false, now);
 }
 
 void store_mirror::on_contact_lost()
@@ -189,7 +190,7 @@
     member_record& self = state_.members.self();
     const bool had_duty = has_duty(now);
     describe(self);
-    stands_in_ = false;
+    acts_as_reader_ = false;
     if (!had_duty || self.leaving)
         return;
     update_duty(now);
@@ -205,7 +206,7 @@
 void store_mirror::tell(bool of_targets, const store_reader::batch& news)
 {
     const time_point now = net::event_loop::now().mono;
-    if (stands_in_ || is_news_sender(state_.members, now)) {
+    if (acts_as_reader_ || is_news_sender(state_.members, now)) {
         send_changes(of_targets, news);
         return;
     }
@@ -225,7 +226,7 @@
                                 const store_reader::batch& news)
 {
     const time_point now = net::event_loop::now().mono;
-    readers_.on_sign(now);
+    readers_.on_keepalive(now);
     // All messages take the same ways, so that they arrive in order.
     const auto groups = make_relay_groups(state_.members, now, random_);
     for (auto& message : pack_changes(of_targets, news, now))
@@ -249,7 +250,7 @@
                               const store_changes& news)
 {
     relay(news);
-    readers_.on_sign(net::event_loop::now().mono);
+    readers_.on_keepalive(net::event_loop::now().mono);
     store_reader& reader = news.of_targets ? target_reader_ : operator_reader_;
     store_revision& told =
         news.of_targets ? told_.targets : told_.operator_keys;
--- a/src/lovagegate/gateway/store_mirror.hpp
+++ b/src/lovagegate/gateway/store_mirror.hpp
@@ -44,12 +44,12 @@
     /// Takes up or gives up the duty to read the store.
     void update_duty(time_point now);
 
-    /// Gives signs to the others if this instance reads the store for them, and
-    /// takes over from readers that give none. Call it every 50 ms.
+    /// Sends keepalives to the others if this instance reads the store for
+    /// them, and takes over from readers that send none. Call it every 50 ms.
     void tick(time_point now);
 
-    /// Handles a sign of an instance that reads the store.
-    void on_sign(const reader_sign& sign, time_point now);
+    /// Handles a keepalive of an instance that reads the store.
+    void on_keepalive(const reader_keepalive& keepalive, time_point now);
 
     /// Writes into the own member record what the other instances need to know
     /// of this copy.
@@ -91,8 +91,8 @@
     [[nodiscard]] bool has_duty(time_point now) const;
     /// Takes over from readers that are lost although membership doesn't know
     /// yet.
-    void stand_in(bool active, time_point now);
-    void send_sign(time_point now);
+    void act_as_reader(bool active, time_point now);
+    void send_keepalive(time_point now);
     /// Hands the duty to read the store over to other instances.
     void on_contact_lost();
     /// Sends changes to the other instances, at once or if the reader whose
@@ -119,7 +119,7 @@
     news_assembler assembler_;
     link_pacer link_pacer_;
     reading::reader_watch readers_;
-    bool stands_in_ = false;
+    bool acts_as_reader_ = false;
     std::unique_ptr<short_call> pull_;
     time_point last_pull_{};
     known_revisions told_; ///< newest that other instances have sent
--- a/src/lovagegate/gateway/store_reader_election.hpp
+++ b/src/lovagegate/gateway/store_reader_election.hpp
@@ -17,7 +17,8 @@
 /// @return whether this instance is one of the readers
 [[nodiscard]] bool is_store_reader(const member_table& members, time_point now);
 
-/// @return number of live instances that give signs before this reader, or, if
+/// @return number of live instances that send keepalives before this reader,
+/// or, if
 ///         this instance isn't a reader, that take over before it
 [[nodiscard]] std::size_t instances_before(const member_table& members,
                                            time_point now);
--- a/src/lovagegate/reading/reader_watch.hpp
+++ b/src/lovagegate/reading/reader_watch.hpp
@@ -8,7 +8,7 @@
 namespace lovagegate::reading {
 
 /// Notices that the instances which read the store for all others are lost.
-/// Readers give signs in short intervals, and their news are signs too. If
+/// Readers send keepalives in short intervals, and their news count as such. If
 /// there are none, the instances that are next take over one after the other,
 /// each a little later than the one before, so that the loss of any of them
 /// delays the news of the store only a little. Membership would notice it much
@@ -16,27 +16,31 @@
 class reader_watch
 {
 public:
-    /// @param now counts as the first sign
-    explicit reader_watch(time_point now) : last_sign_(now) {}
+    /// @param now counts as the first keepalive
+    explicit reader_watch(time_point now) : last_keepalive_(now) {}
 
-    /// Called when this instance has heard a sign of a reader, or given one.
-    void on_sign(time_point now);
+    /// Called when this instance has heard a keepalive of a reader, or sent
+    /// one.
+    void on_keepalive(time_point now);
 
-    /// @param before number of live readers that give signs before this one
-    /// @return whether this reader is to give a sign now
-    [[nodiscard]] bool is_sign_due(std::size_t before, time_point now) const;
+    /// @param before number of live readers that send keepalives before this
+    /// one
+    /// @return whether this reader is to send a keepalive now
+    [[nodiscard]] bool is_keepalive_due(std::size_t before,
+                                        time_point now) const;
 
     /// @return whether is_take_over_due() may hold, which is cheaper to ask
     [[nodiscard]] bool is_silent(time_point now) const;
 
-    /// Call it repeatedly. A sign may lie unread while the process was busy, so
-    /// the silence must hold in two calls between which signs were read.
+    /// Call it repeatedly. A keepalive may lie unread while the process was
+    /// busy, so the silence must hold in two calls between which keepalives
+    /// were read.
     /// @param before number of live instances that take over before this one
     /// @return whether this instance is to read the store
     [[nodiscard]] bool is_take_over_due(std::size_t before, time_point now);
 
 private:
-    time_point last_sign_;
+    time_point last_keepalive_;
     bool was_due_ = false; ///< in the last call
 };
 
--- a/tests/gateway/peer_messages_test.cpp
+++ b/tests/gateway/peer_messages_test.cpp
@@ -98,12 +98,13 @@
           std::vector<fingerprint>{8, 9});
 }
 
-TEST_CASE("a sign of a reader is decoded as it was encoded", "[gateway]")
+TEST_CASE("a keepalive of a reader is decoded as it was encoded", "[gateway]")
 {
-    const auto sign = decode(encode(reader_sign{"10.0.0.1", {"10.0.0.2"}}));
-    REQUIRE(sign);
-    CHECK(std::get<reader_sign>(*sign).reader == "10.0.0.1");
-    CHECK(std::get<reader_sign>(*sign).relay_to ==
+    const auto keepalive =
+        decode(encode(reader_keepalive{"10.0.0.1", {"10.0.0.2"}}));
+    REQUIRE(keepalive);
+    CHECK(std::get<reader_keepalive>(*keepalive).reader == "10.0.0.1");
+    CHECK(std::get<reader_keepalive>(*keepalive).relay_to ==
           std::vector<std::string>{"10.0.0.2"});
 }
 
--- a/tests/gateway/store_mirror_test.cpp
+++ b/tests/gateway/store_mirror_test.cpp
@@ -99,7 +99,7 @@
         lost_.insert(index);
     }
 
-    /// Lets the instances give signs and check those of others.
+    /// Lets the instances send keepalives and check those of others.
     void begin_ticks()
     {
         for (std::size_t i = 0; i < instance_count; ++i)
@@ -232,8 +232,9 @@
             const settings::endpoint sender{address_of(from), 0};
             if (const auto* news = std::get_if<store_changes>(&*message))
                 receiver.mirror.on_changes(sender, *news);
-            if (const auto* sign = std::get_if<reader_sign>(&*message))
-                receiver.mirror.on_sign(*sign, now());
+            if (const auto* keepalive =
+                    std::get_if<reader_keepalive>(&*message))
+                receiver.mirror.on_keepalive(*keepalive, now());
             const auto* h = std::get_if<heartbeat>(&*message);
             if (h &&
                 receiver.state.members.on_heartbeat(*h, sender.address, now())
--- a/tests/reading/reader_watch_test.cpp
+++ b/tests/reading/reader_watch_test.cpp
@@ -57,7 +57,7 @@
         reader_watch watch;
         time_point next_check;
         bool lost = false;
-        std::vector<time_point> signs{}; ///< on their way
+        std::vector<time_point> keepalives{}; ///< on their way
     };
 
     duration any(duration low, duration high)
@@ -71,19 +71,20 @@
         instance& self = all_[i];
         if (self.lost)
             return false;
-        if (std::erase_if(self.signs, [&](time_point t) { return t <= now_; }))
-            self.watch.on_sign(now_);
+        if (std::erase_if(self.keepalives,
+                          [&](time_point t) { return t <= now_; }))
+            self.watch.on_keepalive(now_);
         if (now_ < self.next_check)
             return false;
         self.next_check = now_ + check_interval;
         if (i >= reader_count)
             return self.watch.is_take_over_due(i - reader_count, now_);
-        if (self.watch.is_sign_due(i, now_)) {
-            self.watch.on_sign(now_);
+        if (self.watch.is_keepalive_due(i, now_)) {
+            self.watch.on_keepalive(now_);
             for (auto& other : all_)
                 if (&other != &self &&
                     !std::bernoulli_distribution(lost_signs_)(random_))
-                    other.signs.push_back(now_ + any(1ms, 20ms));
+                    other.keepalives.push_back(now_ + any(1ms, 20ms));
         }
         return false;
     }
@@ -143,19 +144,20 @@
         all.lose(1);
         CHECK_FALSE(all.play_until(start + 20s));
     }
-    SECTION("although one sign in a hundred is lost")
+    SECTION("although one keepalive in a hundred is lost")
     {
         instances all(9, 0.01, count);
         CHECK_FALSE(all.play_until(start + 20s));
     }
 }
 
-TEST_CASE("a sign that was read late is no loss of the readers", "[reading]")
+TEST_CASE("a keepalive that was read late is no loss of the readers",
+          "[reading]")
 {
     // A process that was busy for a second checks before it reads.
     reader_watch watch(start);
     CHECK_FALSE(watch.is_take_over_due(0, start + 1s));
-    watch.on_sign(start + 1s);
+    watch.on_keepalive(start + 1s);
     CHECK_FALSE(watch.is_take_over_due(0, start + 1050ms));
     CHECK_FALSE(watch.is_silent(start + 1050ms));
 }
