--- a/src/lovagegate/gateway/gateway_daemon.hpp
+++ b/src/lovagegate/gateway/gateway_daemon.hpp
@@ -64,7 +64,7 @@
     void on_crash_digest(const std::string& from, const crash_digest& digest,
                          time_point now);
     /// Repeats to another instance what it may have missed, and asks others for
-    /// what this one has.
+    /// what this one may have missed.
     void repeat_crash_reports();
     /// @return number of live instances that may try blocked prompt parts
     ///         before this one
