--- a/src/lovagegate/gateway/peer_messages.cpp
+++ b/src/lovagegate/gateway/peer_messages.cpp
@@ -1,39 +1,17 @@
 #include "lovagegate/gateway/peer_messages.hpp"
 
 #include "lovagegate/core/cbor.hpp"
+#include "lovagegate/gateway/internal/crash_message_codec.hpp"
+#include "lovagegate/gateway/internal/message_tag.hpp"
 
 namespace lovagegate::gateway {
 
 namespace {
 
 using json = nlohmann::json;
-
-/// First element of each datagram. A message whose layout changes must get a
-/// new number.
-enum class tag : std::uint8_t
-{
-    heartbeat = 1,
-    adapter_request = 2,
-    adapter_reply = 3,
-    adapter_usage = 4,
-    single_crash_notice = 5, ///< of earlier versions, with one request
-    store_changes = 6,
-    crash_notice = 7,
-    answered_prompt_parts = 8,
-    blocked_prompt_parts = 9,
-    limit_notice = 10,
-    quota_report = 11,
-    quota_share = 12,
-    crash_digest = 13,
-    reader_keepalive = 14,
-    place_request = 21,
-    place_grant = 22,
-    place_refusal = 23,
-    place_release = 24,
-    run_request = 30,
-    run_reply = 31,
-    run_update = 32
-};
+using internal::read_enum;
+using internal::tag;
+using internal::write;
 
 json write(const engine_claim& c)
 {
@@ -87,38 +65,6 @@
                         m.halting, m.open_requests});
 }
 
-json write(const crash_notice& m)
-{
-    json requests = json::array();
-    for (const auto& r : m.requests)
-        requests.push_back(
-            json::array({r.request, r.request_and_prompt, r.prompt_parts}));
-    return json::array({tag::crash_notice, m.engine, std::move(requests),
-                        m.run_ended, m.since_break.count(),
-                        m.since_end.count()});
-}
-
-json write(const crash_digest& m)
-{
-    return json::array({tag::crash_digest, m.crashes, m.use});
-}
-
-json write(const answered_prompt_parts& m)
-{
-    return json::array(
-        {tag::answered_prompt_parts, m.parts, m.age.count(), m.requests});
-}
-
-json write(const blocked_prompt_parts& m)
-{
-    json parts = json::array();
-    for (const auto& p : m.parts)
-        parts.push_back(json::array({p.part, p.since_first_crash.count(),
-                                     p.since_last_crash.count(), p.in_doubt,
-                                     p.trials, p.since_last_trial.count()}));
-    return json::array({tag::blocked_prompt_parts, std::move(parts)});
-}
-
 json write(const reader_keepalive& m)
 {
     return json::array({tag::reader_keepalive, m.reader, m.relay_to});
@@ -338,53 +284,6 @@
                : duration::max();
 }
 
-crash_notice read_crash_notice(const json& j)
-{
-    crash_notice m;
-    m.engine = j.at(1).get<std::string>();
-    for (const json& r : j.at(2))
-        m.requests.push_back({r.at(0).get<fingerprint>(),
-                              r.at(1).get<fingerprint>(),
-                              r.at(2).get<std::vector<fingerprint>>()});
-    m.run_ended = j.at(3).get<bool>();
-    constexpr std::size_t age_position = 4;
-    if (j.size() > age_position) { // absent in messages of earlier versions
-        m.since_break = duration(j.at(age_position).get<duration::rep>());
-        m.since_end = duration(j.at(age_position + 1).get<duration::rep>());
-    }
-    return m;
-}
-
-answered_prompt_parts read_answered_parts(const json& j)
-{
-    constexpr std::size_t age_position = 2;
-    answered_prompt_parts m{j.at(1).get<std::vector<fingerprint>>(), {}};
-    if (j.size() > age_position) // absent in messages of earlier versions
-        m.age = duration(j.at(age_position).get<duration::rep>());
-    if (j.size() > age_position + 1)
-        m.requests = j.at(age_position + 1).get<std::vector<fingerprint>>();
-    return m;
-}
-
-blocked_prompt_parts read_blocked_parts(const json& j)
-{
-    blocked_prompt_parts m;
-    for (const json& p : j.at(1)) {
-        m.parts.push_back({p.at(0).get<fingerprint>(),
-                           duration(p.at(1).get<duration::rep>()),
-                           duration(p.at(2).get<duration::rep>())});
-        constexpr std::size_t doubt_position = 3;
-        if (p.size() <= doubt_position)
-            continue; // from an instance of an earlier version
-        auto& entry = m.parts.back();
-        entry.in_doubt = p.at(doubt_position).get<bool>();
-        entry.trials = p.at(doubt_position + 1).get<std::uint32_t>();
-        entry.since_last_trial =
-            duration(p.at(doubt_position + 2).get<duration::rep>());
-    }
-    return m;
-}
-
 limit_notice read_limit_notice(const json& j)
 {
     limit_notice m;
@@ -433,14 +332,6 @@
     return m;
 }
 
-/// @return the value that the number stands for, or the last one
-template <typename Enum>
-Enum read_enum(const json& j, Enum last)
-{
-    const auto n = j.get<unsigned>();
-    return n < static_cast<unsigned>(last) ? static_cast<Enum>(n) : last;
-}
-
 std::vector<place_release::entry> read_place_entries(const json& j)
 {
     std::vector<place_release::entry> out;
@@ -466,12 +357,6 @@
             read_place_entries(j.at(11))};
 }
 
-crash_digest read_crash_digest(const json& j)
-{
-    return {j.at(1).get<std::vector<fingerprint>>(),
-            read_enum(j.at(2), crash_digest::purpose::answer)};
-}
-
 place_grant read_place_grant(const json& j)
 {
     return {j.at(1).get<std::uint64_t>(),
@@ -553,17 +438,15 @@
     case tag::store_changes:
         return read_news(j);
     case tag::single_crash_notice:
-        return crash_notice{j.at(2).get<std::string>(),
-                            {{j.at(1).get<fingerprint>(), 0, {}}},
-                            false};
+        return internal::read_single_crash_notice(j);
     case tag::crash_notice:
-        return read_crash_notice(j);
+        return internal::read_crash_notice(j);
     case tag::answered_prompt_parts:
-        return read_answered_parts(j);
+        return internal::read_answered_parts(j);
     case tag::blocked_prompt_parts:
-        return read_blocked_parts(j);
+        return internal::read_blocked_parts(j);
     case tag::crash_digest:
-        return read_crash_digest(j);
+        return internal::read_crash_digest(j);
     case tag::reader_keepalive:
         return reader_keepalive{j.at(1).get<std::string>(),
                                 j.at(2).get<std::vector<std::string>>()};
