Let the evidence of one crash converge on all instances

What instances did: if more than 512 requests ran when an engine crashed, or one instance learnt of the end of its run over 15 s before a connection was told to have broken, two instances kept different evidence of that crash. Each sent its own to the other again with each comparison of digests, up to every 0.4 s for 120 s.

Cause: the digest names what is kept, and a receiver dropped what the sender keeps: for want of room, or because of its own time of the run's end.

Change: all full records of a run have the same digest, and a record takes late connections whatever its own time of the end; whether they count is decided where they are used. The two times that the log, the suspicion of requests and that of parts share stand in one place.

Evidence: found by reading. "instances with different requests of one crash have the same digest once they have told each other all that they keep" failed before in both sections.

--- a/src/lovagegate/crashes/crash_log.cpp
+++ b/src/lovagegate/crashes/crash_log.cpp
@@ -1,6 +1,7 @@
 #include "lovagegate/crashes/crash_log.hpp"
 
 #include "lovagegate/core/hash.hpp"
+#include "lovagegate/crashes/crash_times.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -9,18 +10,16 @@
 
 namespace {
 
-/// A crashed engine is listed with a new start time, refuses connections or
-/// leaves the store within seconds.
-constexpr duration run_end_window = 15s;
-/// Callers repeat a request within minutes.
-constexpr duration record_ttl = 120s;
 /// Bounds on memory, whatever callers and other instances send.
 constexpr std::size_t max_records = 1000;
-/// An engine's batch and queue.
+/// More than the largest batch and queue of an engine together.
 constexpr std::size_t max_requests = 512;
 /// Crashes that are exchanged. Their hashes fit into one packet.
 constexpr std::size_t max_exchanged = 128;
+/// Keeps hashes of runs apart from other hashes of the same text.
 constexpr std::uint64_t run_seed = 5;
+/// Stands for all requests of a record that takes no more of them.
+constexpr fingerprint full_record = 1;
 
 fingerprint hash_of(const crash_traits& t)
 {
@@ -73,7 +72,9 @@
                                      std::string_view run, time_point at)
 {
     crash_record* const r = find_or_add(run, at);
-    if (r == nullptr || (r->ended_at && at - *r->ended_at > run_end_window))
+    // Instances learn at different times that a run has ended, so each keeps
+    // what another may keep. Whether it counts is decided elsewhere.
+    if (r == nullptr || (r->ended_at && at - *r->ended_at > suspicion_ttl))
         return false;
     // Earlier connections broke for another reason.
     if (!r->ended_at && at - r->broken_at > run_end_window)
@@ -84,7 +85,11 @@
     if (known || r->requests.size() >= max_requests)
         return false;
     r->requests.push_back(request);
-    r->evidence ^= hash_of(request);
+    // Instances that keep different requests because there are too many would
+    // send them to each other for good.
+    r->evidence = r->requests.size() < max_requests
+                      ? r->evidence ^ hash_of(request)
+                      : combine_hash(hash_of_run(r->run), full_record);
     return true;
 }
 
@@ -102,7 +107,7 @@
 {
     std::vector<const crash_record*> out;
     for (const auto& [run, r] : records_)
-        if (is_crash(r) && now - *r.ended_at <= record_ttl)
+        if (is_crash(r) && now - *r.ended_at <= suspicion_ttl)
             out.push_back(&r);
     std::ranges::sort(out, std::ranges::greater{},
                       [](const crash_record* r) { return *r->ended_at; });
@@ -145,7 +150,7 @@
         if (!r.ended_at)
             return now - r.broken_at > run_end_window;
         return now - *r.ended_at >
-               (r.requests.empty() ? run_end_window : record_ttl);
+               (r.requests.empty() ? run_end_window : suspicion_ttl);
     });
 }
 
--- a/src/lovagegate/crashes/crash_log.hpp
+++ b/src/lovagegate/crashes/crash_log.hpp
@@ -22,7 +22,8 @@
     std::vector<crash_traits> requests{};
     time_point broken_at{}; ///< latest of the broken connections
     std::optional<time_point> ended_at{};
-    /// Hash of the run and of the requests, in any order.
+    /// Hash of the run and of the requests, in any order; the same for all
+    /// records of the run that are full.
     fingerprint evidence = 0;
 };
 
--- a/src/lovagegate/gateway/crash_suspects.cpp
+++ b/src/lovagegate/gateway/crash_suspects.cpp
@@ -1,21 +1,20 @@
 #include "lovagegate/gateway/crash_suspects.hpp"
 
 #include "lovagegate/core/hash.hpp"
+#include "lovagegate/crashes/crash_times.hpp"
 
 #include <algorithm>
 
 namespace lovagegate::gateway {
 
+using crashes::run_end_window;
+using crashes::suspicion_ttl;
+
 namespace {
 
 /// Crashes after which a request is blocked. A harmless request is rarely
 /// running at two crashes in a row, and hardly ever at three.
 constexpr std::size_t crash_limit = 3;
-/// Callers repeat a request within minutes.
-constexpr duration suspect_ttl = 120s;
-/// A crashed engine is listed with a new start time, or its entry expires,
-/// within seconds.
-constexpr duration run_end_window = 15s;
 constexpr std::size_t max_suspects = 10000;
 constexpr std::uint64_t method_seed = 1;
 constexpr std::uint64_t path_seed = 2;
@@ -79,7 +78,7 @@
     if (!may_suspect(request, now))
         return;
     suspect& s = suspects_[request];
-    if (now - s.last_crash > suspect_ttl)
+    if (now - s.last_crash > suspicion_ttl)
         s.engines.clear();
     s.last_crash = std::max(s.last_crash, now);
     if (std::ranges::find(s.engines, engine) == s.engines.end())
@@ -123,7 +122,7 @@
 {
     const auto it = suspects_.find(request);
     return it != suspects_.end() && it->second.engines.size() >= crash_limit &&
-           now - it->second.last_crash <= suspect_ttl;
+           now - it->second.last_crash <= suspicion_ttl;
 }
 
 std::vector<std::string>
@@ -144,7 +143,7 @@
         return now - ended.second > run_end_window;
     });
     std::erase_if(answers_, [&](const auto& answer) {
-        return now - answer.second > suspect_ttl;
+        return now - answer.second > suspicion_ttl;
     });
     for (auto& [request, s] : suspects_)
         std::erase_if(s.breaks, [&](const broken_connection& b) {
@@ -152,7 +151,7 @@
         });
     std::erase_if(suspects_, [&](const auto& item) {
         const suspect& s = item.second;
-        return s.breaks.empty() && now - s.last_crash > suspect_ttl;
+        return s.breaks.empty() && now - s.last_crash > suspicion_ttl;
     });
 }
 
--- a/src/lovagegate/gateway/crashing_prompt_parts.cpp
+++ b/src/lovagegate/gateway/crashing_prompt_parts.cpp
@@ -1,6 +1,7 @@
 #include "lovagegate/gateway/crashing_prompt_parts.hpp"
 
 #include "lovagegate/core/hash.hpp"
+#include "lovagegate/crashes/crash_times.hpp"
 
 #include <algorithm>
 #include <set>
@@ -8,6 +9,9 @@
 
 namespace lovagegate::gateway {
 
+using crashes::run_end_window;
+using crashes::suspicion_ttl;
+
 namespace {
 
 /// Crashes after which a part is blocked that no engine has answered lately. A
@@ -44,11 +48,6 @@
 /// Different requests that must be in the crashes of one part. If all crashes
 /// are of a single request, crash_suspects blocks that request alone.
 constexpr std::size_t min_requests = 2;
-/// A crashed engine refuses connections, is listed with a new start time or
-/// expires from the store within seconds.
-constexpr duration run_end_window = 15s;
-/// Suspicion ends if no further connection breaks for this long.
-constexpr duration suspect_ttl = 120s;
 /// A blocked part is tried again this long after its last crash. Each trial
 /// may cost several engines.
 constexpr duration block_ttl = std::chrono::hours(1);
@@ -485,7 +484,7 @@
         const suspect& s = item.second;
         return !is_blocked(s, now) &&
                now - s.last_seen >
-                   (s.crashes.empty() ? run_end_window : suspect_ttl);
+                   (s.crashes.empty() ? run_end_window : suspicion_ttl);
     });
     std::erase_if(answers_, [&](const auto& answer) {
         return now - answer.second > answer_ttl;
@@ -493,7 +492,7 @@
     std::erase_if(runs_, [&](const auto& item) {
         const engine_run_evidence& r = item.second;
         return now - r.ended_at.value_or(r.last_break) >
-               (r.ended_at ? suspect_ttl : run_end_window);
+               (r.ended_at ? suspicion_ttl : run_end_window);
     });
 }
 
--- a/tests/crashes/crash_log_test.cpp
+++ b/tests/crashes/crash_log_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <utility>
+
 using namespace lovagegate;
 using namespace lovagegate::crashes;
 
@@ -93,6 +95,37 @@
         CHECK(missing[n - 1]->ended_at >= missing[n]->ended_at);
 }
 
+TEST_CASE("instances with different requests of one crash have the same digest "
+          "once they have told each other all that they keep",
+          "[crashes]")
+{
+    // Evidence that a receiver drops would be sent to it again and again.
+    crash_log a;
+    crash_log b;
+    SECTION("because there are more requests than are kept")
+    {
+        for (fingerprint n = 0; n < 600; ++n) {
+            a.on_connection_broken({n, n, {}}, "e@1", now);
+            b.on_connection_broken({9000 + n, n, {}}, "e@1", now);
+        }
+        a.on_run_ended("e@1", now);
+        b.on_run_ended("e@1", now);
+    }
+    SECTION("because one of them learnt late that the run had ended")
+    {
+        crash(a, "e@1", first);
+        a.on_run_ended("e@1", now);
+        b.on_run_ended("e@1", now + 10s);
+        b.on_connection_broken(second, "e@1", now + 20s);
+    }
+    const time_point later = now + 21s;
+    for (auto [from, to] : {std::pair(&a, &b), std::pair(&b, &a)})
+        for (const crash_record* r : from->missing_in(to->digest(later), later))
+            for (const auto& request : r->requests)
+                to->on_connection_broken(request, r->run, r->broken_at);
+    CHECK(a.digest(later) == b.digest(later));
+}
+
 TEST_CASE("the requests of one crash are bounded", "[crashes]")
 {
     crash_log log;
