End the doubt of a deletion by the stable window of the settings

What could happen: the doubt ended 2.9 s after the last failed call was sent, for a stable window of 3 s. With a shorter window in the settings an instance that had been cut off would have used targets that left meanwhile beyond the drain limit; with the 4 and 5 s of several deployments the doubt ended early, and entries that return late found their targets out of use. After a restoration the doubt counted from the moment at which it was noticed, which may be seconds after the store's return if calls hang.

Cause: the window was a constant here, and the time at which a restored store may have returned was not kept.

Change: the window is read from the settings, and both ends count from the earliest moment at which the store may have been back: the last failed call, or the last answer of the era before.

Evidence: found by reading.

--- a/src/lovagegate/draining/drain_rules.cpp
+++ b/src/lovagegate/draining/drain_rules.cpp
@@ -9,8 +9,6 @@
 /// Longest way of news while one reader of the store is replaced: 1.1 s, see
 /// the argument in docs/design/platform.md.
 constexpr duration max_news_time = 1200ms;
-/// From the decision to send a request to its arrival.
-constexpr duration max_request_time = 100ms;
 /// Part of the limit in which a leaving target is used at most.
 constexpr int use_divisor = 2;
 
--- a/src/lovagegate/draining/drain_rules.hpp
+++ b/src/lovagegate/draining/drain_rules.hpp
@@ -5,6 +5,9 @@
 
 namespace lovagegate::draining {
 
+/// Allowed for a request from the decision to send it to its arrival.
+inline constexpr duration max_request_time = 100ms;
+
 /// What is known when the entry of a target is gone from the store.
 struct removal_facts
 {
--- a/src/lovagegate/draining/expiry_doubt.cpp
+++ b/src/lovagegate/draining/expiry_doubt.cpp
@@ -1,6 +1,9 @@
 #include "lovagegate/draining/expiry_doubt.hpp"
 
+#include "lovagegate/draining/drain_rules.hpp"
+
 #include <algorithm>
+#include <utility>
 
 namespace lovagegate::draining {
 
@@ -8,10 +11,6 @@
 
 /// Entries that expired while the store was away return within this time.
 constexpr duration entry_return_time = 2s;
-/// Longest doubt after the earliest moment at which the store may have
-/// returned. An instance is held to the drain limit from 3 s after the return
-/// on, also for entries that were deleted while only this instance was cut off.
-constexpr duration max_doubt = 2900ms;
 
 } // namespace
 
@@ -23,16 +22,27 @@
 
 void expiry_doubt::on_answer(time_point now)
 {
-    if (!away_)
+    last_answer_ = now;
+    if (!std::exchange(away_, false))
         return;
-    away_ = false;
-    on_told(std::min(now + entry_return_time, last_failed_sent_ + max_doubt));
+    // The store may have been back since the last failed call was sent, and
+    // only this instance may have been cut off, so that the drain limit of an
+    // entry that was deleted meanwhile has passed when it holds again.
+    end_after_return(now, last_failed_sent_);
 }
 
 void expiry_doubt::on_restored(time_point now)
 {
     away_ = false;
-    on_told(now + entry_return_time);
+    const time_point earliest = std::max(last_answer_, last_failed_sent_);
+    end_after_return(now, earliest == time_point{} ? now : earliest);
+}
+
+void expiry_doubt::end_after_return(time_point noticed, time_point earliest)
+{
+    const time_point limit_holds = earliest + stable_window_;
+    on_told(
+        std::min(noticed + entry_return_time, limit_holds - max_request_time));
 }
 
 void expiry_doubt::on_told(time_point until)
--- a/src/lovagegate/draining/expiry_doubt.hpp
+++ b/src/lovagegate/draining/expiry_doubt.hpp
@@ -11,6 +11,13 @@
 class expiry_doubt
 {
 public:
+    /// @param stable_window time from the return of the store, or of the path
+    ///        to it, until the drain limit holds again
+    explicit expiry_doubt(duration stable_window)
+        : stable_window_(stable_window)
+    {
+    }
+
     /// Called when the store didn't answer a call, or refused it.
     /// @param sent when the call was sent: the store may have returned since
     void on_call_failed(time_point sent);
@@ -34,8 +41,14 @@
     [[nodiscard]] duration left(time_point now) const;
 
 private:
+    /// @param noticed when the return of the store was noticed
+    /// @param earliest when it may have returned
+    void end_after_return(time_point noticed, time_point earliest);
+
+    duration stable_window_;
     bool away_ = false;
     time_point last_failed_sent_{};
+    time_point last_answer_{};
     time_point until_{};
 };
 
--- a/src/lovagegate/gateway/boot_settings.hpp
+++ b/src/lovagegate/gateway/boot_settings.hpp
@@ -37,6 +37,9 @@
 
     duration drain_after_notice =
         2s; ///< time in which a leaving target still gets requests
+    /// From the return of the store, or of this instance's path to it, until
+    /// the limits above hold again.
+    duration stable_window = 3s;
     duration stop_grace = 8s; ///< from SIGTERM to SIGKILL
     duration lease = 3s; ///< minimum time between the orders of two instances
     double retry_ratio = 0.2; ///< retries per request, over all instances
--- a/src/lovagegate/gateway/gateway_daemon.cpp
+++ b/src/lovagegate/gateway/gateway_daemon.cpp
@@ -232,7 +232,8 @@
           },
           [this](const platform_wire::store_item& item, duration doubt_left) {
               on_target_item(item, doubt_left);
-          })
+          },
+          {.stable_window = state_.boot.stable_window})
 {
     adapters_.set_open_requests(
         [this](const std::string& engine) { return admission_.open(engine); });
--- a/src/lovagegate/gateway/store_reader.cpp
+++ b/src/lovagegate/gateway/store_reader.cpp
@@ -32,7 +32,8 @@
     : loop_(loop), pool_(pool), store_(std::move(store)),
       prefix_(std::move(prefix)), counts_(counts), on_item_(std::move(on_item)),
       on_batch_(std::move(on_batch)),
-      on_contact_lost_(std::move(on_contact_lost)), settings_(settings)
+      on_contact_lost_(std::move(on_contact_lost)), settings_(settings),
+      doubt_(settings.stable_window)
 {
 }
 
--- a/src/lovagegate/gateway/store_reader.hpp
+++ b/src/lovagegate/gateway/store_reader.hpp
@@ -46,6 +46,8 @@
     duration recheck_interval = 3s;
     duration initial_backoff = 150ms;
     duration max_backoff = 600ms;
+    /// See draining::expiry_doubt.
+    duration stable_window = 3s;
     /// Deletions that are remembered while changes before them are missing.
     std::size_t max_deletions_ahead = 4096;
 };
--- a/tests/draining/expiry_doubt_test.cpp
+++ b/tests/draining/expiry_doubt_test.cpp
@@ -22,7 +22,7 @@
 
 TEST_CASE("a store that answers leaves no doubt of a deletion", "[draining]")
 {
-    expiry_doubt doubt;
+    expiry_doubt doubt(stable_window);
     doubt.on_answer(returned);
     CHECK(doubt.left(returned) == 0s);
 }
@@ -35,7 +35,7 @@
     // limit, since each deletion in the 4 s after an outage began a new grace.
     const duration outage = GENERATE(100ms, 4500ms, 60s);
     const duration retry = GENERATE(0ms, 150ms, 600ms);
-    expiry_doubt doubt;
+    expiry_doubt doubt(stable_window);
     doubt.on_call_failed(returned - outage);
     doubt.on_call_failed(returned - 1ms);
     const time_point answered = returned + retry;
@@ -55,31 +55,49 @@
     // The deletion may have been acknowledged while only this instance was cut
     // off. The path may be back as early as the last failed call was sent.
     const duration call_time = GENERATE(1ms, 800ms, 1300ms, 2500ms, 5s);
-    expiry_doubt doubt;
+    const duration window = GENERATE(1s, 3s, 4s, 5s);
+    expiry_doubt doubt(window);
     doubt.on_call_failed(returned);
     const time_point answered = returned + call_time;
     doubt.on_answer(answered);
     const drain_rules rules(GENERATE(1s, 2s, 3s));
     const auto terms = rules.on_removed({doubt.left(answered), false});
     CHECK((terms.preferred_for == 0s ||
-           answered + terms.preferred_for + request_time <=
-               returned + stable_window));
+           answered + terms.preferred_for + request_time <= returned + window));
 }
 
 TEST_CASE("entries that a restored store lacks are in doubt while targets "
           "write them again",
           "[draining]")
 {
-    expiry_doubt doubt;
+    expiry_doubt doubt(stable_window);
     doubt.on_restored(returned);
     CHECK(doubt.left(returned) == entries_back);
     CHECK(doubt.left(returned + entries_back) == 0s);
 }
 
+TEST_CASE("the doubt of entries that a restored store lacks ends before the "
+          "drain limit holds again, however late the restoration is noticed",
+          "[draining]")
+{
+    const duration late = GENERATE(10ms, 700ms, 1500ms, 4s);
+    expiry_doubt doubt(stable_window);
+    doubt.on_answer(returned); // the last one of the era before
+    SECTION("without a failed call") {}
+    SECTION("after one")
+    {
+        doubt.on_call_failed(returned);
+    }
+    doubt.on_restored(returned + late);
+    CHECK(returned + late + doubt.left(returned + late) + request_time <=
+          std::max(returned + stable_window, returned + late + request_time));
+    CHECK(doubt.left(returned + late) <= entries_back);
+}
+
 TEST_CASE("what another instance tells extends the doubt and never ends it",
           "[draining]")
 {
-    expiry_doubt doubt;
+    expiry_doubt doubt(stable_window);
     doubt.on_told(returned + 1s);
     CHECK(doubt.left(returned) == 1s);
     doubt.on_told(returned + 500ms);
--- a/tests/platform_wire/boot_settings_test.cpp
+++ b/tests/platform_wire/boot_settings_test.cpp
@@ -85,6 +85,15 @@
     CHECK(admits("contracts=base,health,engine"));
 }
 
+// Guards against a doubt of deletions that outlasts a shorter window.
+TEST_CASE("the time until the drain limit holds again is read",
+          "[platform_wire]")
+{
+    CHECK(parse_settings("boot.conf", valid_settings).stable_window == 3s);
+    CHECK(parse_settings("boot.conf", with_line("bounds.stableWindowMs=4000"))
+              .stable_window == 4s);
+}
+
 TEST_CASE("the share of a core is read", "[platform_wire]")
 {
     CHECK(parse_settings("boot.conf", valid_settings).cpu_cores == 0);
