Wait no longer than a repeated question takes before serving

Cause: an instance that starts while the others start too has nobody to ask at first, and waited up to 1 s before it was ready.

Change: it waits 0.5 s: the question is repeated with the next heartbeat after 0.4 s, and answered within milliseconds.

--- a/src/lovagegate/crashes/missed_notices.cpp
+++ b/src/lovagegate/crashes/missed_notices.cpp
@@ -6,9 +6,10 @@
 
 /// Three heartbeats: one that is lost is no reason to ask.
 constexpr duration max_silence = 1300ms;
-/// Time after the start in which a live instance has been asked, and has
-/// answered, also if a datagram was lost.
-constexpr duration max_wait_for_answer = 1s;
+/// Time after the start in which a live instance has answered, also if the
+/// first question was lost: it is repeated with the next heartbeat, after 0.4
+/// s.
+constexpr duration max_wait_for_answer = 500ms;
 
 } // namespace
 
