Let only instances with processor time take over from readers

Suspected cause: keepalives lie unread in processes that are short of time, so that several take over at once. Each of these reads the store and sends news to all, which makes the others later still.

Change: an instance whose own checks are late doesn't take over until they have been on time for 0.25 s. This replaces the rule that two checks in a row must find the silence.

Evidence: "an instance that is short of processor time doesn't take over" failed with that rule, which its two calls 0.2 s apart satisfied.

--- a/src/lovagegate/gateway/store_mirror.cpp
+++ b/src/lovagegate/gateway/store_mirror.cpp
@@ -136,6 +136,7 @@
 
 void store_mirror::tick(time_point now)
 {
+    readers_.on_check(now);
     if (state_.members.self().leaving)
         return;
     if (readers_.is_keepalive_due(0, now) && has_duty(now)) {
--- a/src/lovagegate/reading/reader_watch.hpp
+++ b/src/lovagegate/reading/reader_watch.hpp
@@ -17,7 +17,10 @@
 {
 public:
     /// @param now counts as the first keepalive
-    explicit reader_watch(time_point now) : last_keepalive_(now) {}
+    explicit reader_watch(time_point now)
+        : last_keepalive_(now), last_check_(now), on_time_since_(now)
+    {
+    }
 
     /// Called when this instance has heard a keepalive of a reader, or sent
     /// one.
@@ -32,16 +35,20 @@
     /// @return whether is_take_over_due() may hold, which is cheaper to ask
     [[nodiscard]] bool is_silent(time_point now) const;
 
-    /// Call it repeatedly. A keepalive may lie unread while the process was
-    /// busy, so the silence must hold in two calls between which keepalives
-    /// were read.
+    /// Called every 50 ms. An instance that is late with this is short of
+    /// processor time: keepalives may lie unread, and it would not be a good
+    /// reader, so it doesn't take over until it has been on time for a while.
+    void on_check(time_point now);
+
     /// @param before number of live instances that take over before this one
     /// @return whether this instance is to read the store
-    [[nodiscard]] bool is_take_over_due(std::size_t before, time_point now);
+    [[nodiscard]] bool is_take_over_due(std::size_t before,
+                                        time_point now) const;
 
 private:
     time_point last_keepalive_;
-    bool was_due_ = false; ///< in the last call
+    time_point last_check_;
+    time_point on_time_since_; ///< all checks since then were
 };
 
 } // namespace lovagegate::reading
--- a/tests/reading/reader_watch_test.cpp
+++ b/tests/reading/reader_watch_test.cpp
@@ -77,6 +77,7 @@
         if (now_ < self.next_check)
             return false;
         self.next_check = now_ + check_interval;
+        self.watch.on_check(now_);
         if (i >= reader_count)
             return self.watch.is_take_over_due(i - reader_count, now_);
         if (self.watch.is_keepalive_due(i, now_)) {
@@ -156,8 +157,30 @@
 {
     // A process that was busy for a second checks before it reads.
     reader_watch watch(start);
+    watch.on_check(start + 1s);
     CHECK_FALSE(watch.is_take_over_due(0, start + 1s));
-    watch.on_keepalive(start + 1s);
-    CHECK_FALSE(watch.is_take_over_due(0, start + 1050ms));
-    CHECK_FALSE(watch.is_silent(start + 1050ms));
+    watch.on_check(start + 1050ms);
+    watch.on_keepalive(start + 1050ms);
+    watch.on_check(start + 1300ms);
+    CHECK_FALSE(watch.is_take_over_due(0, start + 1300ms));
+    CHECK_FALSE(watch.is_silent(start + 1300ms));
+}
+
+TEST_CASE("an instance that is short of processor time doesn't take over",
+          "[reading]")
+{
+    // In a fleet that is overloaded, many would read the store and send news to
+    // all, which makes the others late as well.
+    reader_watch watch(start);
+    time_point now = start;
+    for (int n = 0; n < 50; ++n) {
+        now += 200ms;
+        watch.on_check(now);
+        CHECK_FALSE(watch.is_take_over_due(0, now));
+    }
+    for (int n = 0; n < 5; ++n) {
+        now += check_interval;
+        watch.on_check(now);
+    }
+    CHECK(watch.is_take_over_due(0, now));
 }
