Measure a process of the soak only once it runs its program

Cause: between fork and exec a child has the size of its parent, and a soak that is built with sanitizers has 50 to 94 MB.

Change: the start of a process waits until the child has become the program or has ended, by a pipe that closes then.

The check and its bound are as they were.

--- a/soak/child_process.cpp
+++ b/soak/child_process.cpp
@@ -1,5 +1,7 @@
 #include "soak/child_process.hpp"
 
+#include <array>
+#include <cerrno>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
@@ -7,6 +9,7 @@
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <utility>
 
 namespace lovagegate::soak {
 
@@ -15,6 +18,38 @@
 constexpr int cannot_run = 127;
 constexpr int log_mode = 0644;
 
+/// Lets a process wait until its child has become another program, or has
+/// ended: then the child's copy of the pipe is closed. Until then the child's
+/// size is that of its parent.
+class exec_barrier
+{
+public:
+    exec_barrier()
+    {
+        if (::pipe2(ends_.data(), O_CLOEXEC) != 0)
+            throw start_error("no pipe to a child process");
+    }
+    exec_barrier(const exec_barrier&) = delete;
+    exec_barrier& operator=(const exec_barrier&) = delete;
+    ~exec_barrier()
+    {
+        for (const int end : ends_)
+            if (end >= 0)
+                ::close(end);
+    }
+
+    void wait()
+    {
+        ::close(std::exchange(ends_[1], -1));
+        char byte = 0;
+        while (::read(ends_[0], &byte, 1) < 0 && errno == EINTR) {
+        }
+    }
+
+private:
+    std::array<int, 2> ends_{-1, -1};
+};
+
 /// Becomes the program. Runs between fork and exec: only calls that are safe
 /// there.
 [[noreturn]] void become(std::vector<char*>& arguments, const char* log,
@@ -46,11 +81,13 @@
         arguments.push_back(const_cast<char*>(a.c_str()));
     arguments.push_back(nullptr);
     const pid_t owner = ::getpid();
+    exec_barrier barrier;
     id_ = ::fork();
     if (id_ < 0)
         throw start_error(command.front() + ": fork failed");
     if (id_ == 0)
         become(arguments, log.c_str(), owner);
+    barrier.wait();
 }
 
 child_process::~child_process()
