--- a/review/standin-3/engine.cpp
+++ b/review/standin-3/engine.cpp
@@ -13,6 +13,14 @@
 
 constexpr duration beat_interval = 1200ms;
 constexpr std::size_t cached_adapters = 60;
+constexpr int last_adapter = 3000; ///< of those named a1, a2, and so on
+
+bool exists(const std::string& adapter)
+{
+    return adapter.size() > 1 && adapter.size() < 6 && adapter[0] == 'a' &&
+           adapter.find_first_not_of("0123456789", 1) == std::string::npos &&
+           std::stoi(adapter.substr(1)) <= last_adapter;
+}
 
 std::string field(const std::string& name, const std::string& value)
 {
@@ -333,6 +341,8 @@
         on_order(order.value("holder", ""), is_load, adapter);
     if (adapter.empty())
         plain(200);
+    else if (!exists(adapter))
+        plain(400);
     else if (is_load)
         load(c, adapter, order.value("version", std::uint64_t{0}));
     else
@@ -498,7 +508,7 @@
            field("X-Model-Name", "m0/" + adapter) +
            field("X-Token-Counts", "500," + std::to_string(6 * events)) +
            field("X-Prompt-Prefix",
-                 "a1:100,b" + adapter + ":79,c" + attempt + ":321") +
+                 "a1:100,b" + adapter.substr(0, 8) + ":79,c" + attempt + ":321") +
            field("X-Request-Deadline", std::to_string(deadline_ms)) +
            field("Content-Length", std::to_string(body.size())) + "\r\n" + body;
 }
--- a/review/standin-3/site.hpp
+++ b/review/standin-3/site.hpp
@@ -56,6 +56,8 @@
     /// Kills the process and waits for its end.
     void kill(std::size_t instance);
     [[nodiscard]] bool is_running(std::size_t instance);
+    /// @return memory of the process in megabytes, 0 if it has ended
+    [[nodiscard]] double resident_mb(std::size_t instance);
     [[nodiscard]] settings::endpoint callers(std::size_t instance) const;
     [[nodiscard]] settings::endpoint readiness(std::size_t instance) const;
     [[nodiscard]] std::string address(std::size_t instance) const;
