--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -15,12 +15,12 @@
 constexpr duration warm_up = 3s;
 constexpr duration added_at = 8s;
 constexpr duration adding_gap = 3s;
-constexpr std::size_t engines_added = 14;
+constexpr std::size_t engines_added = 20;
 /// Until then the holder has just taken the engine.
 constexpr duration soon = 1600ms;
 constexpr duration power_off = 3500ms;
 constexpr duration rest = 4s;
-constexpr duration after = 14s;
+constexpr duration play_time = 95s;
 constexpr duration gap = 10ms;
 constexpr duration lease = 3s;
 constexpr int adapters = 300;
@@ -68,7 +68,8 @@
         if (l.holder != holder) {
             out.line("order of " + holder + " to engine i-" +
                      std::to_string(n + 1) + ": " +
-                     (load ? "load " : "unload ") + name);
+                     (load ? "load " : "unload ") +
+                     (name.empty() ? "its model" : name));
             if (!l.holder.empty() && now - l.at < lease) {
                 ++broken;
                 out.line("that is " +
@@ -98,8 +99,8 @@
     };
     const time_point start = net::event_loop::now().mono;
     time_point next = start + warm_up;
-    while (net::event_loop::now().mono - start <
-           added_at + engines_added * adding_gap + after) {
+    time_point next_engine = start + added_at;
+    while (broken == 0 && net::event_loop::now().mono - start < play_time) {
         const time_point now = net::event_loop::now().mono;
         if (now >= next) {
             next += gap;
@@ -115,9 +116,11 @@
                          });
         }
         if (added.size() < engines_added && lost.empty() &&
-            now - start >= added_at + added.size() * adding_gap) {
+            now >= next_engine) {
+            next_engine = now + adding_gap;
             const std::size_t n = added.size();
             o.id = "i-" + std::to_string(n + 1);
+            o.empty = true;
             out.line("engine " + o.id + " is added");
             last.push_back({now, {}, {}});
             added.push_back(std::make_unique<engine>(loop, s, out, o));
--- a/review/standin-3/engine.cpp
+++ b/review/standin-3/engine.cpp
@@ -36,9 +36,19 @@
 
 } // namespace
 
+template <typename Json>
+void engine::describe_models(Json& to, const Json& adapters) const
+{
+    to["models"] = Json::array();
+    if (has_model_)
+        to["models"].push_back(
+            {{"name", options_.model}, {"version", 1}, {"adapters", adapters}});
+}
+
 engine::engine(net::event_loop& loop, site& s, record& r,
                const engine_options& options)
     : loop_(loop), site_(s), record_(r), options_(options), born_(unix_ms()),
+      has_model_(!options.empty),
       server_(loop, {"127.0.0.1", 0},
               [this](const connection_ptr& c, const request& q) {
                   on_request(c, q);
@@ -77,20 +87,18 @@
         else
             adapters.push_back(text);
     }
-    return json{
-        {"born", born_},
-        {"stage", "unified"},
-        {"models",
-         {{{"name", options_.model}, {"version", 1}, {"adapters", adapters}}}},
-        {"busy", false},
-        {"sequence", sequence_},
-        {"waiting", queue_.size()},
-        {"running", running_.size()},
-        {"kvCacheUsed", 1000 * running_.size()},
-        {"kvCacheTotal", 156703},
-        {"handles", 0},
-        {"coming", coming}}
-        .dump();
+    json state{{"born", born_},
+               {"stage", "unified"},
+               {"busy", busy_},
+               {"sequence", sequence_},
+               {"waiting", queue_.size()},
+               {"running", running_.size()},
+               {"kvCacheUsed", 1000 * running_.size()},
+               {"kvCacheTotal", 156703},
+               {"handles", 0},
+               {"coming", coming}};
+    describe_models(state, adapters);
+    return state.dump();
 }
 
 void engine::keep_state()
@@ -107,19 +115,17 @@
     for (const auto& [name, h] : held_)
         if (!h.loading)
             adapters.push_back(name + '@' + std::to_string(h.version));
-    const json entry{
-        {"service", options_.service},
-        {"address", "127.0.0.1:" + std::to_string(server_.port())},
-        {"zone", "z"},
-        {"version", "1"},
-        {"slots", options_.slots},
-        {"state", "ready"},
-        {"coldRemainingMs", 0},
-        {"sequence", ++beats_},
-        {"born", born_},
-        {"stage", "unified"},
-        {"models",
-         {{{"name", options_.model}, {"version", 1}, {"adapters", adapters}}}}};
+    json entry{{"service", options_.service},
+               {"address", "127.0.0.1:" + std::to_string(server_.port())},
+               {"zone", "z"},
+               {"version", "1"},
+               {"slots", options_.slots},
+               {"state", "ready"},
+               {"coldRemainingMs", 0},
+               {"sequence", ++beats_},
+               {"born", born_},
+               {"stage", "unified"}};
+    describe_models(entry, adapters);
     json same = entry;
     same.erase("sequence");
     if (std::exchange(last_entry_, same.dump()) != same.dump())
@@ -339,8 +345,12 @@
     const std::string adapter = order.value("adapter", "");
     if (on_order)
         on_order(order.value("holder", ""), is_load, adapter);
-    if (adapter.empty())
-        plain(200);
+    if (adapter.empty() && is_load)
+        load_model(c);
+    else if (busy_ || !has_model_)
+        plain(409);
+    else if (adapter.empty())
+        plain(400);
     else if (!exists(adapter))
         plain(400);
     else if (is_load)
@@ -349,6 +359,26 @@
         unload(c, adapter);
 }
 
+void engine::load_model(const connection_ptr& c)
+{
+    const int status = has_model_ ? 200 : busy_ ? 409 : 202;
+    if (status == 202) {
+        ++sequence_;
+        busy_ = true;
+        loop_.call_later(options_.model_load_time, [this, life = life_] {
+            if (life != life_)
+                return;
+            busy_ = false;
+            has_model_ = true;
+            keep_state();
+            publish();
+        });
+    }
+    keep_state();
+    c->write(whole_answer(status, {}, {}));
+    c->finish();
+}
+
 void engine::load(const connection_ptr& c, const std::string& adapter,
                   std::uint64_t version)
 {
--- a/review/standin-3/engine.hpp
+++ b/review/standin-3/engine.hpp
@@ -34,6 +34,8 @@
     duration restart_time = 2s;
     bool check_fencing = true;
     std::uint64_t first_version = 1; ///< of all adapters
+    bool empty = false;              ///< starts without its base model
+    duration model_load_time = 600ms;
 };
 
 /// Stand-in of a model engine, as the pages describe it: batches of slots, a
@@ -108,6 +110,10 @@
     void load(const connection_ptr& c, const std::string& adapter,
               std::uint64_t version);
     void unload(const connection_ptr& c, const std::string& adapter);
+    void load_model(const connection_ptr& c);
+    /// Adds the base model and its adapters to a description of the engine.
+    template <typename Json>
+    void describe_models(Json& to, const Json& adapters) const;
     void respond(const connection_ptr& c, int status,
                  const std::string& headers, const std::string& body,
                  const std::string& attempt);
@@ -141,6 +147,8 @@
     std::int64_t born_ = 0;
     std::uint64_t life_ = 0;
     bool up_ = true;
+    bool has_model_ = true;
+    bool busy_ = false; ///< loads its base model
     std::string last_entry_;
     http_server server_;
 };
