--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of review/11 to review/14 start.
+# Builds the stand-ins that the scripts of review/11 to review/13 start.
 # usage: review/build-3.sh [CASE...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -11,7 +11,7 @@
 cmake --build "$out" --target lovagegate-soak-parts >/dev/null
 libraries="$(pkg-config --libs libwebsockets jsoncpp libcrypto libxxhash)"
 cases=("$@")
-[ ${#cases[@]} -gt 0 ] || cases=(11 12 13 14)
+[ ${#cases[@]} -gt 0 ] || cases=(11 12 13)
 for n in "${cases[@]}"; do
     [ -e "review/$n/case.cpp" ] || continue
     # shellcheck disable=SC2086
--- a/review/standin-3/site.hpp
+++ b/review/standin-3/site.hpp
@@ -35,6 +35,8 @@
     int grace_s = 8;
     int drain_ms = 2000;
     int stable_ms = 3000;
+    int apply_ms = 2000;
+    std::uint16_t store_port = 0; ///< 0: the site's own store
     std::string contracts = "base,drain,config,cost,retry,recover,fleet,"
                             "stream,engine,platform";
 };
